--- /dev/null
+++ b/crates/oriolectl/src/main.rs
@@ -0,0 +1,25 @@
+//! The operator's command line of orioleroute.
+//!
+//! It asks one instance and never writes to the platform's table itself. `docs/OPERATIONS.md`
+//! shows it at work.
+
+mod ask;
+mod command;
+mod print;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command = match command::parse(std::env::args().skip(1)) {
+        Ok(command) => command,
+        Err(command::Stop::Help(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(command::Stop::Usage(message)) => {
+            eprintln!("oriolectl: {message}");
+            return ExitCode::from(print::USAGE);
+        }
+    };
+    orioleroute_wire::runtime::block_on(ask::run(command))
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/callers.rs
@@ -0,0 +1,205 @@
+//! The listener for callers: the OpenAI-compatible API, plain services and routes.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use monoio::net::TcpListener;
+use orioleroute::prelude::*;
+use orioleroute::request::{Kind, Ran, Refusal, Spec, Target};
+use orioleroute_wire::Error;
+use orioleroute_wire::server::{Connection, Fault, Limits, Request, Response, serve};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use slog::error;
+
+use crate::relay::{self, Job};
+use crate::settings::Settings;
+use crate::shell::Shell;
+
+/// The header field that says whether a refused request ran.
+pub const RAN: &str = "x-request-ran";
+
+/// The header field that counts the instances that passed a request on.
+pub const HOPS: &str = "x-orioleroute-hops";
+
+/// The prefix of the paths of plain services.
+const SERVICES: &str = "/services/";
+
+/// Binds the listener.
+pub fn bind(settings: &Settings) -> std::io::Result<TcpListener> {
+    TcpListener::bind(settings.caller_address)
+}
+
+/// Takes requests of callers.
+pub async fn run(shell: Rc<Shell>, listener: TcpListener) {
+    let log = shell.log.clone();
+    let settings = &shell.settings;
+    let limits = Limits {
+        body_bytes: settings.body_bytes,
+        idle: settings.idle,
+        body_time: settings.body_time,
+    };
+    let connections = settings.connections;
+    let served = serve(listener, limits, connections, explain, async move |connection, request| {
+        answer(&shell, connection, request).await
+    });
+    if let Err(cause) = served.await {
+        error!(log, "caller listener failed"; "error" => cause.to_string());
+    }
+}
+
+async fn answer(
+    shell: &Rc<Shell>,
+    connection: &mut Connection,
+    request: Request,
+) -> Result<(), Error> {
+    let path = request.path.clone();
+    match (&request.method, path.as_str()) {
+        (&Method::GET, "/route") => connection.respond(route(shell, &request)).await,
+        (&Method::GET, "/v1/models") => connection.respond(models(shell)).await,
+        (&Method::POST, "/v1/chat/completions" | "/v1/completions") => match completion(request) {
+            Ok(job) => relay::run(shell, connection, job).await,
+            Err(message) => connection.respond(invalid(&message)).await,
+        },
+        (_, path) if path.starts_with(SERVICES) => {
+            relay::run(shell, connection, service_call(request)).await
+        }
+        _ => {
+            let response = problem(StatusCode::NOT_FOUND, "not_found", "no such path", Ran::NotRun);
+            connection.respond(response).await
+        }
+    }
+}
+
+/// Tells which instances to use for an adapter or service, in order of preference.
+fn route(shell: &Rc<Shell>, request: &Request) -> Response {
+    let target = match (request.parameter("adapter"), request.parameter("service")) {
+        (Some(adapter), _) => Target::Model(adapter.into()),
+        (None, Some(service)) => Target::Service(service.into()),
+        (None, None) => return invalid("name an adapter or a service in the query"),
+    };
+    let region = request.parameter("region").unwrap_or(&shell.settings.region);
+    let addresses: Vec<String> = shell.read(|core| {
+        let homes = core.homes(region, &target);
+        homes.iter().map(|home| home.caller_address.to_string()).collect()
+    });
+    if addresses.is_empty() {
+        let message = "no instance of that region serves it";
+        return problem(StatusCode::NOT_FOUND, "not_found", message, Ran::NotRun);
+    }
+    let keep_ms = shell.settings.route_life.as_millis() as u64;
+    Response::json(StatusCode::OK, &json!({ "addresses": addresses, "keep_ms": keep_ms }))
+}
+
+fn models(shell: &Rc<Shell>) -> Response {
+    let names = shell.read(|core| {
+        let mut names: Vec<Arc<str>> =
+            core.catalog().current().map(|(_, revision)| revision.name.clone()).collect();
+        names.sort();
+        names
+    });
+    let data: Vec<Value> = names
+        .iter()
+        .map(|name| json!({ "id": &**name, "object": "model", "created": 0, "owned_by": "orioleroute" }))
+        .collect();
+    Response::json(StatusCode::OK, &json!({ "object": "list", "data": data }))
+}
+
+/// The fields of a completion that routing needs.
+#[derive(Deserialize)]
+struct Head {
+    model: Arc<str>,
+    #[serde(default)]
+    stream: bool,
+}
+
+fn completion(request: Request) -> Result<Job, String> {
+    let head: Head = serde_json::from_slice(&request.body)
+        .map_err(|error| format!("the body is not a completion request: {error}"))?;
+    let mut spec = spec_of(&request, Target::Model(head.model))?;
+    spec.repeatable = true;
+    Ok(Job { request, spec, stream: head.stream })
+}
+
+fn service_call(mut request: Request) -> Job {
+    let rest = request.path.trim_start_matches(SERVICES);
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let (name, path): (Arc<str>, String) = (name.into(), format!("/{path}"));
+    request.path = path;
+    let repeatable = matches!(request.method, Method::GET | Method::HEAD);
+    let mut spec = spec_of(&request, Target::Service(name.clone())).unwrap_or(Spec {
+        target: Target::Service(name),
+        importance: None,
+        patience: None,
+        repeatable,
+        idempotency: None,
+        hops: 0,
+    });
+    spec.repeatable = repeatable;
+    Job { request, spec, stream: false }
+}
+
+fn spec_of(request: &Request, target: Target) -> Result<Spec, String> {
+    let importance = match request.header("x-importance") {
+        Some(text) => Some(text.parse().map_err(|_| format!("x-importance is {text:?}"))?),
+        None => None,
+    };
+    let patience = match request.header("x-deadline-ms") {
+        Some(text) => Some(text.parse().map_err(|_| format!("x-deadline-ms is {text:?}"))?),
+        None => None,
+    };
+    Ok(Spec {
+        target,
+        importance,
+        patience: patience.map(Duration::from_millis),
+        repeatable: true,
+        idempotency: request.header("idempotency-key").map(Arc::from),
+        hops: request.header(HOPS).and_then(|text| text.parse().ok()).unwrap_or(0),
+    })
+}
+
+/// Answers a fault in the API's form.
+fn explain(fault: &Fault) -> Response {
+    problem(fault.status(), "invalid_request_error", &fault.to_string(), Ran::NotRun)
+}
+
+fn invalid(message: &str) -> Response {
+    problem(StatusCode::BAD_REQUEST, "invalid_request_error", message, Ran::NotRun)
+}
+
+/// Answers a refusal in the API's form, with when to come back.
+pub fn refusal(refusal: &Refusal) -> Response {
+    let (status, message) = match refusal.kind {
+        Kind::NotFound => (StatusCode::NOT_FOUND, "no such adapter, version or service"),
+        Kind::Overloaded => (StatusCode::TOO_MANY_REQUESTS, "too many requests wait"),
+        Kind::Unavailable => (StatusCode::SERVICE_UNAVAILABLE, "nothing can answer now"),
+        Kind::Deadline => (StatusCode::GATEWAY_TIMEOUT, "the deadline cannot be met"),
+        Kind::Conflict => (StatusCode::CONFLICT, "the idempotency key was used before"),
+        Kind::Upstream => (StatusCode::BAD_GATEWAY, "the upstream failed"),
+    };
+    let response = problem(status, &refusal.kind.to_string(), message, refusal.ran);
+    match refusal.retry_after {
+        Some(wait) => response.with("retry-after", wait.as_secs().max(1).to_string()),
+        None => response,
+    }
+}
+
+fn problem(status: StatusCode, kind: &str, message: &str, ran: Ran) -> Response {
+    let body = json!({ "error": {
+        "message": message,
+        "type": kind,
+        "param": Value::Null,
+        "code": status.as_u16(),
+        "ran": ran.to_string(),
+    }});
+    Response::json(status, &body).with(RAN, ran.to_string())
+}
+
+/// Returns the body of a completion with another model name.
+pub fn rename_model(body: &Bytes, name: &str, importance: u32) -> Bytes {
+    let Ok(mut value) = serde_json::from_slice::<Value>(body) else { return body.clone() };
+    value["model"] = name.into();
+    value["priority"] = importance.into();
+    serde_json::to_vec(&value).map_or_else(|_| body.clone(), Bytes::from)
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/log.rs
@@ -0,0 +1,29 @@
+//! The log: JSON lines or terminal lines on standard error.
+
+use slog::{Drain, Logger, o};
+
+use crate::settings::{LogFormat, Settings};
+
+/// Log lines that may wait to be written; more are dropped and counted by the library.
+const QUEUE_LINES: usize = 8_192;
+
+/// Returns the logger of the process.
+pub fn logger(settings: &Settings) -> Logger {
+    let level = settings.log_level;
+    let drain = match settings.log_format {
+        LogFormat::Json => {
+            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            slog_async::Async::new(drain).chan_size(QUEUE_LINES).build()
+        }
+        LogFormat::Text => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            slog_async::Async::new(drain).chan_size(QUEUE_LINES).build()
+        }
+    };
+    let drain = slog::LevelFilter::new(drain, level).fuse();
+    Logger::root(
+        drain,
+        o!("instance" => settings.name.clone(), "region" => settings.region.clone()),
+    )
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/main.rs
@@ -0,0 +1,64 @@
+//! The orioleroute daemon: one instance between callers and upstreams.
+//!
+//! `docs/OPERATIONS.md` tells how to run it, `--help` lists its settings. The decisions are the
+//! core's, in the crate `orioleroute`; this program gives it sockets, timers and a log.
+
+mod callers;
+mod engines;
+mod log;
+mod operators;
+mod peers;
+mod platform;
+mod relay;
+mod settings;
+mod shell;
+mod signals;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use settings::{Outcome, Settings};
+use shell::Shell;
+
+fn main() -> ExitCode {
+    let settings = match Settings::from_environment() {
+        Outcome::Run(settings) => *settings,
+        Outcome::Print(text) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Outcome::Fail(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(2);
+        }
+    };
+    match orioleroute_wire::runtime::block_on(run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("orioleroute-node: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs the instance until it has left and every request has had its final answer.
+async fn run(settings: Settings) -> std::io::Result<()> {
+    let metrics = operators::install_metrics();
+    let callers = callers::bind(&settings)?;
+    let peers = peers::bind(&settings)?;
+    let operators = operators::bind(&settings)?;
+    let shell = Rc::new(Shell::new(
+        settings,
+        callers.local_addr()?,
+        peers.local_addr()?,
+        operators.local_addr()?,
+    ));
+    shell.announce();
+    monoio::spawn(callers::run(shell.clone(), callers));
+    monoio::spawn(peers::run(shell.clone(), peers));
+    monoio::spawn(operators::run(shell.clone(), operators, metrics));
+    monoio::spawn(platform::watch_list(shell.clone()));
+    monoio::spawn(signals::watch(shell.clone())?);
+    shell.tick_until_done().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/operators.rs
@@ -0,0 +1,86 @@
+//! The listener for operators: commands, metrics and health.
+
+use std::rc::Rc;
+
+use http::{Method, StatusCode};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use monoio::net::TcpListener;
+use orioleroute::operator::Command;
+use orioleroute_wire::server::{Fault, Limits, Request, Response, serve};
+use serde_json::json;
+use slog::error;
+
+use crate::peers::shows_token;
+use crate::settings::Settings;
+use crate::shell::Shell;
+
+/// Connections of operators that are open at a time.
+const CONNECTIONS: usize = 256;
+
+/// Binds the listener.
+pub fn bind(settings: &Settings) -> std::io::Result<TcpListener> {
+    TcpListener::bind(settings.operator_address)
+}
+
+/// Installs the recorder of metrics and returns the handle that renders them.
+pub fn install_metrics() -> PrometheusHandle {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    // A recorder that was installed before stays; this process installs only this one.
+    let _ = metrics::set_global_recorder(recorder);
+    handle
+}
+
+/// Takes commands of operators.
+pub async fn run(shell: Rc<Shell>, listener: TcpListener, metrics: PrometheusHandle) {
+    let log = shell.log.clone();
+    let limits = Limits { body_bytes: 64 << 20, ..Limits::default() };
+    let served = serve(listener, limits, CONNECTIONS, explain, async move |connection, request| {
+        let response = answer(&shell, &metrics, &request).await;
+        connection.respond(response).await
+    });
+    if let Err(cause) = served.await {
+        error!(log, "operator listener failed"; "error" => cause.to_string());
+    }
+}
+
+/// Answers a fault in the form that the operator and peer listeners use.
+pub fn explain(fault: &Fault) -> Response {
+    Response::json(fault.status(), &json!({ "error": fault.to_string() }))
+}
+
+async fn answer(shell: &Rc<Shell>, metrics: &PrometheusHandle, request: &Request) -> Response {
+    match (&request.method, request.path.as_str()) {
+        (&Method::GET, "/livez") => Response::text(StatusCode::OK, "live"),
+        (&Method::GET, "/readyz") => readiness(shell),
+        (&Method::GET, "/metrics") => Response::text(StatusCode::OK, metrics.render()),
+        (&Method::POST, "/command") => command(shell, request).await,
+        _ => Response::empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn readiness(shell: &Rc<Shell>) -> Response {
+    let ready = shell.read(|core| core.membership().is_member() && core.version() > 0);
+    match ready {
+        true => Response::text(StatusCode::OK, "ready"),
+        false => Response::text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+    }
+}
+
+async fn command(shell: &Rc<Shell>, request: &Request) -> Response {
+    if !shows_token(request, &shell.settings.operator_token) {
+        let body = json!({ "error": "the operator token is missing or wrong" });
+        return Response::json(StatusCode::UNAUTHORIZED, &body);
+    }
+    let command = match serde_json::from_slice::<Command>(&request.body) {
+        Ok(command) => command,
+        Err(error) => {
+            let body = json!({ "error": error.to_string() });
+            return Response::json(StatusCode::BAD_REQUEST, &body);
+        }
+    };
+    match shell.command(command).await {
+        Some(answer) => Response::json(StatusCode::OK, &answer),
+        None => Response::empty(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/peers.rs
@@ -0,0 +1,58 @@
+//! The listener for peers.
+
+use std::rc::Rc;
+
+use http::{Method, StatusCode};
+use monoio::net::TcpListener;
+use orioleroute::message::Message;
+use orioleroute::prelude::*;
+use orioleroute_wire::rpc;
+use orioleroute_wire::server::{Limits, Request, Response, serve};
+use slog::error;
+use subtle::ConstantTimeEq;
+
+use crate::settings::Settings;
+use crate::shell::Shell;
+
+/// Connections of peers that are open at a time.
+const CONNECTIONS: usize = 4_096;
+
+/// Binds the listener.
+pub fn bind(settings: &Settings) -> std::io::Result<TcpListener> {
+    TcpListener::bind(settings.peer_address)
+}
+
+/// Takes messages of peers.
+pub async fn run(shell: Rc<Shell>, listener: TcpListener) {
+    let log = shell.log.clone();
+    let limits = Limits { body_bytes: 64 << 20, ..Limits::default() };
+    let served = serve(listener, limits, CONNECTIONS, crate::operators::explain, {
+        async move |connection, request| connection.respond(take(&shell, &request)).await
+    });
+    if let Err(cause) = served.await {
+        error!(log, "peer listener failed"; "error" => cause.to_string());
+    }
+}
+
+fn take(shell: &Rc<Shell>, request: &Request) -> Response {
+    if request.method != Method::POST || request.path != rpc::PATH {
+        return Response::empty(StatusCode::NOT_FOUND);
+    }
+    if !shows_token(request, &shell.settings.peer_token) {
+        return Response::empty(StatusCode::UNAUTHORIZED);
+    }
+    let sender = request.header(rpc::SENDER);
+    match (sender, rpc::decode::<Message>(&request.body)) {
+        (Some(from), Ok(message)) => {
+            shell.feed(Event::Message { from: from.into(), message });
+            Response::empty(StatusCode::NO_CONTENT)
+        }
+        _ => Response::empty(StatusCode::BAD_REQUEST),
+    }
+}
+
+/// Returns whether a request shows a token, in a time that does not depend on how much of it fits.
+pub fn shows_token(request: &Request, token: &str) -> bool {
+    let shown = request.header("authorization").and_then(|text| text.strip_prefix("Bearer "));
+    shown.is_some_and(|shown| bool::from(shown.as_bytes().ct_eq(token.as_bytes())))
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/platform.rs
@@ -0,0 +1,144 @@
+//! The platform's table service, object store and instance list.
+
+use std::rc::Rc;
+
+use http::Method;
+use orioleroute::instance::Listing;
+use orioleroute::key::Ticket;
+use orioleroute::prelude::*;
+use orioleroute::table::{Expect, Operation, Outcome, Row, Write};
+use orioleroute_wire::Step;
+use orioleroute_wire::client::{Answer, Call};
+use serde_json::{Value, json};
+use slog::warn;
+
+use crate::shell::Shell;
+
+/// The longest wait for a reply of the platform.
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Between two readings of the instance list.
+const LIST_POLL: Duration = Duration::from_millis(1_000);
+
+/// Carries out a table operation in DynamoDB's JSON protocol.
+pub async fn table(shell: Rc<Shell>, ticket: Ticket, operation: Operation) {
+    let (target, body) = match &operation {
+        Operation::Read(keys) => ("BatchGetItem", read_body(&shell.settings.table_name, keys)),
+        Operation::Write(writes) => {
+            ("TransactWriteItems", write_body(&shell.settings.table_name, writes))
+        }
+    };
+    let call = Call::new(Method::POST, "/")
+        .header("x-amz-target", format!("DynamoDB_20120810.{target}"))
+        .json(&body)
+        .header("content-type", "application/x-amz-json-1.0");
+    let address = shell.settings.table_address;
+    let outcome = match shell.pool.call_within(address, call, TIMEOUT).await {
+        Ok(answer) => outcome_of(&operation, &answer),
+        Err(error) if error.step == Step::Connect => Outcome::Failed,
+        Err(_) => Outcome::Unknown,
+    };
+    if matches!(outcome, Outcome::Failed | Outcome::Unknown) {
+        warn!(shell.log, "table did not answer"; "operation" => target);
+    }
+    shell.feed(Event::Table { ticket, outcome });
+}
+
+fn read_body(table: &str, keys: &[Arc<str>]) -> Value {
+    let keys: Vec<Value> = keys.iter().map(|key| json!({ "pk": { "S": &**key } })).collect();
+    json!({ "RequestItems": { table: { "Keys": keys, "ConsistentRead": true } } })
+}
+
+fn write_body(table: &str, writes: &[Write]) -> Value {
+    let items: Vec<Value> =
+        writes.iter().map(|write| json!({ "Put": put_of(table, write) })).collect();
+    json!({ "TransactItems": items })
+}
+
+fn put_of(table: &str, write: &Write) -> Value {
+    let item = json!({
+        "pk": { "S": &*write.key },
+        "version": { "N": write.expect.next_version().to_string() },
+        "value": { "S": &*write.value },
+    });
+    match write.expect {
+        Expect::Absent => json!({
+            "TableName": table,
+            "Item": item,
+            "ConditionExpression": "attribute_not_exists(pk)",
+        }),
+        Expect::Version(version) => json!({
+            "TableName": table,
+            "Item": item,
+            "ConditionExpression": "version = :v",
+            "ExpressionAttributeValues": { ":v": { "N": version.to_string() } },
+        }),
+    }
+}
+
+fn outcome_of(operation: &Operation, answer: &Answer) -> Outcome {
+    let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    match operation {
+        Operation::Read(_) if answer.status.is_success() => {
+            let tables = body["Responses"].as_object();
+            let items = tables.into_iter().flat_map(|tables| tables.values());
+            Outcome::Rows(items.filter_map(Value::as_array).flatten().filter_map(row_of).collect())
+        }
+        Operation::Read(_) => Outcome::Failed,
+        Operation::Write(_) if answer.status.is_success() => Outcome::Written,
+        Operation::Write(_) => match body["CancellationReasons"].as_array() {
+            Some(reasons) => Outcome::Conflict(conflicts(reasons)),
+            None if answer.status.is_client_error() => Outcome::Failed,
+            None => Outcome::Unknown,
+        },
+    }
+}
+
+fn conflicts(reasons: &[Value]) -> Vec<usize> {
+    let unmet = reasons.iter().enumerate().filter(|(_, reason)| reason["Code"] != "None");
+    unmet.map(|(index, _)| index).collect()
+}
+
+fn row_of(item: &Value) -> Option<Row> {
+    Some(Row {
+        key: item["pk"]["S"].as_str()?.into(),
+        version: item["version"]["N"].as_str()?.parse().ok()?,
+        value: item["value"]["S"].as_str()?.into(),
+    })
+}
+
+/// Writes an object.
+pub async fn put(shell: Rc<Shell>, ticket: Ticket, key: Arc<str>, value: Arc<str>) {
+    let call = Call::new(Method::PUT, format!("/objects/{key}"))
+        .body("application/json", value.as_bytes().to_vec());
+    let address = shell.settings.objects_address;
+    let answer = shell.pool.call_within(address, call, TIMEOUT).await;
+    let stored = answer.is_ok_and(|answer| answer.status.is_success());
+    shell.feed(Event::Put { ticket, stored });
+}
+
+/// Reads an object.
+pub async fn get(shell: Rc<Shell>, ticket: Ticket, key: Arc<str>) {
+    let call = Call::new(Method::GET, format!("/objects/{key}"));
+    let address = shell.settings.objects_address;
+    let answer = shell.pool.call_within(address, call, TIMEOUT).await;
+    let value = answer
+        .ok()
+        .filter(|answer| answer.status.is_success())
+        .and_then(|answer| String::from_utf8(answer.body.to_vec()).ok())
+        .map(Arc::from);
+    shell.feed(Event::Got { ticket, value });
+}
+
+/// Reads the instance list again and again.
+pub async fn watch_list(shell: Rc<Shell>) {
+    let address = shell.settings.list_address;
+    loop {
+        let call = Call::new(Method::GET, "/instances");
+        let answer = shell.pool.call_within(address, call, TIMEOUT).await;
+        if let Ok(list) = answer.and_then(|answer| answer.json::<Vec<Listing>>(address)) {
+            shell.feed(Event::Listed(list));
+        }
+        monoio::time::sleep(LIST_POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/settings.rs
@@ -0,0 +1,254 @@
+//! Settings from flags and environment variables, checked at the start.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+
+/// What the command line asks for.
+pub enum Outcome {
+    /// Runs with these settings.
+    Run(Box<Settings>),
+    /// Prints a text and ends.
+    Print(String),
+    /// Ends with a message.
+    Fail(String),
+}
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// For a terminal.
+    Text,
+}
+
+/// The settings of an instance.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The instance's name.
+    pub name: String,
+    /// The region.
+    pub region: String,
+    /// The availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where peers connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub operator_address: SocketAddr,
+    /// The platform's table service.
+    pub table_address: SocketAddr,
+    /// The table's name.
+    pub table_name: String,
+    /// The platform's object store.
+    pub objects_address: SocketAddr,
+    /// The platform's instance list.
+    pub list_address: SocketAddr,
+    /// The token that peers show.
+    pub peer_token: String,
+    /// The token that operators show.
+    pub operator_token: String,
+    /// The largest request body, in bytes.
+    pub body_bytes: usize,
+    /// The longest wait for a request head on an open connection.
+    pub idle: Duration,
+    /// The longest wait for a whole request body.
+    pub body_time: Duration,
+    /// The connections of callers that are open at a time.
+    pub connections: usize,
+    /// How long a caller keeps the answer which instance to use.
+    pub route_life: Duration,
+    /// How log lines are written.
+    pub log_format: LogFormat,
+    /// The least severe level that is logged.
+    pub log_level: slog::Level,
+}
+
+struct Setting {
+    flag: &'static str,
+    hint: &'static str,
+    help: &'static str,
+    default: Option<&'static str>,
+}
+
+const fn setting(
+    flag: &'static str,
+    hint: &'static str,
+    help: &'static str,
+    default: Option<&'static str>,
+) -> Setting {
+    Setting { flag, hint, help, default }
+}
+
+const SETTINGS: &[Setting] = &[
+    setting("name", "NAME", "unique name of this instance", None),
+    setting("region", "NAME", "region of this instance", None),
+    setting("zone", "NAME", "availability zone of this instance", None),
+    setting("caller-address", "IP:PORT", "where callers connect", Some("127.0.0.1:0")),
+    setting("peer-address", "IP:PORT", "where peers connect", Some("127.0.0.1:0")),
+    setting("operator-address", "IP:PORT", "where operators connect", Some("127.0.0.1:0")),
+    setting("table-address", "IP:PORT", "the platform's table service", None),
+    setting("table-name", "NAME", "the table", Some("orioleroute")),
+    setting("objects-address", "IP:PORT", "the platform's object store", None),
+    setting("list-address", "IP:PORT", "the platform's instance list", None),
+    setting("peer-token", "TEXT", "token that peers show", None),
+    setting("operator-token", "TEXT", "token that operators show", None),
+    setting("body-bytes", "COUNT", "largest request body", Some("4194304")),
+    setting("idle-ms", "MILLISECONDS", "longest wait for a request head", Some("120000")),
+    setting("body-ms", "MILLISECONDS", "longest wait for a request body", Some("10000")),
+    setting("connections", "COUNT", "open connections of callers", Some("10000")),
+    setting("route-life-ms", "MILLISECONDS", "how long callers keep a route", Some("5000")),
+    setting("log-format", "json|text", "form of log lines", Some("json")),
+    setting("log-level", "LEVEL", "least severe level that is logged", Some("info")),
+];
+
+impl Settings {
+    /// Reads the settings of this process.
+    pub fn from_environment() -> Outcome {
+        let options = options();
+        let matches = match options.parse(std::env::args().skip(1)) {
+            Ok(matches) => matches,
+            Err(error) => return Outcome::Fail(format!("orioleroute-node: {error}\n{}", usage())),
+        };
+        if matches.opt_present("help") {
+            return Outcome::Print(usage());
+        }
+        if matches.opt_present("version") {
+            return Outcome::Print(format!("orioleroute-node {}", env!("CARGO_PKG_VERSION")));
+        }
+        if let Some(extra) = matches.free.first() {
+            return Outcome::Fail(format!("orioleroute-node: unexpected argument {extra:?}"));
+        }
+        let mut source = Source { matches, faults: Vec::new() };
+        let settings = source.settings();
+        if !source.faults.is_empty() {
+            return Outcome::Fail(source.faults.join("\n"));
+        }
+        if source.matches.opt_present("print-settings") {
+            return Outcome::Print(source.print());
+        }
+        match settings {
+            Some(settings) => Outcome::Run(Box::new(settings)),
+            None => Outcome::Fail("orioleroute-node: the settings are incomplete".into()),
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    for setting in SETTINGS {
+        options.optopt("", setting.flag, setting.help, setting.hint);
+    }
+    options.optflag("", "print-settings", "print the settings in force and end");
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+fn usage() -> String {
+    let brief = "Usage: orioleroute-node [options]\n\n\
+        Every option can also be given as an environment variable: --caller-address as\n\
+        ORIOLEROUTE_CALLER_ADDRESS, and so on. A flag goes before a variable.";
+    options().usage(brief)
+}
+
+/// Where values come from, and the faults found in them.
+struct Source {
+    matches: Matches,
+    faults: Vec<String>,
+}
+
+impl Source {
+    fn settings(&mut self) -> Option<Settings> {
+        let name = self.value("name");
+        let region = self.value("region");
+        let zone = self.value("zone");
+        let caller_address = self.value("caller-address");
+        let peer_address = self.value("peer-address");
+        let operator_address = self.value("operator-address");
+        let table_address = self.value("table-address");
+        let table_name = self.value("table-name");
+        let objects_address = self.value("objects-address");
+        let list_address = self.value("list-address");
+        let peer_token = self.value("peer-token");
+        let operator_token = self.value("operator-token");
+        let body_bytes = self.value("body-bytes");
+        let idle = self.millis("idle-ms");
+        let body_time = self.millis("body-ms");
+        let connections = self.value("connections");
+        let route_life = self.millis("route-life-ms");
+        let log_format = self.value("log-format");
+        let log_level = self.value("log-level");
+        Some(Settings {
+            name: name?,
+            region: region?,
+            zone: zone?,
+            caller_address: caller_address?,
+            peer_address: peer_address?,
+            operator_address: operator_address?,
+            table_address: table_address?,
+            table_name: table_name?,
+            objects_address: objects_address?,
+            list_address: list_address?,
+            peer_token: peer_token?,
+            operator_token: operator_token?,
+            body_bytes: body_bytes?,
+            idle: idle?,
+            body_time: body_time?,
+            connections: connections?,
+            route_life: route_life?,
+            log_format: log_format?,
+            log_level: log_level?,
+        })
+    }
+
+    fn text(&self, setting: &Setting) -> Option<String> {
+        self.matches
+            .opt_str(setting.flag)
+            .or_else(|| std::env::var(variable(setting.flag)).ok())
+            .or_else(|| setting.default.map(str::to_owned))
+    }
+
+    fn value<T: FromStr>(&mut self, flag: &str) -> Option<T> {
+        let setting = SETTINGS.iter().find(|setting| setting.flag == flag)?;
+        let variable = variable(flag);
+        let Some(text) = self.text(setting) else {
+            self.faults.push(format!(
+                "orioleroute-node: --{flag} or {variable} is missing: {}",
+                setting.help
+            ));
+            return None;
+        };
+        let value = text.parse().ok();
+        if value.is_none() {
+            let hint = setting.hint;
+            self.faults.push(format!(
+                "orioleroute-node: --{flag} or {variable} is {text:?}, allowed is {hint}"
+            ));
+        }
+        value
+    }
+
+    fn millis(&mut self, flag: &str) -> Option<Duration> {
+        self.value(flag).map(Duration::from_millis)
+    }
+
+    fn print(&self) -> String {
+        let lines = SETTINGS.iter().map(|setting| {
+            let secret = setting.flag.ends_with("-token");
+            let text = self.text(setting).unwrap_or_default();
+            let shown = if secret { "(secret)" } else { &text };
+            format!("{} = {shown}", setting.flag)
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    }
+}
+
+fn variable(flag: &str) -> String {
+    format!("ORIOLEROUTE_{}", flag.to_uppercase().replace('-', "_"))
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/shell.rs
@@ -0,0 +1,204 @@
+//! The core with its surroundings: events go in, effects are carried out.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Instant as Clock, SystemTime, UNIX_EPOCH};
+
+use local_sync::{mpsc, oneshot};
+use orioleroute::Core;
+use orioleroute::event::TICK;
+use orioleroute::instance::Instance as Identity;
+use orioleroute::key::Ticket;
+use orioleroute::operator::{Answer, Command};
+use orioleroute::prelude::*;
+use orioleroute::request::Step;
+use orioleroute::routing::{Decision, Reason};
+use orioleroute_wire::client::Pool;
+use orioleroute_wire::rpc;
+use slog::{Logger, debug, info, o, warn};
+
+use crate::settings::Settings;
+use crate::{engines, log, platform};
+
+/// The longest wait for a peer to take a message.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The steps of one request, as the core decides them.
+pub type Steps = mpsc::unbounded::Rx<Step>;
+
+/// One instance at run time.
+pub struct Shell {
+    /// The settings.
+    pub settings: Settings,
+    /// The connections to peers, upstreams and the platform.
+    pub pool: Pool,
+    /// The log.
+    pub log: Logger,
+    core: RefCell<Core>,
+    started: Clock,
+    steps: RefCell<HashMap<key::Request, mpsc::unbounded::Tx<Step>>>,
+    answers: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
+    next_command: Cell<u64>,
+}
+
+impl Shell {
+    /// Returns an instance that listens on the given addresses.
+    pub fn new(
+        settings: Settings,
+        caller_address: SocketAddr,
+        peer_address: SocketAddr,
+        operator_address: SocketAddr,
+    ) -> Self {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let identity = Identity {
+            name: settings.name.as_str().into(),
+            incarnation: since_epoch.as_micros() as u64,
+            region: settings.region.as_str().into(),
+            zone: settings.zone.as_str().into(),
+            caller_address,
+            peer_address,
+            operator_address,
+        };
+        let log = log::logger(&settings);
+        Self {
+            settings,
+            pool: Pool::new(),
+            log,
+            core: RefCell::new(Core::new(identity)),
+            started: Clock::now(),
+            steps: RefCell::default(),
+            answers: RefCell::default(),
+            next_command: Cell::new(0),
+        }
+    }
+
+    /// Prints the addresses on which this instance listens, for whoever started it.
+    pub fn announce(&self) {
+        let core = self.core.borrow();
+        let identity = core.membership().identity();
+        println!(
+            "listening callers={} peers={} operators={}",
+            identity.caller_address, identity.peer_address, identity.operator_address
+        );
+        info!(self.log, "started"; "incarnation" => identity.incarnation,
+            "callers" => identity.caller_address.to_string(),
+            "peers" => identity.peer_address.to_string(),
+            "operators" => identity.operator_address.to_string());
+    }
+
+    /// Returns the time on the core's clock.
+    pub fn now(&self) -> Instant {
+        Instant::from_micros(self.started.elapsed().as_micros() as u64)
+    }
+
+    /// Reads from the core.
+    pub fn read<T>(&self, read: impl FnOnce(&Core) -> T) -> T {
+        read(&self.core.borrow())
+    }
+
+    /// Gives the core an event and carries out the effects.
+    pub fn feed(self: &Rc<Self>, event: Event) {
+        let effects = self.core.borrow_mut().handle(self.now(), event);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    /// Admits a request, and returns its key and the steps that the core will decide.
+    pub fn admit(&self) -> (key::Request, Steps) {
+        let key = self.core.borrow_mut().admit();
+        let (sender, steps) = mpsc::unbounded::channel();
+        self.steps.borrow_mut().insert(key, sender);
+        (key, steps)
+    }
+
+    /// Forgets a request that has had its final answer.
+    pub fn forget(&self, key: key::Request) {
+        self.steps.borrow_mut().remove(&key);
+    }
+
+    /// Gives the core an operator's command and waits for the answer.
+    pub async fn command(self: &Rc<Self>, command: Command) -> Option<Answer> {
+        let ticket = Ticket(self.next_command.get() + 1);
+        self.next_command.set(ticket.0);
+        let (sender, answer) = oneshot::channel();
+        self.answers.borrow_mut().insert(ticket, sender);
+        self.feed(Event::Command { ticket, command });
+        answer.await.ok()
+    }
+
+    /// Lets the core's time pass until the instance has left and has no request.
+    pub async fn tick_until_done(self: &Rc<Self>) {
+        while !self.core.borrow().is_done() {
+            self.feed(Event::Tick);
+            monoio::time::sleep(TICK / 2).await;
+        }
+        info!(self.log, "left");
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Send { to, address, message } => {
+                let shell = self.clone();
+                monoio::spawn(async move { shell.send(to, address, message).await });
+            }
+            Effect::Table { ticket, operation } => {
+                monoio::spawn(platform::table(self.clone(), ticket, operation));
+            }
+            Effect::Put { ticket, key, value } => {
+                monoio::spawn(platform::put(self.clone(), ticket, key, value));
+            }
+            Effect::Get { ticket, key } => {
+                monoio::spawn(platform::get(self.clone(), ticket, key));
+            }
+            Effect::Order { ticket, upstream, address, order, fencing } => {
+                let given = engines::order(self.clone(), ticket, upstream, address, order, fencing);
+                monoio::spawn(given);
+            }
+            Effect::Probe { upstream, address } => {
+                monoio::spawn(engines::probe(self.clone(), upstream, address));
+            }
+            Effect::Request { request, step } => {
+                if let Some(sender) = self.steps.borrow().get(&request) {
+                    let _ = sender.send(step);
+                }
+            }
+            Effect::Answer { ticket, answer } => {
+                if let Some(sender) = self.answers.borrow_mut().remove(&ticket) {
+                    let _ = sender.send(answer);
+                }
+            }
+            Effect::Decide(decision) => self.log_decision(&decision),
+        }
+    }
+
+    async fn send(
+        self: Rc<Self>,
+        to: Arc<str>,
+        address: SocketAddr,
+        message: orioleroute::message::Message,
+    ) {
+        let token = &self.settings.peer_token;
+        let name = &self.settings.name;
+        let sent = rpc::notify(&self.pool, address, token, name, &message, PEER_TIMEOUT).await;
+        if let Err(error) = sent {
+            debug!(self.log, "message lost"; "peer" => &*to, "error" => error.to_string());
+        }
+    }
+
+    fn log_decision(&self, decision: &Decision) {
+        let line = o!(
+            "request" => decision.request.map(|key| format!("{key:?}")),
+            "served" => decision.name.to_string(),
+            "chosen" => decision.chosen.as_deref().map(str::to_owned),
+            "reason" => decision.reason.to_string(),
+            "runners_up" => decision.runners_up.join(","),
+        );
+        match decision.reason {
+            Reason::Refused => warn!(self.log, "decision"; line),
+            _ => info!(self.log, "decision"; line),
+        }
+    }
+}
--- /dev/null
+++ b/crates/orioleroute-node/tests/path.rs
@@ -0,0 +1,116 @@
+//! The whole path through node processes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use nix::sys::signal::Signal;
+use orioleroute::operator::{Answer, Command};
+use orioleroute_wire::client::{Answer as HttpAnswer, Call};
+use serde_json::{Value, json};
+use standins::engine::Settings;
+use standins::process::Process;
+use standins::system::{self, call, listing, node, publish, status, until};
+
+const REGION: &str = "zurich";
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_orioleroute-node"))
+}
+
+fn document() -> Arc<str> {
+    let document = json!({
+        "format": 1,
+        "models": [{ "name": "coach-7b" }],
+        "pools": [{ "name": "coaching", "model": "coach-7b", "slots": 2, "fencing": "checked" }],
+        "adapters": [{
+            "name": "milk", "model": "coach-7b", "versions": ["v1", "v2"], "default": "v2",
+        }],
+        "services": [{ "name": "bookings", "pool": "course" }],
+    });
+    document.to_string().into()
+}
+
+/// A platform, two engines and two nodes with a document in force.
+fn system() -> Vec<Process> {
+    let platform = system::platform();
+    let engines = [system::engine(Settings::default()), system::engine(Settings::default())];
+    publish(
+        platform,
+        &[
+            listing("engine-1", "coaching", REGION, engines[0]),
+            listing("engine-2", "coaching", REGION, engines[1]),
+            listing("course", "course", REGION, system::service()),
+        ],
+    );
+    let nodes: Vec<Process> = ["a", "b"]
+        .iter()
+        .map(|name| node(program(), name, REGION, platform, &[]).expect("the node starts"))
+        .collect();
+    until("two members", || {
+        nodes.iter().all(|node| status(node).is_some_and(|status| status.instances.len() == 2))
+    });
+    let submitted = system::command(&nodes[0], &Command::Submit { base: 0, document: document() });
+    assert_eq!(submitted, Some(Answer::Accepted { version: 1 }));
+    until("in force everywhere", || {
+        nodes.iter().all(|node| status(node).is_some_and(|status| status.version == 1))
+    });
+    nodes
+}
+
+fn callers(node: &Process) -> SocketAddr {
+    node.address("callers").expect("the node printed its addresses")
+}
+
+fn complete(node: &Process, model: &str) -> HttpAnswer {
+    let body = json!({ "model": model, "max_tokens": 3, "prompt": "hello" });
+    call(callers(node), Call::new(Method::POST, "/v1/completions").json(&body))
+        .expect("the node answers")
+}
+
+#[test]
+fn answers_come_from_the_named_version_through_any_node() {
+    let nodes = system();
+    for node in &nodes {
+        for (model, served) in [("milk", "milk@v2"), ("milk@v1", "milk@v1")] {
+            let answer = complete(node, model);
+            let body: Value = serde_json::from_slice(&answer.body).expect("it is JSON");
+            assert_eq!(answer.status, StatusCode::OK, "{body}");
+            assert_eq!(body["model"], served);
+            assert_eq!(answer.headers["x-served-version"], served.split_once('@').unwrap().1);
+        }
+    }
+}
+
+#[test]
+fn unknown_adapters_are_refused_as_not_run() {
+    let nodes = system();
+    let answer = complete(&nodes[0], "nobody@v9");
+    assert_eq!(answer.status, StatusCode::NOT_FOUND);
+    assert_eq!(answer.headers["x-request-ran"], "not-run");
+}
+
+#[test]
+fn a_booking_runs_once_however_often_it_is_sent() {
+    let nodes = system();
+    let book = |node: &Process| {
+        let request = Call::new(Method::POST, "/services/bookings/enrol")
+            .header("idempotency-key", "booking-1")
+            .body("text/plain", "one seat");
+        call(callers(node), request).expect("the node answers").status
+    };
+    assert_eq!(book(&nodes[0]), StatusCode::OK);
+    assert_eq!(book(&nodes[1]), StatusCode::CONFLICT);
+}
+
+#[test]
+fn a_terminated_node_leaves_and_ends() {
+    let mut nodes = system();
+    nodes[0].signal(Signal::SIGTERM).expect("it runs");
+    let ended = nodes[0].wait(Duration::from_secs(10)).expect("it ends");
+    assert!(ended.success());
+    until("one member", || status(&nodes[1]).is_some_and(|status| status.instances.len() == 1));
+    assert_eq!(complete(&nodes[1], "milk").status, StatusCode::OK);
+}
--- /dev/null
+++ b/crates/orioleroute-wire/src/rpc.rs
@@ -0,0 +1,75 @@
+//! Typed peer messages as JSON-RPC 2.0 notifications.
+//!
+//! The codec is `jsonrpsee-types`. A message type is an enum with `method` and `params`, so a
+//! `match` dispatches it; `docs/DESIGN.md` tells why the library's own servers are not used.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use jsonrpsee_types::Notification;
+use serde::{Deserialize, Serialize};
+
+use crate::client::{Call, Pool};
+use crate::{Error, Step};
+
+/// The path on which peers take messages.
+pub const PATH: &str = "/rpc";
+
+/// The header field that names the sender.
+pub const SENDER: &str = "x-orioleroute-sender";
+
+/// A message as `{"method": ..., "params": ...}`, the shape of a tagged enum.
+#[derive(Serialize, Deserialize)]
+struct Tagged {
+    method: String,
+    #[serde(default)]
+    params: serde_json::Value,
+}
+
+/// Encodes `message` as a notification.
+///
+/// # Errors
+///
+/// Fails if the message is not an enum tagged with `method` and `params`.
+pub fn encode(message: &impl Serialize) -> Result<Vec<u8>, serde_json::Error> {
+    let tagged: Tagged = serde_json::from_value(serde_json::to_value(message)?)?;
+    let notification = Notification::new(tagged.method.into(), tagged.params);
+    serde_json::to_vec(&notification)
+}
+
+/// Decodes a notification into a message.
+///
+/// # Errors
+///
+/// Fails if the bytes are no notification or name no known method.
+pub fn decode<M: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<M, serde_json::Error> {
+    let notification: Notification<'_, serde_json::Value> = serde_json::from_slice(bytes)?;
+    let tagged = Tagged { method: notification.method.into_owned(), params: notification.params };
+    serde_json::from_value(serde_json::to_value(tagged)?)
+}
+
+/// Sends `message` to `peer` and waits until it has been taken.
+///
+/// # Errors
+///
+/// Fails with the step at which the exchange broke, or at [`Step::Decode`] if the peer refused it.
+pub async fn notify(
+    pool: &Pool,
+    peer: SocketAddr,
+    token: &str,
+    sender: &str,
+    message: &impl Serialize,
+    limit: Duration,
+) -> Result<(), Error> {
+    let body = encode(message).map_err(|error| Error::new(Step::Decode, peer, error))?;
+    let call = Call::new(Method::POST, PATH)
+        .header("authorization", format!("Bearer {token}"))
+        .header(SENDER, sender)
+        .body("application/json", body);
+    let answer = pool.call_within(peer, call, limit).await?;
+    if answer.status.is_success() {
+        return Ok(());
+    }
+    Err(Error::new(Step::Decode, peer, answer.status))
+}
--- /dev/null
+++ b/crates/orioleroute-wire/src/runtime.rs
@@ -0,0 +1,24 @@
+//! The runtime, with the epoll driver named so that no io_uring call is ever made.
+
+use std::future::Future;
+use std::time::Duration;
+
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+/// Runs `future` on a new single-threaded runtime until it completes.
+///
+/// # Panics
+///
+/// Panics if the epoll instance cannot be created, since nothing can run without it.
+pub fn block_on<F: Future>(future: F) -> F::Output {
+    RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("the epoll driver starts")
+        .block_on(future)
+}
+
+/// Returns the output of `future`, or `None` if it takes longer than `limit`.
+pub async fn timeout<F: Future>(limit: Duration, future: F) -> Option<F::Output> {
+    monoio::time::timeout(limit, future).await.ok()
+}
--- /dev/null
+++ b/crates/orioleroute/src/core.rs
@@ -0,0 +1,193 @@
+//! The core of one instance: events in, effects out.
+
+use crate::catalog::Catalog;
+use crate::config::Config;
+use crate::document::Document;
+use crate::effect::Effects;
+use crate::fleet::Fleet;
+use crate::instance::Instance as Identity;
+use crate::key::Ticket;
+use crate::membership::Membership;
+use crate::operator::{Answer, Command};
+use crate::orders::Orders;
+use crate::prelude::*;
+use crate::request::Requests;
+
+mod engines;
+mod operators;
+mod requests;
+
+/// The decisions of one instance, without input or output.
+///
+/// The core is deterministic: the same events at the same times give the same effects. It reads no
+/// clock and opens no socket. Whoever embeds it calls [`Core::handle`] with each event and carries
+/// out the effects; the outcomes come back as further events.
+///
+/// # Examples
+///
+/// ```
+/// use orioleroute::instance::Instance as Identity;
+/// use orioleroute::prelude::*;
+/// use orioleroute::Core;
+///
+/// let address = "127.0.0.1:4000".parse().unwrap();
+/// let mut core = Core::new(Identity {
+///     name: "a".into(),
+///     incarnation: 1,
+///     region: "zurich".into(),
+///     zone: "zurich-1".into(),
+///     caller_address: address,
+///     peer_address: address,
+///     operator_address: address,
+/// });
+/// let effects = core.handle(Instant::from_millis(1), Event::Tick);
+/// // A new instance first reads the rows of its region and of the configuration.
+/// assert!(effects.iter().all(|effect| matches!(effect, Effect::Table { .. })));
+/// ```
+#[derive(Debug)]
+pub struct Core {
+    membership: Membership,
+    config: Config,
+    catalog: Catalog,
+    fleet: Fleet,
+    requests: Requests,
+    orders: Orders,
+    effects: Effects,
+}
+
+impl Core {
+    /// Returns the core of an instance that has just started.
+    pub fn new(identity: Identity) -> Self {
+        Self {
+            membership: Membership::new(identity),
+            config: Config::default(),
+            catalog: Catalog::default(),
+            fleet: Fleet::default(),
+            requests: Requests::default(),
+            orders: Orders::default(),
+            effects: Effects::default(),
+        }
+    }
+
+    /// Returns a key for a request that is about to arrive.
+    pub fn admit(&mut self) -> key::Request {
+        self.requests.admit()
+    }
+
+    /// Takes an event and returns what is to be done about it, in order.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Table { ticket, outcome } => self.take_table(now, ticket, &outcome),
+            Event::Put { ticket, stored } => {
+                self.config.take_put(ticket, stored, &mut self.effects)
+            }
+            Event::Got { ticket, value } => {
+                if self.config.take_got(ticket, value) {
+                    self.apply_document(now);
+                }
+            }
+            Event::Message { from, message } => self.take_message(now, &from, &message),
+            Event::Listed(listings) => self.fleet.list(&listings),
+            Event::Report { upstream, report } => self.take_report(now, upstream, report.as_ref()),
+            Event::Ordered { ticket, upstream, outcome } => {
+                self.take_ordered(now, ticket, upstream, outcome);
+            }
+            Event::Arrived { request, spec } => self.take_arrival(now, request, spec),
+            Event::Progress { request, progress } => self.take_progress(now, request, progress),
+            Event::Command { ticket, command } => self.take_command(now, ticket, command),
+            Event::Shutdown => self.membership.leave(),
+        }
+        self.effects.drain().collect()
+    }
+
+    /// Returns the membership, for reading.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the configuration version in force; zero if there is none.
+    pub fn version(&self) -> u64 {
+        self.config.version()
+    }
+
+    /// Returns the catalog of the document in force, for reading.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Returns the upstreams, for reading.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Returns the requests, for reading.
+    pub fn requests(&self) -> &Requests {
+        &self.requests
+    }
+
+    /// Returns whether the instance has left and every request has had its final answer.
+    pub fn is_done(&self) -> bool {
+        self.membership.has_left() && self.requests.is_empty()
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.membership.tick(now, self.config.version(), &mut self.effects);
+        self.config.tick(now, &self.membership, &mut self.effects);
+        self.probe(now);
+        self.reconcile(now);
+        self.refuse_overdue(now);
+        self.place(now);
+    }
+
+    fn take_table(&mut self, now: Instant, ticket: Ticket, outcome: &crate::table::Outcome) {
+        if self.membership.take_outcome(now, ticket, outcome, &mut self.effects) {
+            return;
+        }
+        if self.take_claim(now, ticket, outcome) {
+            return;
+        }
+        let membership = &self.membership;
+        if self.config.take_outcome(now, ticket, outcome, membership, &mut self.effects) {
+            self.apply_document(now);
+        }
+    }
+
+    fn take_message(&mut self, now: Instant, from: &Arc<str>, message: &crate::message::Message) {
+        if self.membership.take_message(now, from, message, &mut self.effects) {
+            return;
+        }
+        if self.config.take_message(from, message, &self.membership, &mut self.effects) {
+            self.apply_document(now);
+        }
+    }
+
+    /// Acts on the document that has just come into force.
+    fn apply_document(&mut self, now: Instant) {
+        let Some(text) = self.config.text() else { return };
+        // It was checked before it was staged; an unreadable one changes nothing.
+        if let Ok(document) = Document::from_json(text) {
+            self.catalog.apply(&document);
+            self.reconcile(now);
+        }
+    }
+
+    fn take_command(&mut self, now: Instant, ticket: Ticket, command: Command) {
+        let answer = match command {
+            Command::Submit { base, document } => {
+                return self.config.submit(now, ticket, base, &document, &mut self.effects);
+            }
+            Command::Document => Answer::Document {
+                version: self.config.version(),
+                document: self.config.text().cloned().unwrap_or_default(),
+            },
+            Command::Status => Answer::Status(self.status(now)),
+            Command::Explain { model } => self.explain(&model),
+            Command::Drain => {
+                self.membership.leave();
+                Answer::Draining
+            }
+        };
+        self.effects.push(Effect::Answer { ticket, answer });
+    }
+}
--- /dev/null
+++ b/crates/orioleroute/src/core/engines.rs
@@ -0,0 +1,229 @@
+//! Orders to the engines that this instance owns, and what they report.
+
+use super::Core;
+use crate::engine::{self, Report};
+use crate::fleet::{Residency, Resident};
+use crate::key::Ticket;
+use crate::orders::Order;
+use crate::placement::{self, Plan};
+use crate::prelude::*;
+use crate::routing::{Decision, Reason};
+
+/// Between two reports asked of an engine.
+const PROBE: Duration = Duration::from_millis(1_000);
+
+impl Core {
+    /// Asks the owned engines for reports that are due.
+    pub(super) fn probe(&mut self, now: Instant) {
+        for (key, upstream) in self.fleet.iter_mut() {
+            let owned = self.membership.owns(&upstream.listing.name)
+                && upstream.listing.region == self.membership.identity().region;
+            let engine = self.catalog.pool(&upstream.listing.pool).is_some();
+            if owned && engine && now >= upstream.next_probe {
+                upstream.next_probe = now + PROBE;
+                let address = upstream.listing.address;
+                self.effects.push(Effect::Probe { upstream: key, address });
+            }
+        }
+    }
+
+    /// Takes an engine's report, and gives its waiting requests what it now has loaded.
+    pub(super) fn take_report(
+        &mut self,
+        now: Instant,
+        key: key::Upstream,
+        report: Option<&Report>,
+    ) {
+        let Some(report) = report else { return };
+        let catalog = &self.catalog;
+        self.fleet.report(now, key, report, |name| catalog.find(name));
+        self.reconcile(now);
+        self.serve_waiting(now);
+    }
+
+    /// Takes the outcome of an order.
+    pub(super) fn take_ordered(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        key: key::Upstream,
+        outcome: engine::Outcome,
+    ) {
+        let Some(Order { revision: Some(revision), load }) = self.orders.end(ticket) else {
+            return;
+        };
+        let Some(upstream) = self.fleet.get_mut(key) else { return };
+        // What really holds is what the next report says, so it is asked for at once.
+        upstream.next_probe = now;
+        match (outcome, load) {
+            (engine::Outcome::Done, true) => {
+                if let Some(resident) = upstream.residents.get_mut(&revision) {
+                    resident.residency = Residency::Loaded;
+                }
+                self.orders.succeed(key, revision);
+            }
+            (engine::Outcome::Done, false) => {
+                upstream.residents.remove(&revision);
+            }
+            (_, true) => {
+                upstream.residents.remove(&revision);
+                self.orders.fail(now, key, revision);
+            }
+            (_, false) => {
+                if let Some(resident) = upstream.residents.get_mut(&revision) {
+                    resident.residency = Residency::Loaded;
+                }
+                self.orders.fail(now, key, revision);
+            }
+        }
+        self.serve_waiting(now);
+        self.place(now);
+    }
+
+    /// Unloads what the configuration in force does not have.
+    pub(super) fn reconcile(&mut self, now: Instant) {
+        let mut dropped = Vec::new();
+        for (key, upstream) in self.fleet.iter() {
+            for (revision, resident) in &upstream.residents {
+                let idle = resident.running == 0 && resident.reported == 0;
+                let loaded = resident.residency == Residency::Loaded;
+                if !self.catalog.revision(*revision).current && loaded && idle {
+                    dropped.push((key, *revision));
+                }
+            }
+        }
+        for (key, revision) in dropped {
+            if self.may_order(now, key) && !self.orders.is_barred(now, key, revision) {
+                self.unload(now, key, revision, Reason::Dropped);
+            }
+        }
+    }
+
+    /// Loads what requests wait for, within the budget.
+    pub(super) fn place(&mut self, now: Instant) {
+        for revision in self.requests.wanted() {
+            if self.orders.loads() >= self.load_budget() {
+                return;
+            }
+            self.place_one(now, revision);
+        }
+    }
+
+    fn place_one(&mut self, now: Instant, revision: key::Revision) {
+        let under_way = self.fleet.iter().any(|(_, upstream)| {
+            upstream
+                .residents
+                .get(&revision)
+                .is_some_and(|resident| resident.residency == Residency::Loading)
+        });
+        if under_way {
+            return;
+        }
+        let candidates: Vec<(key::Upstream, u32)> = self
+            .candidates(revision)
+            .into_iter()
+            .filter(|key| self.may_order(now, *key) && !self.orders.is_barred(now, *key, revision))
+            .map(|key| (key, self.slots(key)))
+            .collect();
+        let catalog = &self.catalog;
+        let pinned = |key| catalog.revision(key).pinned;
+        match placement::plan(now, &self.fleet, candidates, revision, pinned) {
+            Some(Plan::Load(key)) => self.load(now, key, revision),
+            Some(Plan::Evict(key, victim)) => self.unload(now, key, victim, Reason::Room),
+            None => {}
+        }
+    }
+
+    fn load(&mut self, now: Instant, key: key::Upstream, revision: key::Revision) {
+        let resident =
+            Resident { residency: Residency::Loading, running: 0, reported: 0, used: now };
+        if let Some(upstream) = self.fleet.get_mut(key) {
+            upstream.residents.insert(revision, resident);
+        }
+        let name = self.catalog.revision(revision).name.clone();
+        self.order(key, revision, engine::Order::Load { name }, Reason::Demand);
+    }
+
+    fn unload(
+        &mut self,
+        _now: Instant,
+        key: key::Upstream,
+        revision: key::Revision,
+        reason: Reason,
+    ) {
+        let upstream = self.fleet.get_mut(key);
+        if let Some(resident) = upstream.and_then(|upstream| upstream.residents.get_mut(&revision))
+        {
+            resident.residency = Residency::Unloading;
+        }
+        let name = self.catalog.revision(revision).name.clone();
+        self.order(key, revision, engine::Order::Unload { name }, reason);
+    }
+
+    fn order(
+        &mut self,
+        key: key::Upstream,
+        revision: key::Revision,
+        order: engine::Order,
+        reason: Reason,
+    ) {
+        let Some(upstream) = self.fleet.get(key) else { return };
+        let ticket = self.effects.ticket();
+        let load = matches!(order, engine::Order::Load { .. });
+        self.orders.give(ticket, Order { revision: Some(revision), load });
+        self.effects.push(Effect::Decide(Decision {
+            request: None,
+            name: order.name().clone(),
+            chosen: Some(upstream.listing.name.clone()),
+            reason,
+            runners_up: Vec::new(),
+        }));
+        self.effects.push(Effect::Order {
+            ticket,
+            upstream: key,
+            address: upstream.listing.address,
+            order,
+            fencing: self.membership.view().version,
+        });
+    }
+
+    /// Returns whether this instance may give an engine orders at `now`.
+    pub(super) fn may_order(&self, now: Instant, key: key::Upstream) -> bool {
+        let Some(upstream) = self.fleet.get(key) else { return false };
+        let fenced = self
+            .catalog
+            .pool(&upstream.listing.pool)
+            .is_some_and(|pool| pool.fencing == crate::document::Fencing::Checked);
+        upstream.listing.region == self.membership.identity().region
+            && self.membership.owns(&upstream.listing.name)
+            && self.membership.holds_lease(now)
+            && self.membership.is_settled(now, fenced)
+    }
+
+    /// Returns the owned upstreams that may run a revision.
+    pub(super) fn candidates(&self, revision: key::Revision) -> Vec<key::Upstream> {
+        let model = &self.catalog.revision(revision).model;
+        self.fleet
+            .iter()
+            .filter(|(_, upstream)| {
+                upstream.listing.region == self.membership.identity().region
+                    && self.catalog.pool(&upstream.listing.pool).is_some_and(|p| p.model == *model)
+                    && self.membership.owns(&upstream.listing.name)
+            })
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    fn slots(&self, key: key::Upstream) -> u32 {
+        let upstream = self.fleet.get(key);
+        upstream
+            .and_then(|upstream| self.catalog.pool(&upstream.listing.pool))
+            .map_or(0, |pool| pool.slots)
+    }
+
+    /// Returns the loads that this instance may have in transit: its even share, at least one.
+    fn load_budget(&self) -> u32 {
+        let members: usize = self.membership.views().map(|view| view.members.len()).sum();
+        (self.catalog.policy().loads_in_transit / members.max(1) as u32).max(1)
+    }
+}
--- /dev/null
+++ b/crates/orioleroute/src/core/requests.rs
@@ -0,0 +1,374 @@
+//! Callers' requests, from arrival to the final answer.
+
+use super::Core;
+use crate::fleet::Fleet;
+use crate::key::Ticket;
+use crate::prelude::*;
+use crate::request::{
+    Dispatch, Failure, Kind, Progress, Ran, Refusal, Request, Spec, State, Step, Target,
+};
+use crate::routing::{self, Decision, Reason};
+use crate::table::{Expect, Operation, Outcome, Write};
+
+/// Instances that may pass a request on, at most.
+const HOPS: u8 = 2;
+
+/// Attempts at a request, at most.
+const ATTEMPTS: u32 = 3;
+
+/// How long an upstream gets no new work after an exchange with it failed.
+const EJECTION: Duration = Duration::from_millis(1_000);
+
+/// When a caller is told to come back after a passing failure.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Core {
+    /// Returns the instances that serve a model or service in a region, in order of preference.
+    pub fn homes(&self, region: &str, target: &Target) -> Vec<&crate::instance::Instance> {
+        let Some(view) = self.membership.view_of(region) else { return Vec::new() };
+        match target {
+            Target::Model(model) => match self.catalog.resolve(model) {
+                Some(revision) => self.home_order(view, revision),
+                None => Vec::new(),
+            },
+            Target::Service(name) => view.preference(crate::hash::digest(&**name)),
+        }
+    }
+
+    fn home_order<'a>(
+        &'a self,
+        view: &'a crate::view::View,
+        revision: key::Revision,
+    ) -> Vec<&'a crate::instance::Instance> {
+        let revision = self.catalog.revision(revision);
+        let mut homes = view.preference(revision.digest);
+        homes.retain(|member| {
+            self.fleet.iter().any(|(_, upstream)| {
+                self.catalog
+                    .pool(&upstream.listing.pool)
+                    .is_some_and(|pool| pool.model == revision.model)
+                    && upstream.listing.region == view.region
+                    && view
+                        .owner(&upstream.listing.name)
+                        .is_some_and(|owner| owner.name == member.name)
+            })
+        });
+        homes
+    }
+
+    /// Takes a request that has arrived.
+    pub(super) fn take_arrival(&mut self, now: Instant, key: key::Request, spec: Spec) {
+        let policy = self.catalog.policy();
+        let patience = spec.patience.unwrap_or(Duration::from_millis(policy.deadline_ms.into()));
+        let revision = match &spec.target {
+            Target::Model(model) => match self.catalog.resolve(model) {
+                Some(revision) => Some(revision),
+                None => return self.refuse(key, Kind::NotFound, Ran::NotRun, None),
+            },
+            Target::Service(name) => match self.catalog.service(name) {
+                Some(_) => None,
+                None => return self.refuse(key, Kind::NotFound, Ran::NotRun, None),
+            },
+        };
+        let configured = revision.map(|revision| self.catalog.revision(revision).importance);
+        let request = Request {
+            importance: spec.importance.or(configured).unwrap_or_default(),
+            revision,
+            arrived: now,
+            deadline: now + patience,
+            state: State::Waiting,
+            attempts: 0,
+            claimed: false,
+            spec,
+        };
+        let needs_claim = !request.spec.repeatable;
+        self.requests.fill(key, request);
+        if needs_claim && !self.passes_on(key) {
+            return self.claim(now, key);
+        }
+        self.route(now, key);
+    }
+
+    /// Takes the progress of a request that was given a step.
+    pub(super) fn take_progress(&mut self, now: Instant, key: key::Request, progress: Progress) {
+        match progress {
+            Progress::Begun => {}
+            Progress::Finished | Progress::Gone => {
+                self.release(now, key);
+                self.requests.remove(key);
+                self.place(now);
+            }
+            Progress::Failed(failure) => self.take_failure(now, key, failure),
+        }
+    }
+
+    fn take_failure(&mut self, now: Instant, key: key::Request, failure: Failure) {
+        self.release(now, key);
+        let Some(request) = self.requests.get_mut(key) else { return };
+        if let (State::Running(upstream), Some(revision)) = (&request.state, request.revision) {
+            let upstream = *upstream;
+            note_failure(&mut self.fleet, now, upstream, revision, failure);
+        }
+        let request = self.requests.get_mut(key).expect("it was there");
+        request.state = State::Waiting;
+        let again = request.spec.repeatable || !failure.may_have_run();
+        let in_time = now < request.deadline && request.attempts < ATTEMPTS;
+        if again && in_time {
+            return self.route(now, key);
+        }
+        let ran = if failure.may_have_run() { Ran::MayHaveRun } else { Ran::NotRun };
+        let retry_after = again.then_some(RETRY_AFTER);
+        self.refuse(key, Kind::Upstream, ran, retry_after);
+    }
+
+    /// Gives a request its next step.
+    fn route(&mut self, now: Instant, key: key::Request) {
+        let Some(request) = self.requests.get(key) else { return };
+        if now >= request.deadline {
+            return self.refuse(key, Kind::Deadline, Ran::NotRun, Some(RETRY_AFTER));
+        }
+        match request.revision {
+            Some(_) if self.passes_on(key) => self.forward(key),
+            Some(revision) => self.route_model(now, key, revision),
+            None => self.route_service(now, key),
+        }
+    }
+
+    fn route_model(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
+        let candidates = self.candidates(revision);
+        if candidates.is_empty() {
+            return self.refuse(key, Kind::Unavailable, Ran::NotRun, Some(RETRY_AFTER));
+        }
+        match routing::choose(now, &self.fleet, candidates, revision) {
+            Some((upstream, runners_up)) => {
+                self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
+                self.dispatch(now, key, upstream);
+            }
+            None => self.wait(now, key, revision),
+        }
+    }
+
+    fn route_service(&mut self, now: Instant, key: key::Request) {
+        let Some(Request { spec, .. }) = self.requests.get(key) else { return };
+        let Target::Service(name) = &spec.target else { return };
+        let Some(service) = self.catalog.service(name) else {
+            return self.refuse(key, Kind::NotFound, Ran::NotRun, None);
+        };
+        let region = &self.membership.identity().region;
+        let chosen = self
+            .fleet
+            .iter()
+            .filter(|(_, upstream)| upstream.listing.pool == service.pool && upstream.is_open(now))
+            .min_by_key(|(_, upstream)| (upstream.listing.region != *region, upstream.running))
+            .map(|(key, _)| key);
+        match chosen {
+            Some(upstream) => {
+                self.decide(key, Some(upstream), Reason::LeastLoaded, Vec::new());
+                self.dispatch(now, key, upstream);
+            }
+            None => self.refuse(key, Kind::Unavailable, Ran::NotRun, Some(RETRY_AFTER)),
+        }
+    }
+
+    /// Lets a request wait for a load, unless too many already do.
+    fn wait(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
+        let limit = self.catalog.revision(revision).queue as usize;
+        if self.requests.waiting(revision).len() >= limit {
+            return self.refuse(key, Kind::Overloaded, Ran::NotRun, Some(RETRY_AFTER));
+        }
+        self.requests.queue(key, revision);
+        self.decide(key, None, Reason::WaitsForLoad, Vec::new());
+        self.place(now);
+    }
+
+    /// Gives waiting requests the upstreams that now hold what they wait for.
+    pub(super) fn serve_waiting(&mut self, now: Instant) {
+        for revision in self.requests.wanted() {
+            for key in self.requests.waiting(revision).to_vec() {
+                let candidates = self.candidates(revision);
+                let Some((upstream, runners_up)) =
+                    routing::choose(now, &self.fleet, candidates, revision)
+                else {
+                    break;
+                };
+                self.requests.unqueue(key, revision);
+                self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
+                self.dispatch(now, key, upstream);
+            }
+        }
+    }
+
+    /// Refuses the waiting requests whose deadlines have passed.
+    pub(super) fn refuse_overdue(&mut self, now: Instant) {
+        for key in self.requests.overdue(now) {
+            self.refuse(key, Kind::Deadline, Ran::NotRun, Some(RETRY_AFTER));
+        }
+    }
+
+    fn dispatch(&mut self, now: Instant, key: key::Request, chosen: key::Upstream) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let Some(upstream) = self.fleet.get_mut(chosen) else { return };
+        request.state = State::Running(chosen);
+        request.attempts += 1;
+        upstream.running += 1;
+        if let Some(resident) =
+            request.revision.and_then(|revision| upstream.residents.get_mut(&revision))
+        {
+            resident.running += 1;
+            resident.used = now;
+        }
+        let name = request.revision.map(|revision| self.catalog.revision(revision).name.clone());
+        let step = Step::Dispatch(Dispatch {
+            upstream: upstream.listing.name.clone(),
+            address: upstream.listing.address,
+            name,
+            importance: request.importance,
+            patience: request.deadline.since(now),
+            attempt: request.attempts,
+        });
+        self.effects.push(Effect::Request { request: key, step });
+    }
+
+    /// Takes a request off the upstream that it ran on.
+    fn release(&mut self, now: Instant, key: key::Request) {
+        let Some(request) = self.requests.get(key) else { return };
+        let State::Running(upstream) = request.state else { return };
+        let Some(upstream) = self.fleet.get_mut(upstream) else { return };
+        upstream.running = upstream.running.saturating_sub(1);
+        if let Some(resident) =
+            request.revision.and_then(|revision| upstream.residents.get_mut(&revision))
+        {
+            resident.running = resident.running.saturating_sub(1);
+            resident.used = now;
+        }
+    }
+
+    /// Returns whether another instance is home to what a request asks.
+    fn passes_on(&self, key: key::Request) -> bool {
+        self.next_home(key).is_some()
+    }
+
+    fn next_home(&self, key: key::Request) -> Option<&crate::instance::Instance> {
+        let request = self.requests.get(key)?;
+        if request.spec.hops >= HOPS {
+            return None;
+        }
+        let revision = request.revision?;
+        if !self.candidates(revision).is_empty() && request.spec.hops > 0 {
+            return None;
+        }
+        let own = self.membership.identity();
+        let regions = std::iter::once(self.membership.view())
+            .chain(self.membership.views().filter(|view| view.region != own.region));
+        regions
+            .filter(|view| self.catalog.revision(revision).may_run_in(&view.region))
+            .find_map(|view| self.home_order(view, revision).first().copied())
+            .filter(|home| home.name != own.name)
+    }
+
+    fn forward(&mut self, key: key::Request) {
+        let Some(home) = self.next_home(key) else { return };
+        let (instance, address) = (home.name.clone(), home.caller_address);
+        let name = self.name_of(key);
+        if let Some(request) = self.requests.get_mut(key) {
+            request.state = State::Forwarded;
+            request.attempts += 1;
+        }
+        self.effects.push(Effect::Decide(Decision {
+            request: Some(key),
+            name,
+            chosen: Some(instance.clone()),
+            reason: Reason::OtherHome,
+            runners_up: Vec::new(),
+        }));
+        self.effects
+            .push(Effect::Request { request: key, step: Step::Forward { instance, address } });
+    }
+
+    /// Writes the claim of a request that may run only once.
+    fn claim(&mut self, now: Instant, key: key::Request) {
+        let Some(request) = self.requests.get(key) else { return };
+        let Some(idempotency) = request.spec.idempotency.clone() else {
+            // Without a key of the caller's there is nothing that another try could match.
+            if let Some(request) = self.requests.get_mut(key) {
+                request.claimed = true;
+            }
+            return self.route(now, key);
+        };
+        let row = format!("claim/{idempotency}").into();
+        let value = format!("\"{}\"", self.membership.identity().name).into();
+        let write = Write { key: row, expect: Expect::Absent, value };
+        let ticket = self.effects.table(Operation::Write(vec![write]));
+        if let Some(request) = self.requests.get_mut(key) {
+            request.state = State::Claiming(ticket);
+        }
+    }
+
+    /// Takes the outcome of a claim, and returns whether it was one.
+    pub(super) fn take_claim(&mut self, now: Instant, ticket: Ticket, outcome: &Outcome) -> bool {
+        let Some(key) = self.requests.claiming(ticket) else { return false };
+        match outcome {
+            Outcome::Written => {
+                if let Some(request) = self.requests.get_mut(key) {
+                    request.state = State::Waiting;
+                    request.claimed = true;
+                }
+                self.route(now, key);
+            }
+            Outcome::Conflict(_) => self.refuse(key, Kind::Conflict, Ran::MayHaveRun, None),
+            // This instance has not sent it, and the key stays barred if the claim was written.
+            _ => self.refuse(key, Kind::Unavailable, Ran::NotRun, Some(RETRY_AFTER)),
+        }
+        true
+    }
+
+    /// Ends a request with a refusal, at once.
+    fn refuse(&mut self, key: key::Request, kind: Kind, ran: Ran, retry_after: Option<Duration>) {
+        self.decide(key, None, Reason::Refused, Vec::new());
+        self.requests.remove(key);
+        let step = Step::Refuse(Refusal { kind, ran, retry_after });
+        self.effects.push(Effect::Request { request: key, step });
+    }
+
+    fn decide(
+        &mut self,
+        key: key::Request,
+        chosen: Option<key::Upstream>,
+        reason: Reason,
+        runners_up: Vec<Arc<str>>,
+    ) {
+        let chosen = chosen
+            .and_then(|upstream| self.fleet.get(upstream))
+            .map(|upstream| upstream.listing.name.clone());
+        let name = self.name_of(key);
+        let decision = Decision { request: Some(key), name, chosen, reason, runners_up };
+        self.effects.push(Effect::Decide(decision));
+    }
+
+    fn name_of(&self, key: key::Request) -> Arc<str> {
+        let Some(request) = self.requests.get(key) else { return "".into() };
+        match (request.revision, &request.spec.target) {
+            (Some(revision), _) => self.catalog.revision(revision).name.clone(),
+            (None, Target::Service(name) | Target::Model(name)) => name.clone(),
+        }
+    }
+}
+
+/// Keeps new work away from an upstream that failed, and believes it about what it holds.
+fn note_failure(
+    fleet: &mut Fleet,
+    now: Instant,
+    upstream: key::Upstream,
+    revision: key::Revision,
+    failure: Failure,
+) {
+    let Some(upstream) = fleet.get_mut(upstream) else { return };
+    match failure {
+        Failure::Unsent | Failure::Broken => upstream.ejected_until = now + EJECTION,
+        Failure::NotLoaded => {
+            upstream.residents.remove(&revision);
+            upstream.next_probe = now;
+        }
+        Failure::Declined => {}
+    }
+}
--- /dev/null
+++ b/crates/orioleroute/src/event.rs
@@ -0,0 +1,89 @@
+//! What the surroundings tell the core.
+
+use crate::engine;
+use crate::instance::Listing;
+use crate::key::Ticket;
+use crate::message::Message;
+use crate::operator::Command;
+use crate::prelude::*;
+use crate::request::{Progress, Spec};
+use crate::table::Outcome;
+
+/// Something that happened outside the core.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed; expected at least every [`TICK`].
+    Tick,
+    /// A table operation ended.
+    Table {
+        /// Its ticket.
+        ticket: Ticket,
+        /// Its outcome.
+        outcome: Outcome,
+    },
+    /// An object was written, or not.
+    Put {
+        /// The ticket.
+        ticket: Ticket,
+        /// Whether the object is there.
+        stored: bool,
+    },
+    /// An object was read, or not.
+    Got {
+        /// The ticket.
+        ticket: Ticket,
+        /// The object's text.
+        value: Option<Arc<str>>,
+    },
+    /// A peer sent a message.
+    Message {
+        /// The peer's name.
+        from: Arc<str>,
+        /// The message.
+        message: Message,
+    },
+    /// The platform listed the upstream instances.
+    Listed(Vec<Listing>),
+    /// An engine reported.
+    Report {
+        /// The engine.
+        upstream: key::Upstream,
+        /// The report, or `None` if none came.
+        report: Option<engine::Report>,
+    },
+    /// An order ended.
+    Ordered {
+        /// Its ticket.
+        ticket: Ticket,
+        /// The engine.
+        upstream: key::Upstream,
+        /// The outcome.
+        outcome: engine::Outcome,
+    },
+    /// A request arrived under a key taken from [`crate::Core::admit`].
+    Arrived {
+        /// The request.
+        request: key::Request,
+        /// What it asks.
+        spec: Spec,
+    },
+    /// A request that was given a step made progress.
+    Progress {
+        /// The request.
+        request: key::Request,
+        /// What happened.
+        progress: Progress,
+    },
+    /// An operator gave a command.
+    Command {
+        /// The ticket for the answer.
+        ticket: Ticket,
+        /// The command.
+        command: Command,
+    },
+    /// The instance was asked to stop gracefully.
+    Shutdown,
+}
+
+/// The longest time between two [`Event::Tick`]s.
+pub const TICK: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/orioleroute/src/membership.rs
@@ -0,0 +1,433 @@
+//! Membership of a region and the lease under which an instance gives orders.
+//!
+//! The rules, and why they are safe, stand in `docs/DESIGN.md`, section "Leases". In short: a view
+//! changes only by a conditional write in the table. A lease is fresh for [`LEASE`] after a read of
+//! the view's row that showed the applied version, or, when the table does not answer, after all
+//! watchers granted it. A watcher removes a member only once it has granted it nothing for a lease,
+//! and a new owner that engines do not fence waits one more lease before its first order.
+
+use crate::effect::Effects;
+use crate::hash::Map;
+use crate::instance::Instance as Identity;
+use crate::key::Ticket;
+use crate::message::{Message, Renewal};
+use crate::prelude::*;
+use crate::table::{Expect, Operation, Outcome, Row, Write};
+use crate::view::View;
+
+/// How long a lease lasts after the moment at which its renewal was sent.
+pub const LEASE: Duration = Duration::from_millis(3_000);
+
+/// What a lease is lengthened by for those who wait for its end, to allow for clocks that drift.
+pub const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Between two renewals.
+pub const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// The silence after which a watcher stops granting.
+pub const SUSPICION: Duration = Duration::from_millis(1_600);
+
+/// Between two reads of the view's row.
+pub const POLL: Duration = Duration::from_millis(1_000);
+
+/// The longest wait for a reply of the table before the operation is asked anew.
+pub const TABLE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// What is known of another member.
+#[derive(Clone, Debug, Default)]
+pub struct Peer {
+    /// When it was last heard of.
+    pub heard: Instant,
+    /// The view that it had then applied.
+    pub applied: u64,
+    /// The configuration version that it had then in force.
+    pub config: u64,
+    /// When this instance last granted its lease.
+    granted: Instant,
+}
+
+/// The membership of one instance.
+#[derive(Debug)]
+pub struct Membership {
+    identity: Identity,
+    views: Map<Arc<str>, View>,
+    peers: Map<Arc<str>, Peer>,
+    grants: Map<Arc<str>, Instant>,
+    confirmed: Option<Instant>,
+    settled_at: Option<Instant>,
+    next_heartbeat: Instant,
+    next_poll: Instant,
+    reading: Option<(Ticket, Instant)>,
+    writing: Option<(Ticket, Instant)>,
+    token: u64,
+    leaving: bool,
+}
+
+impl Membership {
+    /// Returns the membership of an instance that has not joined yet.
+    pub fn new(identity: Identity) -> Self {
+        let token = identity.incarnation;
+        let region = identity.region.clone();
+        let own = View { region: region.clone(), ..View::default() };
+        Self {
+            identity,
+            views: Map::from_iter([(region, own)]),
+            peers: Map::default(),
+            grants: Map::default(),
+            confirmed: None,
+            settled_at: None,
+            next_heartbeat: Instant::ZERO,
+            next_poll: Instant::ZERO,
+            reading: None,
+            writing: None,
+            token,
+            leaving: false,
+        }
+    }
+
+    /// Returns this instance.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Returns the view of this instance's region.
+    pub fn view(&self) -> &View {
+        &self.views[&self.identity.region]
+    }
+
+    /// Returns the view of a region, if any is known.
+    pub fn view_of(&self, region: &str) -> Option<&View> {
+        self.views.get(region)
+    }
+
+    /// Returns all known views.
+    pub fn views(&self) -> impl Iterator<Item = &View> {
+        self.views.values()
+    }
+
+    /// Returns the address of an instance for peers, if it is a member of a known view.
+    pub fn address(&self, name: &str) -> Option<std::net::SocketAddr> {
+        let mut members = self.views.values().flat_map(|view| &view.members);
+        members.find(|member| &*member.name == name).map(|member| member.peer_address)
+    }
+
+    /// Returns what is known of a member.
+    pub fn peer(&self, name: &str) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
+    /// Returns whether this instance is a member of its view.
+    pub fn is_member(&self) -> bool {
+        self.view()
+            .member(&self.identity.name)
+            .is_some_and(|member| member.incarnation == self.identity.incarnation)
+    }
+
+    /// Returns whether this instance may give orders at `now`.
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        self.is_member() && (self.is_confirmed(now) || self.is_extended(now))
+    }
+
+    /// Returns whether this instance owns an upstream in the applied view.
+    pub fn owns(&self, upstream: &str) -> bool {
+        self.view().owner(upstream).is_some_and(|owner| owner.name == self.identity.name)
+    }
+
+    /// Returns whether upstreams gained by the applied view may be given orders.
+    ///
+    /// Engines that check fencing numbers need no wait for the leases of removed members.
+    pub fn is_settled(&self, now: Instant, fenced: bool) -> bool {
+        self.settled_at.is_some_and(|settled| fenced || now >= settled + LEASE + LEASE_MARGIN)
+    }
+
+    /// Asks to leave: the next view will be without this instance.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns whether this instance has left its view after it asked to.
+    pub fn has_left(&self) -> bool {
+        self.leaving && !self.is_member()
+    }
+
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Instant, config: u64, effects: &mut Effects) {
+        self.expire_operations(now);
+        self.poll(now, effects);
+        if now >= self.next_heartbeat {
+            self.next_heartbeat = now + HEARTBEAT;
+            self.renew(now, config, effects);
+            self.announce(effects);
+        }
+        self.propose(now, effects);
+    }
+
+    /// Takes the outcome of a table operation, and returns whether it was one of this module's.
+    pub fn take_outcome(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        outcome: &Outcome,
+        effects: &mut Effects,
+    ) -> bool {
+        if let Some((_, sent)) = self.reading.take_if(|(reading, _)| *reading == ticket) {
+            if let Outcome::Rows(rows) = outcome {
+                self.take_rows(now, sent, rows, effects);
+            }
+            return true;
+        }
+        if self.writing.take_if(|(writing, _)| *writing == ticket).is_some() {
+            self.next_poll = now;
+            return true;
+        }
+        false
+    }
+
+    /// Takes a message about membership, and returns whether it was one.
+    pub fn take_message(
+        &mut self,
+        now: Instant,
+        from: &Arc<str>,
+        message: &Message,
+        effects: &mut Effects,
+    ) -> bool {
+        match message {
+            Message::Renew(renewal) => self.take_renewal(now, from, renewal, effects),
+            Message::Granted(renewal) => self.take_grant(from, renewal),
+            Message::Applied { version, reply } => {
+                self.hear(now, from, *version);
+                if *reply {
+                    let version = self.view().version;
+                    self.send(from, Message::Applied { version, reply: false }, effects);
+                }
+                self.settle(now);
+            }
+            Message::View(view) => self.take_view(now, view, effects),
+            _ => return false,
+        }
+        true
+    }
+
+    fn is_confirmed(&self, now: Instant) -> bool {
+        self.confirmed.is_some_and(|sent| now < sent + LEASE)
+    }
+
+    fn is_extended(&self, now: Instant) -> bool {
+        let mut watchers = self.view().watchers(&self.identity.name).peekable();
+        watchers.peek().is_some()
+            && watchers.all(|watcher| {
+                self.grants.get(&watcher.name).is_some_and(|sent| now < *sent + LEASE)
+            })
+    }
+
+    fn expire_operations(&mut self, now: Instant) {
+        self.reading.take_if(|(_, sent)| now >= *sent + TABLE_TIMEOUT);
+        self.writing.take_if(|(_, sent)| now >= *sent + TABLE_TIMEOUT);
+    }
+
+    fn poll(&mut self, now: Instant, effects: &mut Effects) {
+        if self.reading.is_some() || now < self.next_poll {
+            return;
+        }
+        self.next_poll = now + POLL;
+        let keys = self.views.keys().map(|region| View::row(region)).collect();
+        let ticket = effects.table(Operation::Read(keys));
+        self.reading = Some((ticket, now));
+    }
+
+    fn take_rows(&mut self, now: Instant, sent: Instant, rows: &[Row], effects: &mut Effects) {
+        let own = View::row(&self.identity.region);
+        for row in rows {
+            if let Ok(mut view) = serde_json::from_str::<View>(&row.value) {
+                view.version = row.version;
+                self.take_view(now, &view, effects);
+            }
+        }
+        let shown = rows.iter().find(|row| row.key == own).map_or(0, |row| row.version);
+        if shown == self.view().version {
+            self.confirmed = Some(sent);
+        }
+        self.join_or_leave(now, effects);
+    }
+
+    fn join_or_leave(&mut self, now: Instant, effects: &mut Effects) {
+        let mut members = self.view().members.clone();
+        match (self.is_member(), self.leaving) {
+            (false, false) => {
+                members.retain(|member| member.name != self.identity.name);
+                members.push(self.identity.clone());
+            }
+            (true, true) => members.retain(|member| member.name != self.identity.name),
+            _ => return,
+        }
+        self.write_view(now, members, effects);
+    }
+
+    fn write_view(&mut self, now: Instant, members: Vec<Identity>, effects: &mut Effects) {
+        if self.writing.is_some() {
+            return;
+        }
+        self.token = self.token.wrapping_add(1);
+        let current = self.view();
+        let expect = match current.version {
+            0 => Expect::Absent,
+            version => Expect::Version(version),
+        };
+        let next = View {
+            region: current.region.clone(),
+            version: expect.next_version(),
+            token: self.token,
+            members,
+        };
+        let value = serde_json::to_string(&next).unwrap_or_default();
+        let key = View::row(&next.region);
+        let write = Write { key, expect, value: value.into() };
+        let ticket = effects.table(Operation::Write(vec![write]));
+        self.writing = Some((ticket, now));
+    }
+
+    fn take_view(&mut self, now: Instant, view: &View, effects: &mut Effects) {
+        let known = self.views.get(&view.region).map_or(0, |known| known.version);
+        if view.version <= known {
+            return;
+        }
+        self.views.insert(view.region.clone(), view.clone());
+        if view.region == self.identity.region {
+            self.apply(now, effects);
+        }
+    }
+
+    /// Starts to act under a new view of the own region.
+    fn apply(&mut self, now: Instant, effects: &mut Effects) {
+        self.grants.clear();
+        self.confirmed = None;
+        self.next_poll = now;
+        let view = &self.views[&self.identity.region];
+        self.peers.retain(|name, _| view.member(name).is_some());
+        for member in &view.members {
+            let fresh = Peer { heard: now, granted: now, ..Peer::default() };
+            let peer = self.peers.entry(member.name.clone()).or_insert(fresh);
+            // A watcher that is new to a member waits a whole lease before it may remove it.
+            peer.granted = now;
+        }
+        self.settled_at = None;
+        self.settle(now);
+        self.announce(effects);
+    }
+
+    /// Notes when the last member was heard to have applied the view.
+    ///
+    /// From then on no member grants a lease under an older view.
+    fn settle(&mut self, now: Instant) {
+        let version = self.view().version;
+        let all =
+            self.view().members.iter().filter(|member| member.name != self.identity.name).all(
+                |member| self.peers.get(&member.name).is_some_and(|peer| peer.applied >= version),
+            );
+        if all && version > 0 {
+            self.settled_at.get_or_insert(now);
+        }
+    }
+
+    /// Tells the members that have not confirmed the applied view about it.
+    fn announce(&self, effects: &mut Effects) {
+        if self.settled_at.is_some() {
+            return;
+        }
+        let version = self.view().version;
+        for member in &self.view().members {
+            let behind = self.peers.get(&member.name).is_none_or(|peer| peer.applied < version);
+            if behind && member.name != self.identity.name {
+                self.send(&member.name, Message::View(self.view().clone()), effects);
+                self.send(&member.name, Message::Applied { version, reply: true }, effects);
+            }
+        }
+    }
+
+    fn renew(&self, now: Instant, config: u64, effects: &mut Effects) {
+        if !self.is_member() {
+            return;
+        }
+        let renewal = Renewal {
+            version: self.view().version,
+            sent: now.as_micros(),
+            config,
+            incarnation: self.identity.incarnation,
+        };
+        let watchers = self.view().watchers(&self.identity.name);
+        for watcher in watchers {
+            self.send(&watcher.name, Message::Renew(renewal), effects);
+        }
+    }
+
+    fn take_renewal(
+        &mut self,
+        now: Instant,
+        from: &Arc<str>,
+        renewal: &Renewal,
+        effects: &mut Effects,
+    ) {
+        self.hear(now, from, renewal.version);
+        let view = &self.views[&self.identity.region];
+        let same_process =
+            view.member(from).is_some_and(|member| member.incarnation == renewal.incarnation);
+        if renewal.version < view.version {
+            let newer = Message::View(view.clone());
+            return self.send(from, newer, effects);
+        }
+        if renewal.version > view.version {
+            self.next_poll = now;
+            return;
+        }
+        if !same_process || !view.is_watcher(&self.identity.name, from) || self.writing.is_some() {
+            return;
+        }
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.granted = now;
+            peer.config = renewal.config;
+            self.send(from, Message::Granted(*renewal), effects);
+        }
+    }
+
+    fn take_grant(&mut self, from: &Arc<str>, renewal: &Renewal) {
+        let own = renewal.incarnation == self.identity.incarnation;
+        if own && renewal.version == self.view().version {
+            let sent = Instant::from_micros(renewal.sent);
+            let grant = self.grants.entry(from.clone()).or_default();
+            *grant = sent.max(*grant);
+        }
+    }
+
+    fn hear(&mut self, now: Instant, from: &Arc<str>, applied: u64) {
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.heard = now;
+            peer.applied = peer.applied.max(applied);
+        }
+        self.settle(now);
+    }
+
+    /// Proposes a view without the members whose leases this watcher has waited out.
+    fn propose(&mut self, now: Instant, effects: &mut Effects) {
+        if !self.is_member() || self.writing.is_some() || !self.is_confirmed(now) {
+            return;
+        }
+        let view = self.view();
+        let lapsed = |member: &Identity| {
+            view.is_watcher(&self.identity.name, &member.name)
+                && self.peers.get(&member.name).is_some_and(|peer| {
+                    now >= peer.heard + SUSPICION && now >= peer.granted + LEASE + LEASE_MARGIN
+                })
+        };
+        let kept: Vec<Identity> =
+            view.members.iter().filter(|member| !lapsed(member)).cloned().collect();
+        if kept.len() < view.members.len() {
+            self.write_view(now, kept, effects);
+        }
+    }
+
+    fn send(&self, to: &Arc<str>, message: Message, effects: &mut Effects) {
+        if let Some(address) = self.address(to) {
+            effects.push(Effect::Send { to: to.clone(), address, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/orioleroute/src/routing.rs
@@ -0,0 +1,65 @@
+//! The choice of an upstream for a request.
+
+use crate::fleet::{Fleet, Upstream};
+use crate::prelude::*;
+
+/// Why a decision fell as it did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// The least loaded upstream that holds the revision.
+    LeastLoaded,
+    /// No upstream holds the revision, so the request waits for a load.
+    WaitsForLoad,
+    /// Another instance is home to the revision.
+    OtherHome,
+    /// The revision was loaded because requests wait for it.
+    Demand,
+    /// The revision was unloaded to make room for another.
+    Room,
+    /// The revision was unloaded because the configuration no longer has it.
+    Dropped,
+    /// The request was refused.
+    Refused,
+}
+
+/// A routing or placement decision, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The request that it was made for, if it was made for one.
+    pub request: Option<key::Request>,
+    /// The served name of the revision.
+    pub name: Arc<str>,
+    /// The upstream or instance that was chosen, if any.
+    pub chosen: Option<Arc<str>>,
+    /// Why.
+    pub reason: Reason,
+    /// The next best choices.
+    pub runners_up: Vec<Arc<str>>,
+}
+
+/// Runners-up named in a log line, at most.
+pub const RUNNERS_UP: usize = 2;
+
+/// Returns the upstream among `candidates` that should answer a request for `revision`, and the
+/// runners-up.
+pub fn choose(
+    now: Instant,
+    fleet: &Fleet,
+    candidates: impl IntoIterator<Item = key::Upstream>,
+    revision: key::Revision,
+) -> Option<(key::Upstream, Vec<Arc<str>>)> {
+    let mut open: Vec<(key::Upstream, &Upstream)> = candidates
+        .into_iter()
+        .filter_map(|key| Some((key, fleet.get(key)?)))
+        .filter(|(_, upstream)| upstream.is_open(now) && upstream.has_loaded(revision))
+        .collect();
+    open.sort_by_key(|(_, upstream)| (upstream.running, upstream.digest));
+    let (chosen, _) = *open.first()?;
+    let runners_up = open[1..]
+        .iter()
+        .take(RUNNERS_UP)
+        .map(|(_, upstream)| upstream.listing.name.clone())
+        .collect();
+    Some((chosen, runners_up))
+}
--- /dev/null
+++ b/crates/orioleroute/src/table.rs
@@ -0,0 +1,72 @@
+//! Reads and conditional writes of the platform's table service.
+//!
+//! The table is the only authority on what is agreed or kept. Its replies can be lost after a
+//! write took effect, so every value that is written carries a token of its writer, and an
+//! [`Outcome::Unknown`] is settled by reading, never by guessing.
+
+use std::sync::Arc;
+
+/// A row as read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// The key.
+    pub key: Arc<str>,
+    /// The number of writes that the row has had, from 1.
+    pub version: u64,
+    /// The value, JSON text.
+    pub value: Arc<str>,
+}
+
+/// What a row must be for a write to take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expect {
+    /// The row does not exist.
+    Absent,
+    /// The row has had this number of writes.
+    Version(u64),
+}
+
+impl Expect {
+    /// Returns the version that the row has after the write.
+    pub fn next_version(self) -> u64 {
+        match self {
+            Self::Absent => 1,
+            Self::Version(version) => version + 1,
+        }
+    }
+}
+
+/// A conditional write of one row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// The key.
+    pub key: Arc<str>,
+    /// The condition.
+    pub expect: Expect,
+    /// The new value, JSON text.
+    pub value: Arc<str>,
+}
+
+/// An operation on the table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Reads rows consistently.
+    Read(Vec<Arc<str>>),
+    /// Writes all rows or none.
+    Write(Vec<Write>),
+}
+
+/// The outcome of an operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The rows that exist among those read.
+    Rows(Vec<Row>),
+    /// All rows were written.
+    Written,
+    /// Nothing was written; these indices of the writes had unmet conditions.
+    Conflict(Vec<usize>),
+    /// The service said that it did nothing, or could not be connected to.
+    Failed,
+    /// No reply came: the write may or may not have taken effect.
+    Unknown,
+}
--- /dev/null
+++ b/crates/orioleroute/src/time.rs
@@ -0,0 +1,58 @@
+//! Points in time of one process's monotonic clock.
+
+use std::ops::{Add, AddAssign, Sub};
+use std::time::Duration;
+
+/// A point in time, in microseconds since the process started.
+///
+/// The core never reads a clock: the caller passes the time in with each event, which makes every
+/// run repeatable. Instants of two processes cannot be compared.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// The earliest point in time.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns the point in time `micros` microseconds after the start.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns the point in time `millis` milliseconds after the start.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Returns the microseconds since the start.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time since `earlier`, or zero if that lies in the future.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl AddAssign<Duration> for Instant {
+    fn add_assign(&mut self, span: Duration) {
+        *self = *self + span;
+    }
+}
+
+impl Sub<Duration> for Instant {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/crates/orioleroute/src/view.rs
@@ -0,0 +1,66 @@
+//! Views: which instances a region has, and who owns which upstream.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::hash::{digest, weight, winner};
+use crate::instance::Instance;
+
+/// Instances that grant one instance's lease, at most.
+pub const WATCHERS: usize = 2;
+
+/// The members of one region, as agreed in the table.
+///
+/// The row's version is the view's version, and the fencing number of every order given under it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// The region.
+    pub region: Arc<str>,
+    /// The version; zero before the first is known.
+    pub version: u64,
+    /// The token of the write that made it, by which its writer knows it again.
+    pub token: u64,
+    /// The members, in the order in which they joined.
+    pub members: Vec<Instance>,
+}
+
+impl View {
+    /// Returns the key of the row that holds the view of `region`.
+    pub fn row(region: &str) -> Arc<str> {
+        format!("view/{region}").into()
+    }
+
+    /// Returns the member called `name`.
+    pub fn member(&self, name: &str) -> Option<&Instance> {
+        self.members.iter().find(|member| &*member.name == name)
+    }
+
+    /// Returns the owner of an upstream, by rendezvous hashing over the members.
+    pub fn owner(&self, upstream: &str) -> Option<&Instance> {
+        let nodes = self.members.iter().map(|member| (digest(&*member.name), member));
+        winner(digest(upstream), nodes)
+    }
+
+    /// Returns the watchers of `name`: the members that follow it in a fixed order of hashes.
+    pub fn watchers(&self, name: &str) -> impl Iterator<Item = &Instance> {
+        let mut ring: Vec<&Instance> = self.members.iter().collect();
+        ring.sort_by_key(|member| (digest(&*member.name), member.name.clone()));
+        let start = ring.iter().position(|member| &*member.name == name);
+        let count = if start.is_some() { WATCHERS.min(ring.len() - 1) } else { 0 };
+        let start = start.unwrap_or(0);
+        (1..=count).map(move |step| ring[(start + step) % ring.len()])
+    }
+
+    /// Returns whether `watcher` watches `name`.
+    pub fn is_watcher(&self, watcher: &str, name: &str) -> bool {
+        self.watchers(name).any(|member| &*member.name == watcher)
+    }
+
+    /// Returns the members in order of preference for an item with this digest.
+    pub fn preference(&self, item: u64) -> Vec<&Instance> {
+        let mut order: Vec<&Instance> = self.members.iter().collect();
+        order.sort_by_key(|member| std::cmp::Reverse(weight(item, digest(&*member.name))));
+        order
+    }
+}
--- /dev/null
+++ b/crates/standins/examples/demo.rs
@@ -0,0 +1,165 @@
+//! Shows the whole path on separate processes: a platform, two engines, a plain service and three
+//! nodes. A document is submitted and shown in force everywhere, a caller asks which instance to
+//! use, and an answer is streamed. Ends by itself.
+
+use std::io::{Error, Result, Write};
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use nix::sys::signal::Signal;
+use orioleroute_wire::client::{Call, Pool};
+use orioleroute_wire::runtime;
+use serde_json::{Value, json};
+use standins::process::{Process, binary};
+use standins::system::{self, OPERATOR_TOKEN, listing, node, publish, status, until};
+
+const REGION: &str = "zurich";
+
+fn main() -> Result<()> {
+    let platform = start("platform", &[])?;
+    let engines = [start("engine", &["--listen"])?, start("engine", &["--listen"])?];
+    let service = start("service", &[])?;
+    let platform_address = only_address(&platform)?;
+    let program = binary("orioleroute-node")?;
+    let mut nodes = ["a", "b", "c"]
+        .iter()
+        .map(|name| node(&program, name, REGION, platform_address, &[]))
+        .collect::<Result<Vec<Process>>>()?;
+    println!("started a platform, two engines, a plain service and three nodes");
+    publish(
+        platform_address,
+        &[
+            listing("engine-1", "coaching", REGION, only_address(&engines[0])?),
+            listing("engine-2", "coaching", REGION, only_address(&engines[1])?),
+            listing("course", "course", REGION, only_address(&service)?),
+        ],
+    );
+    until("three members", || {
+        nodes.iter().all(|node| status(node).is_some_and(|status| status.instances.len() == 3))
+    });
+    submit(&nodes[0])?;
+    let spread = until("in force everywhere", || {
+        nodes.iter().all(|node| status(node).is_some_and(|status| status.version == 1))
+    });
+    println!("in force on all nodes {spread:?} after the operator was told");
+    run_tool("status", &nodes[1])?;
+    let home = ask_route(&nodes[2])?;
+    println!("a caller was told to use {home} for the adapter milk-texturing");
+    stream(home)?;
+    book(home)?;
+    for node in &nodes {
+        node.signal(Signal::SIGTERM)?;
+    }
+    for node in &mut nodes {
+        let status = node.wait(Duration::from_secs(15))?;
+        println!("node ended: {status}");
+    }
+    println!("done");
+    Ok(())
+}
+
+fn start(example: &str, arguments: &[&str]) -> Result<Process> {
+    let mut arguments: Vec<String> = arguments.iter().map(|text| (*text).to_owned()).collect();
+    if !arguments.is_empty() {
+        arguments.push("127.0.0.1:0".to_owned());
+    }
+    Process::start(&binary(&format!("examples/{example}"))?, &arguments)
+}
+
+fn only_address(process: &Process) -> Result<SocketAddr> {
+    process.address("").ok_or_else(|| Error::other("no address"))
+}
+
+fn document() -> Value {
+    json!({
+        "format": 1,
+        "models": [{ "name": "coach-7b" }],
+        "pools": [{ "name": "coaching", "model": "coach-7b", "slots": 4, "fencing": "checked" }],
+        "adapters": [
+            { "name": "milk-texturing", "model": "coach-7b", "versions": ["v1", "v2"], "default": "v2" },
+            { "name": "tasting-notes", "model": "coach-7b", "versions": ["v1"], "default": "v1" },
+        ],
+        "services": [{ "name": "bookings", "pool": "course" }],
+    })
+}
+
+fn submit(node: &Process) -> Result<()> {
+    let mut file = std::env::temp_dir();
+    file.push(format!("orioleroute-demo-{}.json", std::process::id()));
+    std::fs::File::create(&file)?.write_all(document().to_string().as_bytes())?;
+    let done = tool(node).arg("submit").arg(&file).status();
+    std::fs::remove_file(&file)?;
+    if done?.success() { Ok(()) } else { Err(Error::other("the document was not accepted")) }
+}
+
+fn tool(node: &Process) -> Command {
+    let address = node.address("operators").map(|address| address.to_string());
+    let program = binary("oriolectl").unwrap_or_else(|_| "oriolectl".into());
+    let mut command = Command::new(program);
+    command.args(["--instance", &address.unwrap_or_default(), "--token", OPERATOR_TOKEN]);
+    command
+}
+
+fn run_tool(verb: &str, node: &Process) -> Result<()> {
+    let done = tool(node).arg(verb).status()?;
+    if done.success() { Ok(()) } else { Err(Error::other(format!("{verb} failed"))) }
+}
+
+fn ask_route(node: &Process) -> Result<SocketAddr> {
+    let address = node.address("callers").ok_or_else(|| Error::other("no address"))?;
+    let path = format!("/route?adapter=milk-texturing&region={REGION}");
+    let mut home = None;
+    until("a route", || {
+        let answer = system::call(address, Call::new(Method::GET, path.clone())).ok();
+        let routes: Option<Value> = answer.and_then(|answer| answer.json(address).ok());
+        home = routes.and_then(|routes| routes["addresses"][0].as_str()?.parse().ok());
+        home.is_some()
+    });
+    home.ok_or_else(|| Error::other("no route"))
+}
+
+fn stream(home: SocketAddr) -> Result<()> {
+    let body = json!({
+        "model": "milk-texturing",
+        "stream": true,
+        "max_tokens": 12,
+        "messages": [{ "role": "user", "content": "How do I stretch milk?" }],
+    });
+    let call = Call::new(Method::POST, "/v1/chat/completions").json(&body);
+    let start = Instant::now();
+    runtime::block_on(async move {
+        let mut answer = Pool::new().open(home, call).await.map_err(Error::other)?;
+        let header = |name: &str| {
+            let value = answer.headers.get(name);
+            value.and_then(|value| value.to_str().ok()).unwrap_or("nobody").to_owned()
+        };
+        println!(
+            "status {}, answered by {} version {}",
+            answer.status,
+            header("x-served-adapter"),
+            header("x-served-version")
+        );
+        while let Some(part) = answer.next().await {
+            let part = part.map_err(Error::other)?;
+            print!("{:>8.1?} {}", start.elapsed(), String::from_utf8_lossy(&part));
+        }
+        if answer.status.is_success() { Ok(()) } else { Err(Error::other("no answer")) }
+    })
+}
+
+fn book(home: SocketAddr) -> Result<()> {
+    let call = || {
+        Call::new(Method::POST, "/services/bookings/enrol")
+            .header("idempotency-key", "booking-1")
+            .body("text/plain", "one seat")
+    };
+    let first = system::call(home, call()).map_err(Error::other)?;
+    let second = system::call(home, call()).map_err(Error::other)?;
+    println!("booking: {}; the same booking again: {}", first.status, second.status);
+    if first.status.is_success() && !second.status.is_success() {
+        return Ok(());
+    }
+    Err(Error::other("the booking did not run exactly once"))
+}
--- /dev/null
+++ b/crates/standins/examples/platform.rs
@@ -0,0 +1,9 @@
+//! Runs the stand-in `platform` as a process: `platform [ADDRESS]`.
+
+fn main() -> std::io::Result<()> {
+    let address = std::env::args().nth(1).unwrap_or_else(|| "127.0.0.1:0".into());
+    orioleroute_wire::runtime::block_on(async {
+        let (listener, _) = standins::bind(&address)?;
+        standins::platform::run(listener).await
+    })
+}
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,219 @@
+//! The platform: a transactional table in DynamoDB's JSON protocol, an object store in S3's
+//! path-style protocol, and the instance list.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use monoio::net::TcpListener;
+use orioleroute::instance::Listing;
+use orioleroute_wire::Error;
+use orioleroute_wire::server::{Connection, Limits, Request, Response, serve};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+/// How the platform misbehaves; set with `POST /faults`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// The table answers nothing and does nothing.
+    pub table_down: bool,
+    /// The table does what it is asked, and its reply is lost.
+    pub table_replies_lost: bool,
+    /// The delay of every reply of the table, in milliseconds.
+    pub table_delay_ms: u64,
+    /// The object store answers nothing and does nothing.
+    pub objects_down: bool,
+    /// How much later than reality the instance list is, in milliseconds.
+    pub list_lag_ms: u64,
+}
+
+#[derive(Default)]
+struct State {
+    rows: HashMap<String, Value>,
+    objects: HashMap<String, Bytes>,
+    lists: Vec<(Instant, Vec<Listing>)>,
+    faults: Faults,
+    reads: u64,
+    writes: u64,
+}
+
+/// Serves a platform until the listener fails.
+///
+/// # Errors
+///
+/// Fails when the listener does.
+pub async fn run(listener: TcpListener) -> std::io::Result<()> {
+    let state = Rc::new(RefCell::new(State::default()));
+    let limits = Limits { body_bytes: 64 << 20, ..Limits::default() };
+    serve(listener, limits, crate::CONNECTIONS, crate::explain, async move |connection, request| {
+        answer(&state, connection, request).await
+    })
+    .await
+}
+
+async fn answer(
+    state: &Rc<RefCell<State>>,
+    connection: &mut Connection,
+    request: Request,
+) -> Result<(), Error> {
+    let path = request.path.clone();
+    match (&request.method, path.as_str()) {
+        (&Method::POST, "/") => table(state, connection, &request).await,
+        (&Method::POST, "/faults") => {
+            let response = match serde_json::from_slice(&request.body) {
+                Ok(faults) => {
+                    state.borrow_mut().faults = faults;
+                    Response::empty(StatusCode::NO_CONTENT)
+                }
+                Err(error) => Response::text(StatusCode::BAD_REQUEST, error.to_string()),
+            };
+            connection.respond(response).await
+        }
+        (&Method::GET, "/counts") => {
+            let counts = {
+                let state = state.borrow();
+                json!({ "reads": state.reads, "writes": state.writes })
+            };
+            connection.respond(Response::json(StatusCode::OK, &counts)).await
+        }
+        (&Method::GET, "/instances") => {
+            let list = state.borrow().listed();
+            connection.respond(Response::json(StatusCode::OK, &list)).await
+        }
+        (&Method::PUT, "/instances") => {
+            let response = match serde_json::from_slice::<Vec<Listing>>(&request.body) {
+                Ok(list) => {
+                    state.borrow_mut().lists.push((Instant::now(), list));
+                    Response::empty(StatusCode::NO_CONTENT)
+                }
+                Err(error) => Response::text(StatusCode::BAD_REQUEST, error.to_string()),
+            };
+            connection.respond(response).await
+        }
+        (_, path) if path.starts_with("/objects/") => objects(state, connection, &request).await,
+        _ => connection.respond(Response::empty(StatusCode::NOT_FOUND)).await,
+    }
+}
+
+impl State {
+    /// Returns the newest list that is older than the lag.
+    fn listed(&self) -> Vec<Listing> {
+        let lag = Duration::from_millis(self.faults.list_lag_ms);
+        let mut lists = self.lists.iter().rev();
+        let visible = lists.find(|(since, _)| since.elapsed() >= lag);
+        visible.map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+}
+
+async fn objects(
+    state: &Rc<RefCell<State>>,
+    connection: &mut Connection,
+    request: &Request,
+) -> Result<(), Error> {
+    if state.borrow().faults.objects_down {
+        return connection.respond(Response::empty(StatusCode::SERVICE_UNAVAILABLE)).await;
+    }
+    let key = request.path.trim_start_matches("/objects/").to_owned();
+    let response = match request.method {
+        Method::PUT => {
+            state.borrow_mut().objects.insert(key, request.body.clone());
+            Response::empty(StatusCode::OK)
+        }
+        Method::GET => match state.borrow().objects.get(&key) {
+            Some(object) => {
+                Response::typed(StatusCode::OK, "application/octet-stream", object.clone())
+            }
+            None => Response::empty(StatusCode::NOT_FOUND),
+        },
+        _ => Response::empty(StatusCode::METHOD_NOT_ALLOWED),
+    };
+    connection.respond(response).await
+}
+
+async fn table(
+    state: &Rc<RefCell<State>>,
+    connection: &mut Connection,
+    request: &Request,
+) -> Result<(), Error> {
+    let faults = state.borrow().faults.clone();
+    if faults.table_down {
+        // An outage is silence: the caller learns nothing until it gives up.
+        connection.closed().await;
+        return Ok(());
+    }
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let target = request.header("x-amz-target").unwrap_or_default();
+    let response = match target {
+        "DynamoDB_20120810.BatchGetItem" => state.borrow_mut().read(&body),
+        "DynamoDB_20120810.TransactWriteItems" => state.borrow_mut().write(&body),
+        _ => refusal("UnknownOperationException", json!([])),
+    };
+    if faults.table_replies_lost {
+        connection.closed().await;
+        return Ok(());
+    }
+    if faults.table_delay_ms > 0 {
+        monoio::time::sleep(Duration::from_millis(faults.table_delay_ms)).await;
+    }
+    connection.respond(response).await
+}
+
+impl State {
+    fn read(&mut self, body: &Value) -> Response {
+        let tables = body["RequestItems"].as_object().cloned().unwrap_or_default();
+        let mut responses = serde_json::Map::new();
+        for (table, wanted) in tables {
+            let keys = wanted["Keys"].as_array().cloned().unwrap_or_default();
+            self.reads += keys.len() as u64;
+            let items: Vec<Value> = keys
+                .iter()
+                .filter_map(|key| self.rows.get(key["pk"]["S"].as_str()?).cloned())
+                .collect();
+            responses.insert(table, items.into());
+        }
+        Response::json(StatusCode::OK, &json!({ "Responses": responses, "UnprocessedKeys": {} }))
+    }
+
+    fn write(&mut self, body: &Value) -> Response {
+        self.writes += 1;
+        let items = body["TransactItems"].as_array().cloned().unwrap_or_default();
+        let met: Vec<bool> = items.iter().map(|item| self.is_met(&item["Put"])).collect();
+        if met.iter().all(|met| *met) {
+            for item in &items {
+                let item = &item["Put"]["Item"];
+                let key = item["pk"]["S"].as_str().unwrap_or_default().to_owned();
+                self.rows.insert(key, item.clone());
+            }
+            return Response::json(StatusCode::OK, &json!({}));
+        }
+        let reasons: Vec<Value> = met
+            .iter()
+            .map(|met| json!({ "Code": if *met { "None" } else { "ConditionalCheckFailed" } }))
+            .collect();
+        refusal("TransactionCanceledException", reasons.into())
+    }
+
+    fn is_met(&self, put: &Value) -> bool {
+        let key = put["Item"]["pk"]["S"].as_str().unwrap_or_default();
+        let row = self.rows.get(key);
+        match put["ConditionExpression"].as_str() {
+            Some("attribute_not_exists(pk)") => row.is_none(),
+            Some("version = :v") => {
+                row.is_some_and(|row| row["version"] == put["ExpressionAttributeValues"][":v"])
+            }
+            _ => false,
+        }
+    }
+}
+
+fn refusal(kind: &str, reasons: Value) -> Response {
+    let body = json!({
+        "__type": format!("com.amazonaws.dynamodb.v20120810#{kind}"),
+        "CancellationReasons": reasons,
+    });
+    Response::json(StatusCode::BAD_REQUEST, &body)
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,72 @@
+//! A plain service that counts how often each call ran.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use monoio::net::TcpListener;
+use orioleroute_wire::Error;
+use orioleroute_wire::server::{Connection, Limits, Request, Response, serve};
+use serde::{Deserialize, Serialize};
+
+/// How the service misbehaves; set with `POST /faults`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Calls run, and their replies are lost.
+    pub replies_lost: bool,
+    /// The delay of every answer, in milliseconds.
+    pub delay_ms: u64,
+}
+
+#[derive(Default)]
+struct State {
+    faults: Faults,
+    runs: HashMap<String, u32>,
+}
+
+/// Serves a plain service until the listener fails.
+///
+/// # Errors
+///
+/// Fails when the listener does.
+pub async fn run(listener: TcpListener) -> std::io::Result<()> {
+    let state = Rc::new(RefCell::new(State::default()));
+    let limits = Limits::default();
+    serve(listener, limits, crate::CONNECTIONS, crate::explain, async move |connection, request| {
+        answer(&state, connection, request).await
+    })
+    .await
+}
+
+async fn answer(
+    state: &Rc<RefCell<State>>,
+    connection: &mut Connection,
+    request: Request,
+) -> Result<(), Error> {
+    match (&request.method, request.path.as_str()) {
+        (&Method::POST, "/faults") => {
+            state.borrow_mut().faults = serde_json::from_slice(&request.body).unwrap_or_default();
+            connection.respond(Response::empty(StatusCode::NO_CONTENT)).await
+        }
+        (&Method::GET, "/runs") => {
+            let runs = state.borrow().runs.clone();
+            connection.respond(Response::json(StatusCode::OK, &runs)).await
+        }
+        _ => {
+            let key = request.header("idempotency-key").unwrap_or("none").to_owned();
+            *state.borrow_mut().runs.entry(key).or_default() += 1;
+            let faults = state.borrow().faults.clone();
+            if faults.replies_lost {
+                connection.closed().await;
+                return Ok(());
+            }
+            if faults.delay_ms > 0 {
+                monoio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+            }
+            connection.respond(Response::text(StatusCode::OK, request.body)).await
+        }
+    }
+}
