--- a/crates/orioleroute-node/src/callers.rs
+++ b/crates/orioleroute-node/src/callers.rs
@@ -23,6 +23,9 @@
 /// The header field that counts the instances that passed a request on.
 pub const HOPS: &str = "x-orioleroute-hops";
 
+/// The header field by which an instance says that an attempt of its own may have run.
+pub const MAY_HAVE_RUN: &str = "x-orioleroute-may-have-run";
+
 /// The prefix of the paths of plain services.
 const SERVICES: &str = "/services/";
 
@@ -135,6 +138,7 @@
         repeatable,
         idempotency: None,
         hops: 0,
+        may_have_run: false,
     });
     spec.repeatable = repeatable;
     Job { request, spec, stream: false }
@@ -156,6 +160,7 @@
         repeatable: true,
         idempotency: request.header("idempotency-key").map(Arc::from),
         hops: request.header(HOPS).and_then(|text| text.parse().ok()).unwrap_or(0),
+        may_have_run: request.header(MAY_HAVE_RUN).is_some(),
     })
 }
 
--- a/crates/orioleroute-node/src/platform.rs
+++ b/crates/orioleroute-node/src/platform.rs
@@ -50,29 +50,32 @@
 }
 
 fn write_body(table: &str, writes: &[Write]) -> Value {
-    let items: Vec<Value> =
-        writes.iter().map(|write| json!({ "Put": put_of(table, write) })).collect();
+    let items: Vec<Value> = writes.iter().map(|write| item_of(table, write)).collect();
     json!({ "TransactItems": items })
 }
 
-fn put_of(table: &str, write: &Write) -> Value {
-    let item = json!({
-        "pk": { "S": &*write.key },
-        "version": { "N": write.expect.next_version().to_string() },
-        "value": { "S": &*write.value },
-    });
+fn item_of(table: &str, write: &Write) -> Value {
+    let mut item = json!({ "TableName": table });
     match write.expect {
-        Expect::Absent => json!({
-            "TableName": table,
-            "Item": item,
-            "ConditionExpression": "attribute_not_exists(pk)",
-        }),
-        Expect::Version(version) => json!({
-            "TableName": table,
-            "Item": item,
-            "ConditionExpression": "version = :v",
-            "ExpressionAttributeValues": { ":v": { "N": version.to_string() } },
-        }),
+        Expect::Absent => item["ConditionExpression"] = "attribute_not_exists(pk)".into(),
+        Expect::Version(version) => {
+            item["ConditionExpression"] = "version = :v".into();
+            item["ExpressionAttributeValues"] = json!({ ":v": { "N": version.to_string() } });
+        }
+    }
+    match &write.value {
+        Some(value) => {
+            item["Item"] = json!({
+                "pk": { "S": &*write.key },
+                "version": { "N": write.expect.next_version().to_string() },
+                "value": { "S": &**value },
+            });
+            json!({ "Put": item })
+        }
+        None => {
+            item["Key"] = json!({ "pk": { "S": &*write.key } });
+            json!({ "ConditionCheck": item })
+        }
     }
 }
 
--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -73,8 +73,8 @@
                 let address = dispatch.address;
                 attempt(&guard, connection, address, call, patience, expected, stream).await?
             }
-            Some(Step::Forward { address, .. }) => {
-                let call = call_instance(&request, hops + 1);
+            Some(Step::Forward { address, may_have_run, .. }) => {
+                let call = call_instance(&request, hops + 1, may_have_run);
                 let patience = FORWARD_PATIENCE;
                 attempt(&guard, connection, address, call, patience, None, stream).await?
             }
@@ -136,7 +136,7 @@
     call.header("content-type", media).payload(body)
 }
 
-fn call_instance(request: &Request, hops: u8) -> Call {
+fn call_instance(request: &Request, hops: u8, may_have_run: bool) -> Call {
     let mut call = Call::new(request.method.clone(), path_of(request));
     for name in [
         "idempotency-key",
@@ -150,6 +150,9 @@
             call = call.header(name, value);
         }
     }
+    if may_have_run {
+        call = call.header(callers::MAY_HAVE_RUN, "1");
+    }
     call.header(callers::HOPS, hops.to_string()).payload(request.body.clone())
 }
 
--- a/crates/orioleroute/src/config.rs
+++ b/crates/orioleroute/src/config.rs
@@ -26,6 +26,9 @@
 /// Between two reads of the rows.
 const POLL: Duration = Duration::from_millis(1_000);
 
+/// The rows that an acceptance writes before the rows that it only checks.
+const MARKS: usize = 2;
+
 /// Between two askings of members that have not confirmed a staged document.
 const RESTAGE: Duration = Duration::from_millis(500);
 
@@ -75,6 +78,7 @@
     reading: Option<(Ticket, Instant)>,
     fetching: Option<(Ticket, Mark)>,
     next_poll: Instant,
+    stale_views: bool,
 }
 
 impl Config {
@@ -93,6 +97,11 @@
         self.staged.as_ref().map(|proposal| proposal.version)
     }
 
+    /// Returns whether the views have to be read anew before a submission can go on.
+    pub fn take_stale_views(&mut self) -> bool {
+        std::mem::take(&mut self.stale_views)
+    }
+
     /// Starts a submission.
     pub fn submit(
         &mut self,
@@ -115,6 +124,7 @@
         let storing = effects.ticket();
         let key = object(Mark { version, token });
         effects.push(Effect::Put { ticket: storing, key, value: document.clone() });
+        self.stale_views = true;
         self.submission = Some(Submission {
             ticket,
             proposal,
@@ -280,6 +290,13 @@
             (Stage::Accepting(accepting), Outcome::Written) if accepting == ticket => {
                 self.conclude(membership, effects)
             }
+            (Stage::Accepting(accepting), Outcome::Conflict(unmet))
+                if accepting == ticket && unmet.iter().all(|index| *index >= MARKS) =>
+            {
+                submission.stage = Stage::Confirming;
+                self.stale_views = true;
+                false
+            }
             (Stage::Marking(writing) | Stage::Accepting(writing), Outcome::Conflict(_))
                 if writing == ticket =>
             {
@@ -341,14 +358,16 @@
             let pending = Answer::Pending { version: mark.version, regions };
             answer(submission.ticket, pending, effects);
         }
-        if submission.stage != Stage::Confirming {
+        if submission.stage != Stage::Confirming || self.stale_views {
             return;
         }
         if missing.is_empty() {
             let head = mark_row(HEAD, self.head_row, mark);
             let staged = mark_row(STAGED, self.staged_row, mark);
-            let ticket = effects.table(Operation::Write(vec![head, staged]));
-            submission.stage = Stage::Accepting(ticket);
+            // A view that has changed has a member that this instance has not asked.
+            let mut writes = vec![head, staged];
+            writes.extend(membership.checks());
+            submission.stage = Stage::Accepting(effects.table(Operation::Write(writes)));
             return;
         }
         if now >= submission.next_send {
@@ -381,9 +400,7 @@
 }
 
 fn mark_row(key: &str, row: u64, mark: Mark) -> Write {
-    let expect = if row == 0 { Expect::Absent } else { Expect::Version(row) };
-    let value = serde_json::to_string(&mark).unwrap_or_default();
-    Write { key: key.into(), expect, value: value.into() }
+    Write::put(key, Expect::unchanged(row), &mark)
 }
 
 /// Returns the key of the object that holds a document.
--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -10,6 +10,7 @@
 use crate::membership::Membership;
 use crate::operator::{Answer, Command};
 use crate::orders::Orders;
+use crate::ownership::Ownership;
 use crate::prelude::*;
 use crate::request::Requests;
 
@@ -52,6 +53,8 @@
     fleet: Fleet,
     requests: Requests,
     orders: Orders,
+    ownership: Ownership,
+    indexed: u64,
     effects: Effects,
 }
 
@@ -65,6 +68,8 @@
             fleet: Fleet::default(),
             requests: Requests::default(),
             orders: Orders::default(),
+            ownership: Ownership::default(),
+            indexed: 0,
             effects: Effects::default(),
         }
     }
@@ -88,7 +93,10 @@
                 }
             }
             Event::Message { from, message } => self.take_message(now, &from, &message),
-            Event::Listed(listings) => self.fleet.list(&listings),
+            Event::Listed(listings) => {
+                self.fleet.list(&listings);
+                self.index();
+            }
             Event::Report { upstream, report } => self.take_report(now, upstream, report.as_ref()),
             Event::Ordered { ticket, upstream, outcome } => {
                 self.take_ordered(now, ticket, upstream, outcome);
@@ -98,6 +106,9 @@
             Event::Command { ticket, command } => self.take_command(now, ticket, command),
             Event::Shutdown => self.membership.leave(),
         }
+        if self.membership.changes() != self.indexed {
+            self.index();
+        }
         self.effects.drain().collect()
     }
 
@@ -133,6 +144,9 @@
 
     fn tick(&mut self, now: Instant) {
         self.membership.tick(now, self.config.version(), &mut self.effects);
+        if self.config.take_stale_views() {
+            self.membership.refresh();
+        }
         self.config.tick(now, &self.membership, &mut self.effects);
         self.probe(now);
         self.reconcile(now);
@@ -162,12 +176,19 @@
         }
     }
 
+    /// Brings the index of owners to the views, the list and the pools.
+    fn index(&mut self) {
+        self.indexed = self.membership.changes();
+        self.ownership.rebuild(&self.membership, &self.fleet, &self.catalog);
+    }
+
     /// Acts on the document that has just come into force.
     fn apply_document(&mut self, now: Instant) {
         let Some(text) = self.config.text() else { return };
         // It was checked before it was staged; an unreadable one changes nothing.
         if let Ok(document) = Document::from_json(text) {
             self.catalog.apply(&document);
+            self.index();
             self.reconcile(now);
         }
     }
--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -15,11 +15,10 @@
 impl Core {
     /// Asks the owned engines for reports that are due.
     pub(super) fn probe(&mut self, now: Instant) {
-        for (key, upstream) in self.fleet.iter_mut() {
-            let owned = self.membership.owns(&upstream.listing.name)
-                && upstream.listing.region == self.membership.identity().region;
+        for key in self.ownership.mine() {
+            let Some(upstream) = self.fleet.get_mut(key) else { continue };
             let engine = self.catalog.pool(&upstream.listing.pool).is_some();
-            if owned && engine && now >= upstream.next_probe {
+            if engine && now >= upstream.next_probe {
                 upstream.next_probe = now + PROBE;
                 let address = upstream.listing.address;
                 self.effects.push(Effect::Probe { upstream: key, address });
@@ -121,7 +120,8 @@
         }
         let candidates: Vec<(key::Upstream, u32)> = self
             .candidates(revision)
-            .into_iter()
+            .iter()
+            .copied()
             .filter(|key| self.may_order(now, *key) && !self.orders.is_barred(now, *key, revision))
             .map(|key| (key, self.slots(key)))
             .collect();
@@ -194,24 +194,14 @@
             .catalog
             .pool(&upstream.listing.pool)
             .is_some_and(|pool| pool.fencing == crate::document::Fencing::Checked);
-        upstream.listing.region == self.membership.identity().region
-            && self.membership.owns(&upstream.listing.name)
+        self.ownership.is_mine(key)
             && self.membership.holds_lease(now)
             && self.membership.is_settled(now, fenced)
     }
 
     /// Returns the owned upstreams that may run a revision.
-    pub(super) fn candidates(&self, revision: key::Revision) -> Vec<key::Upstream> {
-        let model = &self.catalog.revision(revision).model;
-        self.fleet
-            .iter()
-            .filter(|(_, upstream)| {
-                upstream.listing.region == self.membership.identity().region
-                    && self.catalog.pool(&upstream.listing.pool).is_some_and(|p| p.model == *model)
-                    && self.membership.owns(&upstream.listing.name)
-            })
-            .map(|(key, _)| key)
-            .collect()
+    pub(super) fn candidates(&self, revision: key::Revision) -> &[key::Upstream] {
+        self.ownership.owned(&self.catalog.revision(revision).model)
     }
 
     fn slots(&self, key: key::Upstream) -> u32 {
--- a/crates/orioleroute/src/core/operators.rs
+++ b/crates/orioleroute/src/core/operators.rs
@@ -21,10 +21,9 @@
             })
             .collect();
         let upstreams = self
-            .fleet
-            .iter()
-            .filter(|(_, upstream)| upstream.listing.region == own.region)
-            .filter(|(_, upstream)| self.membership.owns(&upstream.listing.name))
+            .ownership
+            .mine()
+            .filter_map(|key| Some((key, self.fleet.get(key)?)))
             .filter(|(_, upstream)| self.catalog.pool(&upstream.listing.pool).is_some())
             .map(|(key, upstream)| UpstreamStatus {
                 name: upstream.listing.name.clone(),
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -2,6 +2,8 @@
 
 use super::Core;
 use crate::fleet::Fleet;
+use crate::hash::digest;
+use crate::instance::Instance as Identity;
 use crate::key::Ticket;
 use crate::prelude::*;
 use crate::request::{
@@ -24,38 +26,21 @@
 
 impl Core {
     /// Returns the instances that serve a model or service in a region, in order of preference.
-    pub fn homes(&self, region: &str, target: &Target) -> Vec<&crate::instance::Instance> {
-        let Some(view) = self.membership.view_of(region) else { return Vec::new() };
+    pub fn homes(&self, region: &str, target: &Target) -> Vec<&Identity> {
         match target {
-            Target::Model(model) => match self.catalog.resolve(model) {
-                Some(revision) => self.home_order(view, revision),
+            Target::Model(model) => {
+                let Some(key) = self.catalog.resolve(model) else { return Vec::new() };
+                let revision = self.catalog.revision(key);
+                let homes = self.ownership.homes(region, &revision.model, revision.digest);
+                homes.into_iter().map(|home| &home.instance).collect()
+            }
+            Target::Service(name) => match self.membership.view_of(region) {
+                Some(view) => view.preference(digest(&**name)),
                 None => Vec::new(),
             },
-            Target::Service(name) => view.preference(crate::hash::digest(&**name)),
         }
     }
 
-    fn home_order<'a>(
-        &'a self,
-        view: &'a crate::view::View,
-        revision: key::Revision,
-    ) -> Vec<&'a crate::instance::Instance> {
-        let revision = self.catalog.revision(revision);
-        let mut homes = view.preference(revision.digest);
-        homes.retain(|member| {
-            self.fleet.iter().any(|(_, upstream)| {
-                self.catalog
-                    .pool(&upstream.listing.pool)
-                    .is_some_and(|pool| pool.model == revision.model)
-                    && upstream.listing.region == view.region
-                    && view
-                        .owner(&upstream.listing.name)
-                        .is_some_and(|owner| owner.name == member.name)
-            })
-        });
-        homes
-    }
-
     /// Takes a request that has arrived.
     pub(super) fn take_arrival(&mut self, now: Instant, key: key::Request, spec: Spec) {
         let policy = self.catalog.policy();
@@ -63,11 +48,11 @@
         let revision = match &spec.target {
             Target::Model(model) => match self.catalog.resolve(model) {
                 Some(revision) => Some(revision),
-                None => return self.refuse(key, Kind::NotFound, Ran::NotRun, None),
+                None => return self.refuse(key, Kind::NotFound, None),
             },
             Target::Service(name) => match self.catalog.service(name) {
                 Some(_) => None,
-                None => return self.refuse(key, Kind::NotFound, Ran::NotRun, None),
+                None => return self.refuse(key, Kind::NotFound, None),
             },
         };
         let configured = revision.map(|revision| self.catalog.revision(revision).importance);
@@ -111,24 +96,30 @@
         }
         let request = self.requests.get_mut(key).expect("it was there");
         request.state = State::Waiting;
+        request.spec.may_have_run |= failure.may_have_run();
         let again = request.spec.repeatable || !failure.may_have_run();
         let in_time = now < request.deadline && request.attempts < ATTEMPTS;
         if again && in_time {
             return self.route(now, key);
         }
-        let ran = if failure.may_have_run() { Ran::MayHaveRun } else { Ran::NotRun };
         let retry_after = again.then_some(RETRY_AFTER);
-        self.refuse(key, Kind::Upstream, ran, retry_after);
+        self.refuse(key, Kind::Upstream, retry_after);
     }
 
     /// Gives a request its next step.
     fn route(&mut self, now: Instant, key: key::Request) {
         let Some(request) = self.requests.get(key) else { return };
         if now >= request.deadline {
-            return self.refuse(key, Kind::Deadline, Ran::NotRun, Some(RETRY_AFTER));
+            return self.refuse(key, Kind::Deadline, Some(RETRY_AFTER));
+        }
+        if self.passes_on(key) {
+            return self.forward(key);
+        }
+        // One that may be cut off cannot know whether its configuration still is in force.
+        if !self.membership.may_serve(now) {
+            return self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER));
         }
         match request.revision {
-            Some(_) if self.passes_on(key) => self.forward(key),
             Some(revision) => self.route_model(now, key, revision),
             None => self.route_service(now, key),
         }
@@ -137,9 +128,9 @@
     fn route_model(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
         let candidates = self.candidates(revision);
         if candidates.is_empty() {
-            return self.refuse(key, Kind::Unavailable, Ran::NotRun, Some(RETRY_AFTER));
+            return self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER));
         }
-        match routing::choose(now, &self.fleet, candidates, revision) {
+        match routing::choose(now, &self.fleet, candidates.iter().copied(), revision) {
             Some((upstream, runners_up)) => {
                 self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
                 self.dispatch(now, key, upstream);
@@ -152,7 +143,7 @@
         let Some(Request { spec, .. }) = self.requests.get(key) else { return };
         let Target::Service(name) = &spec.target else { return };
         let Some(service) = self.catalog.service(name) else {
-            return self.refuse(key, Kind::NotFound, Ran::NotRun, None);
+            return self.refuse(key, Kind::NotFound, None);
         };
         let region = &self.membership.identity().region;
         let chosen = self
@@ -166,7 +157,7 @@
                 self.decide(key, Some(upstream), Reason::LeastLoaded, Vec::new());
                 self.dispatch(now, key, upstream);
             }
-            None => self.refuse(key, Kind::Unavailable, Ran::NotRun, Some(RETRY_AFTER)),
+            None => self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER)),
         }
     }
 
@@ -174,7 +165,7 @@
     fn wait(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
         let limit = self.catalog.revision(revision).queue as usize;
         if self.requests.waiting(revision).len() >= limit {
-            return self.refuse(key, Kind::Overloaded, Ran::NotRun, Some(RETRY_AFTER));
+            return self.refuse(key, Kind::Overloaded, Some(RETRY_AFTER));
         }
         self.requests.queue(key, revision);
         self.decide(key, None, Reason::WaitsForLoad, Vec::new());
@@ -183,9 +174,12 @@
 
     /// Gives waiting requests the upstreams that now hold what they wait for.
     pub(super) fn serve_waiting(&mut self, now: Instant) {
+        if !self.membership.may_serve(now) {
+            return;
+        }
         for revision in self.requests.wanted() {
             for key in self.requests.waiting(revision).to_vec() {
-                let candidates = self.candidates(revision);
+                let candidates = self.candidates(revision).iter().copied();
                 let Some((upstream, runners_up)) =
                     routing::choose(now, &self.fleet, candidates, revision)
                 else {
@@ -201,7 +195,7 @@
     /// Refuses the waiting requests whose deadlines have passed.
     pub(super) fn refuse_overdue(&mut self, now: Instant) {
         for key in self.requests.overdue(now) {
-            self.refuse(key, Kind::Deadline, Ran::NotRun, Some(RETRY_AFTER));
+            self.refuse(key, Kind::Deadline, Some(RETRY_AFTER));
         }
     }
 
@@ -248,21 +242,24 @@
         self.next_home(key).is_some()
     }
 
-    fn next_home(&self, key: key::Request) -> Option<&crate::instance::Instance> {
+    fn next_home(&self, key: key::Request) -> Option<&Identity> {
         let request = self.requests.get(key)?;
         if request.spec.hops >= HOPS {
             return None;
         }
-        let revision = request.revision?;
-        if !self.candidates(revision).is_empty() && request.spec.hops > 0 {
+        let key = request.revision?;
+        if !self.candidates(key).is_empty() && request.spec.hops > 0 {
             return None;
         }
+        let revision = self.catalog.revision(key);
         let own = self.membership.identity();
-        let regions = std::iter::once(self.membership.view())
-            .chain(self.membership.views().filter(|view| view.region != own.region));
+        let others = self.membership.views().map(|view| &view.region);
+        let regions =
+            std::iter::once(&own.region).chain(others.filter(|name| **name != own.region));
         regions
-            .filter(|view| self.catalog.revision(revision).may_run_in(&view.region))
-            .find_map(|view| self.home_order(view, revision).first().copied())
+            .filter(|region| revision.may_run_in(region))
+            .find_map(|region| self.ownership.home(region, &revision.model, revision.digest))
+            .map(|home| &home.instance)
             .filter(|home| home.name != own.name)
     }
 
@@ -270,10 +267,10 @@
         let Some(home) = self.next_home(key) else { return };
         let (instance, address) = (home.name.clone(), home.caller_address);
         let name = self.name_of(key);
-        if let Some(request) = self.requests.get_mut(key) {
-            request.state = State::Forwarded;
-            request.attempts += 1;
-        }
+        let Some(request) = self.requests.get_mut(key) else { return };
+        request.state = State::Forwarded;
+        request.attempts += 1;
+        let may_have_run = request.spec.may_have_run;
         self.effects.push(Effect::Decide(Decision {
             request: Some(key),
             name,
@@ -281,8 +278,8 @@
             reason: Reason::OtherHome,
             runners_up: Vec::new(),
         }));
-        self.effects
-            .push(Effect::Request { request: key, step: Step::Forward { instance, address } });
+        let step = Step::Forward { instance, address, may_have_run };
+        self.effects.push(Effect::Request { request: key, step });
     }
 
     /// Writes the claim of a request that may run only once.
@@ -295,9 +292,8 @@
             }
             return self.route(now, key);
         };
-        let row = format!("claim/{idempotency}").into();
-        let value = format!("\"{}\"", self.membership.identity().name).into();
-        let write = Write { key: row, expect: Expect::Absent, value };
+        let claimer = self.membership.identity().name.clone();
+        let write = Write::put(format!("claim/{idempotency}"), Expect::Absent, &claimer);
         let ticket = self.effects.table(Operation::Write(vec![write]));
         if let Some(request) = self.requests.get_mut(key) {
             request.state = State::Claiming(ticket);
@@ -315,17 +311,24 @@
                 }
                 self.route(now, key);
             }
-            Outcome::Conflict(_) => self.refuse(key, Kind::Conflict, Ran::MayHaveRun, None),
+            Outcome::Conflict(_) => {
+                if let Some(request) = self.requests.get_mut(key) {
+                    request.spec.may_have_run = true;
+                }
+                self.refuse(key, Kind::Conflict, None);
+            }
             // This instance has not sent it, and the key stays barred if the claim was written.
-            _ => self.refuse(key, Kind::Unavailable, Ran::NotRun, Some(RETRY_AFTER)),
+            _ => self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER)),
         }
         true
     }
 
     /// Ends a request with a refusal, at once.
-    fn refuse(&mut self, key: key::Request, kind: Kind, ran: Ran, retry_after: Option<Duration>) {
+    fn refuse(&mut self, key: key::Request, kind: Kind, retry_after: Option<Duration>) {
         self.decide(key, None, Reason::Refused, Vec::new());
-        self.requests.remove(key);
+        let request = self.requests.remove(key);
+        let may_have_run = request.is_some_and(|request| request.spec.may_have_run);
+        let ran = if may_have_run { Ran::MayHaveRun } else { Ran::NotRun };
         let step = Step::Refuse(Refusal { kind, ran, retry_after });
         self.effects.push(Effect::Request { request: key, step });
     }
--- a/crates/orioleroute/src/lib.rs
+++ b/crates/orioleroute/src/lib.rs
@@ -9,8 +9,8 @@
 //!
 //! * [`document`] and [`config`]: the configuration document, and how a new one is accepted once
 //!   and for all regions.
-//! * [`membership`] and [`view`]: who the instances of a region are, who owns which upstream, and
-//!   the lease under which orders are given.
+//! * [`membership`], [`view`] and [`ownership`]: who the instances of a region are, who owns which
+//!   upstream, and the lease under which orders are given.
 //! * [`fleet`], [`routing`] and [`placement`]: the upstreams, the choice of one for a request, and
 //!   the choice of what to load and unload.
 //! * [`request`]: a caller's request from arrival to its one final answer.
@@ -55,6 +55,7 @@
 pub mod message;
 pub mod operator;
 pub mod orders;
+pub mod ownership;
 pub mod placement;
 pub mod prelude;
 pub mod request;
--- a/crates/orioleroute/src/membership.rs
+++ b/crates/orioleroute/src/membership.rs
@@ -7,7 +7,7 @@
 //! and a new owner that engines do not fence waits one more lease before its first order.
 
 use crate::effect::Effects;
-use crate::hash::Map;
+use crate::hash::{Map, digest};
 use crate::instance::Instance as Identity;
 use crate::key::Ticket;
 use crate::message::{Message, Renewal};
@@ -30,6 +30,23 @@
 /// Between two reads of the view's row.
 pub const POLL: Duration = Duration::from_millis(1_000);
 
+/// Between two reads of the rows of the other regions.
+pub const WIDE_POLL: Duration = Duration::from_millis(10_000);
+
+/// How long watchers can extend a lease that the table has not confirmed.
+///
+/// Whoever takes over from a member that no watcher saw off waits this long before it orders
+/// engines that ignore fencing numbers, so it bounds both the table outage that stops no load and
+/// the time without loads after the loss of a whole region.
+pub const EXTENSION: Duration = Duration::from_secs(15 * 60);
+
+/// How much longer a watcher waits when it cannot tell which view a silent member had applied, so
+/// that a watcher that can tell goes first.
+const UNCLEAN_WAIT: Duration = Duration::from_millis(3_000);
+
+/// The key of the row that lists the regions.
+pub const REGIONS: &str = "regions";
+
 /// The longest wait for a reply of the table before the operation is asked anew.
 pub const TABLE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -44,6 +61,8 @@
     pub config: u64,
     /// When this instance last granted its lease.
     granted: Instant,
+    /// Whether it was ever heard to have applied some view.
+    known: bool,
 }
 
 /// The membership of one instance.
@@ -57,10 +76,18 @@
     settled_at: Option<Instant>,
     next_heartbeat: Instant,
     next_poll: Instant,
+    next_wide_poll: Instant,
+    regions: u64,
+    reached: Option<Instant>,
+    ticked: Instant,
+    paused: bool,
+    paused_at: Instant,
+    last_view: Option<View>,
     reading: Option<(Ticket, Instant)>,
     writing: Option<(Ticket, Instant)>,
     token: u64,
     leaving: bool,
+    changes: u64,
 }
 
 impl Membership {
@@ -78,10 +105,18 @@
             settled_at: None,
             next_heartbeat: Instant::ZERO,
             next_poll: Instant::ZERO,
+            next_wide_poll: Instant::ZERO,
+            regions: 0,
+            reached: None,
+            ticked: Instant::ZERO,
+            paused: false,
+            paused_at: Instant::ZERO,
+            last_view: None,
             reading: None,
             writing: None,
             token,
             leaving: false,
+            changes: 0,
         }
     }
 
@@ -105,6 +140,11 @@
         self.views.values()
     }
 
+    /// Returns a number that grows with each change of a known view.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the address of an instance for peers, if it is a member of a known view.
     pub fn address(&self, name: &str) -> Option<std::net::SocketAddr> {
         let mut members = self.views.values().flat_map(|view| &view.members);
@@ -128,16 +168,59 @@
         self.is_member() && (self.is_confirmed(now) || self.is_extended(now))
     }
 
-    /// Returns whether this instance owns an upstream in the applied view.
-    pub fn owns(&self, upstream: &str) -> bool {
-        self.view().owner(upstream).is_some_and(|owner| owner.name == self.identity.name)
-    }
-
     /// Returns whether upstreams gained by the applied view may be given orders.
     ///
     /// Engines that check fencing numbers need no wait for the leases of removed members.
     pub fn is_settled(&self, now: Instant, fenced: bool) -> bool {
-        self.settled_at.is_some_and(|settled| fenced || now >= settled + LEASE + LEASE_MARGIN)
+        let wait = match self.view().unclean.is_empty() {
+            true => LEASE + LEASE_MARGIN,
+            false => EXTENSION + LEASE_MARGIN,
+        };
+        self.settled_at.is_some_and(|settled| fenced || now >= settled + wait)
+    }
+
+    /// Returns whether this instance may answer requests at `now`.
+    ///
+    /// It may while it holds its lease. In an outage of the table it also may while it hears from
+    /// most of its region, since it is then not the one that is cut off. After a pause it may not
+    /// until it has heard from the table or a member, since it may have been removed meanwhile.
+    pub fn may_serve(&self, now: Instant) -> bool {
+        self.is_member()
+            && !self.paused
+            && now < self.ticked + SUSPICION
+            && (self.holds_lease(now) || self.reaches_most(now))
+    }
+
+    /// Returns whether this instance hears from more than half of its region, itself included.
+    ///
+    /// Of two equal halves it is the one with the member that comes first in the ring.
+    fn reaches_most(&self, now: Instant) -> bool {
+        let members = &self.view().members;
+        let reached = |member: &&Identity| {
+            member.name == self.identity.name
+                || self.peers.get(&member.name).is_some_and(|peer| now < peer.heard + LEASE)
+        };
+        let count = members.iter().filter(reached).count();
+        let first = members.iter().min_by_key(|member| digest(&*member.name));
+        count * 2 > members.len()
+            || (count * 2 == members.len() && first.is_some_and(|m| reached(&m)))
+    }
+
+    /// Returns checks that no view has changed since it was read.
+    pub fn checks(&self) -> Vec<Write> {
+        let mut checks: Vec<Write> = self
+            .views
+            .values()
+            .map(|view| Write::check(View::row(&view.region), Expect::unchanged(view.version)))
+            .collect();
+        checks.push(Write::check(REGIONS, Expect::unchanged(self.regions)));
+        checks
+    }
+
+    /// Reads the rows of all regions at the next occasion.
+    pub fn refresh(&mut self) {
+        self.next_wide_poll = Instant::ZERO;
+        self.next_poll = Instant::ZERO;
     }
 
     /// Asks to leave: the next view will be without this instance.
@@ -152,12 +235,14 @@
 
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: Instant, config: u64, effects: &mut Effects) {
+        self.notice_pause(now);
         self.expire_operations(now);
         self.poll(now, effects);
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + HEARTBEAT;
             self.renew(now, config, effects);
             self.announce(effects);
+            self.probe_members(now, effects);
         }
         self.propose(now, effects);
     }
@@ -177,7 +262,7 @@
             return true;
         }
         if self.writing.take_if(|(writing, _)| *writing == ticket).is_some() {
-            self.next_poll = now;
+            self.refresh();
             return true;
         }
         false
@@ -214,12 +299,27 @@
 
     fn is_extended(&self, now: Instant) -> bool {
         let mut watchers = self.view().watchers(&self.identity.name).peekable();
-        watchers.peek().is_some()
+        let extensible = self.reached.is_some_and(|reached| now < reached + EXTENSION);
+        extensible
+            && watchers.peek().is_some()
             && watchers.all(|watcher| {
                 self.grants.get(&watcher.name).is_some_and(|sent| now < *sent + LEASE)
             })
     }
 
+    /// Notices that this process was stopped for a while, and when it has caught up.
+    fn notice_pause(&mut self, now: Instant) {
+        if now >= self.ticked + SUSPICION {
+            self.paused = true;
+            self.paused_at = now;
+            self.refresh();
+        }
+        if now >= self.paused_at + TABLE_TIMEOUT {
+            self.paused = false;
+        }
+        self.ticked = now;
+    }
+
     fn expire_operations(&mut self, now: Instant) {
         self.reading.take_if(|(_, sent)| now >= *sent + TABLE_TIMEOUT);
         self.writing.take_if(|(_, sent)| now >= *sent + TABLE_TIMEOUT);
@@ -230,13 +330,24 @@
             return;
         }
         self.next_poll = now + POLL;
-        let keys = self.views.keys().map(|region| View::row(region)).collect();
+        let mut keys = vec![View::row(&self.identity.region)];
+        if now >= self.next_wide_poll {
+            self.next_wide_poll = now + WIDE_POLL;
+            let others = self.views.keys().filter(|region| **region != self.identity.region);
+            keys.extend(others.map(|region| View::row(region)));
+            keys.push(REGIONS.into());
+        }
         let ticket = effects.table(Operation::Read(keys));
         self.reading = Some((ticket, now));
     }
 
     fn take_rows(&mut self, now: Instant, sent: Instant, rows: &[Row], effects: &mut Effects) {
         let own = View::row(&self.identity.region);
+        self.reached = Some(sent);
+        self.paused &= sent < self.paused_at;
+        if let Some(row) = rows.iter().find(|row| &*row.key == REGIONS) {
+            self.take_regions(row);
+        }
         for row in rows {
             if let Ok(mut view) = serde_json::from_str::<View>(&row.value) {
                 view.version = row.version;
@@ -250,48 +361,80 @@
         self.join_or_leave(now, effects);
     }
 
+    /// Learns of regions, whose views are read next.
+    fn take_regions(&mut self, row: &Row) {
+        self.regions = row.version;
+        let names: Vec<Arc<str>> = serde_json::from_str(&row.value).unwrap_or_default();
+        for region in names {
+            if !self.views.contains_key(&region) {
+                let view = View { region: region.clone(), ..View::default() };
+                self.views.insert(region, view);
+                self.refresh();
+            }
+        }
+    }
+
     fn join_or_leave(&mut self, now: Instant, effects: &mut Effects) {
         let mut members = self.view().members.clone();
+        let mut unclean = self.view().unclean.clone();
         match (self.is_member(), self.leaving) {
             (false, false) => {
                 members.retain(|member| member.name != self.identity.name);
                 members.push(self.identity.clone());
+                // A process that starts again under a name proves that the former one has ended.
+                unclean.retain(|name| *name != self.identity.name);
             }
             (true, true) => members.retain(|member| member.name != self.identity.name),
             _ => return,
         }
-        self.write_view(now, members, effects);
+        self.write_view(now, members, unclean, effects);
     }
 
-    fn write_view(&mut self, now: Instant, members: Vec<Identity>, effects: &mut Effects) {
+    fn write_view(
+        &mut self,
+        now: Instant,
+        members: Vec<Identity>,
+        unclean: Vec<Arc<str>>,
+        effects: &mut Effects,
+    ) {
         if self.writing.is_some() {
             return;
         }
         self.token = self.token.wrapping_add(1);
         let current = self.view();
-        let expect = match current.version {
-            0 => Expect::Absent,
-            version => Expect::Version(version),
-        };
+        let expect = Expect::unchanged(current.version);
         let next = View {
             region: current.region.clone(),
             version: expect.next_version(),
             token: self.token,
             members,
+            unclean,
         };
-        let value = serde_json::to_string(&next).unwrap_or_default();
-        let key = View::row(&next.region);
-        let write = Write { key, expect, value: value.into() };
-        let ticket = effects.table(Operation::Write(vec![write]));
+        let mut writes = vec![Write::put(View::row(&next.region), expect, &next)];
+        if expect == Expect::Absent {
+            writes.push(self.region_row());
+        }
+        let ticket = effects.table(Operation::Write(writes));
         self.writing = Some((ticket, now));
     }
 
+    /// Returns the write that adds the own region to the list of regions.
+    fn region_row(&self) -> Write {
+        let mut names: Vec<&Arc<str>> = self.views.keys().collect();
+        names.sort();
+        Write::put(REGIONS, Expect::unchanged(self.regions), &names)
+    }
+
     fn take_view(&mut self, now: Instant, view: &View, effects: &mut Effects) {
         let known = self.views.get(&view.region).map_or(0, |known| known.version);
         if view.version <= known {
             return;
         }
-        self.views.insert(view.region.clone(), view.clone());
+        let former = self.views.insert(view.region.clone(), view.clone());
+        self.changes += 1;
+        if view.region == self.identity.region {
+            self.last_view = former;
+        }
         if view.region == self.identity.region {
             self.apply(now, effects);
         }
@@ -344,6 +487,19 @@
         }
     }
 
+    /// Asks all members for a sign of life while the lease has lapsed; see [`Self::may_serve`].
+    fn probe_members(&self, now: Instant, effects: &mut Effects) {
+        if self.holds_lease(now) {
+            return;
+        }
+        let version = self.view().version;
+        for member in &self.view().members {
+            if member.name != self.identity.name {
+                self.send(&member.name, Message::Applied { version, reply: true }, effects);
+            }
+        }
+    }
+
     fn renew(&self, now: Instant, config: u64, effects: &mut Effects) {
         if !self.is_member() {
             return;
@@ -402,6 +558,7 @@
         if let Some(peer) = self.peers.get_mut(from) {
             peer.heard = now;
             peer.applied = peer.applied.max(applied);
+            peer.known = true;
         }
         self.settle(now);
     }
@@ -412,17 +569,53 @@
             return;
         }
         let view = self.view();
-        let lapsed = |member: &Identity| {
-            view.is_watcher(&self.identity.name, &member.name)
-                && self.peers.get(&member.name).is_some_and(|peer| {
-                    now >= peer.heard + SUSPICION && now >= peer.granted + LEASE + LEASE_MARGIN
-                })
+        let lapsed: Vec<&Identity> =
+            view.members.iter().filter(|member| self.has_lapsed(now, member)).collect();
+        if lapsed.is_empty() {
+            return;
+        }
+        let mut unclean = view.unclean.clone();
+        unclean.extend(
+            lapsed.iter().filter(|member| !self.is_clean(member)).map(|member| member.name.clone()),
+        );
+        let gone: Set<Arc<str>> = lapsed.iter().map(|member| member.name.clone()).collect();
+        let members = view.members.iter().filter(|member| !gone.contains(&member.name));
+        let members = members.cloned().collect();
+        self.write_view(now, members, unclean, effects);
+    }
+
+    /// Returns whether a member is silent and this watcher has granted it nothing for a lease.
+    fn has_lapsed(&self, now: Instant, member: &Identity) -> bool {
+        let Some(peer) = self.peers.get(&member.name) else { return false };
+        let wait = match self.is_clean(member) {
+            true => LEASE + LEASE_MARGIN,
+            false => LEASE + LEASE_MARGIN + UNCLEAN_WAIT,
         };
-        let kept: Vec<Identity> =
-            view.members.iter().filter(|member| !lapsed(member)).cloned().collect();
-        if kept.len() < view.members.len() {
-            self.write_view(now, kept, effects);
+        self.view().is_watcher(&self.identity.name, &member.name)
+            && now >= peer.heard + SUSPICION
+            && now >= peer.granted + wait
+    }
+
+    /// Returns whether a member cannot hold a lease that watchers unknown here still extend.
+    ///
+    /// That is so if it had applied the view under which this instance is its watcher, or the one
+    /// before it while a watcher of that time is still a member and so has applied this one.
+    fn is_clean(&self, member: &Identity) -> bool {
+        let Some(peer) = self.peers.get(&member.name) else { return false };
+        let view = self.view();
+        if peer.known && peer.applied >= view.version {
+            return true;
         }
+        let Some(last) =
+            self.last_view.as_ref().filter(|last| peer.known && peer.applied == last.version)
+        else {
+            return false;
+        };
+        last.watchers(&member.name).any(|watcher| {
+            let peer = self.peers.get(&watcher.name);
+            watcher.name == self.identity.name
+                || peer.is_some_and(|peer| peer.known && peer.applied >= view.version)
+        })
     }
 
     fn send(&self, to: &Arc<str>, message: Message, effects: &mut Effects) {
--- a/crates/orioleroute/src/request.rs
+++ b/crates/orioleroute/src/request.rs
@@ -32,6 +32,8 @@
     pub idempotency: Option<Arc<str>>,
     /// The instances that passed it on.
     pub hops: u8,
+    /// Whether an attempt may have run, after which "not run" can never be said again.
+    pub may_have_run: bool,
 }
 
 /// The next step of a request.
@@ -45,6 +47,8 @@
         instance: Arc<str>,
         /// Where it takes callers.
         address: SocketAddr,
+        /// Whether an attempt may have run, which the other instance has to know.
+        may_have_run: bool,
     },
     /// Answers it with a refusal; the request is over.
     Refuse(Refusal),
--- a/crates/orioleroute/src/table.rs
+++ b/crates/orioleroute/src/table.rs
@@ -6,6 +6,8 @@
 
 use std::sync::Arc;
 
+use serde::Serialize;
+
 /// A row as read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
@@ -27,6 +29,11 @@
 }
 
 impl Expect {
+    /// Returns the condition that a row still has the version last read; zero means no row.
+    pub fn unchanged(version: u64) -> Self {
+        if version == 0 { Self::Absent } else { Self::Version(version) }
+    }
+
     /// Returns the version that the row has after the write.
     pub fn next_version(self) -> u64 {
         match self {
@@ -36,15 +43,28 @@
     }
 }
 
-/// A conditional write of one row.
+/// A conditional write of one row, or only a check of its condition.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Write {
     /// The key.
     pub key: Arc<str>,
     /// The condition.
     pub expect: Expect,
-    /// The new value, JSON text.
-    pub value: Arc<str>,
+    /// The new value, JSON text; `None` leaves the row as it is and only checks the condition.
+    pub value: Option<Arc<str>>,
+}
+
+impl Write {
+    /// Returns a write of `value`, as JSON text.
+    pub fn put(key: impl Into<Arc<str>>, expect: Expect, value: &impl Serialize) -> Self {
+        let value = serde_json::to_string(value).unwrap_or_default();
+        Self { key: key.into(), expect, value: Some(value.into()) }
+    }
+
+    /// Returns a check that leaves the row as it is.
+    pub fn check(key: impl Into<Arc<str>>, expect: Expect) -> Self {
+        Self { key: key.into(), expect, value: None }
+    }
 }
 
 /// An operation on the table.
@@ -52,7 +72,7 @@
 pub enum Operation {
     /// Reads rows consistently.
     Read(Vec<Arc<str>>),
-    /// Writes all rows or none.
+    /// Writes all rows, if all conditions are met, or none.
     Write(Vec<Write>),
 }
 
--- a/crates/orioleroute/src/view.rs
+++ b/crates/orioleroute/src/view.rs
@@ -23,6 +23,8 @@
     pub token: u64,
     /// The members, in the order in which they joined.
     pub members: Vec<Instance>,
+    /// Former members that were removed without proof that no watcher extends their leases.
+    pub unclean: Vec<Arc<str>>,
 }
 
 impl View {
@@ -36,10 +38,9 @@
         self.members.iter().find(|member| &*member.name == name)
     }
 
-    /// Returns the owner of an upstream, by rendezvous hashing over the members.
-    pub fn owner(&self, upstream: &str) -> Option<&Instance> {
-        let nodes = self.members.iter().map(|member| (digest(&*member.name), member));
-        winner(digest(upstream), nodes)
+    /// Returns the owner of the upstream whose name has this digest, by rendezvous hashing.
+    pub fn owner(&self, upstream: u64) -> Option<&Instance> {
+        winner(upstream, self.members.iter().map(|member| (digest(&*member.name), member)))
     }
 
     /// Returns the watchers of `name`: the members that follow it in a fixed order of hashes.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod process;
 pub mod service;
 pub mod system;
+pub mod world;
 
 use std::net::SocketAddr;
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -181,10 +181,13 @@
     fn write(&mut self, body: &Value) -> Response {
         self.writes += 1;
         let items = body["TransactItems"].as_array().cloned().unwrap_or_default();
-        let met: Vec<bool> = items.iter().map(|item| self.is_met(&item["Put"])).collect();
+        let met: Vec<bool> = items.iter().map(|item| self.is_met(item)).collect();
         if met.iter().all(|met| *met) {
             for item in &items {
                 let item = &item["Put"]["Item"];
+                if item.is_null() {
+                    continue;
+                }
                 let key = item["pk"]["S"].as_str().unwrap_or_default().to_owned();
                 self.rows.insert(key, item.clone());
             }
@@ -197,13 +200,16 @@
         refusal("TransactionCanceledException", reasons.into())
     }
 
-    fn is_met(&self, put: &Value) -> bool {
-        let key = put["Item"]["pk"]["S"].as_str().unwrap_or_default();
-        let row = self.rows.get(key);
-        match put["ConditionExpression"].as_str() {
+    fn is_met(&self, item: &Value) -> bool {
+        let (part, key) = match item.get("Put") {
+            Some(put) => (put, &put["Item"]),
+            None => (&item["ConditionCheck"], &item["ConditionCheck"]["Key"]),
+        };
+        let row = self.rows.get(key["pk"]["S"].as_str().unwrap_or_default());
+        match part["ConditionExpression"].as_str() {
             Some("attribute_not_exists(pk)") => row.is_none(),
             Some("version = :v") => {
-                row.is_some_and(|row| row["version"] == put["ExpressionAttributeValues"][":v"])
+                row.is_some_and(|row| row["version"] == part["ExpressionAttributeValues"][":v"])
             }
             _ => false,
         }
