Ship changes instead of documents, and refuse what is in doubt

Now a submission travels as the change from the version that it replaces, with a digest; whoever is behind asks a peer or walks back through the object store. Every confirmed document is kept until a version as high is in force, and what one of them changes is refused once the head row was not read for 3 s. News of an acceptance, or a heartbeat with a higher version, makes the receiver catch up.

Ruled out: stopping all answers on doubt; only the adapters that the staged change touches are refused.

--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -2,7 +2,6 @@
 
 use crate::catalog::Catalog;
 use crate::config::Config;
-use crate::document::Document;
 use crate::effect::Effects;
 use crate::fleet::Fleet;
 use crate::instance::Instance as Identity;
@@ -14,9 +13,12 @@
 use crate::prelude::*;
 use crate::request::Requests;
 
+mod claims;
 mod engines;
 mod operators;
+mod placing;
 mod requests;
+mod routes;
 
 /// The decisions of one instance, without input or output.
 ///
@@ -88,7 +90,7 @@
                 self.config.take_put(ticket, stored, &mut self.effects)
             }
             Event::Got { ticket, value } => {
-                if self.config.take_got(ticket, value) {
+                if self.config.take_got(ticket, value.as_deref(), &mut self.effects) {
                     self.apply_document(now);
                 }
             }
@@ -168,9 +170,7 @@
     }
 
     fn take_message(&mut self, now: Instant, from: &Arc<str>, message: &crate::message::Message) {
-        if self.membership.take_message(now, from, message, &mut self.effects) {
-            return;
-        }
+        self.membership.take_message(now, from, message, &mut self.effects);
         if self.config.take_message(from, message, &self.membership, &mut self.effects) {
             self.apply_document(now);
         }
@@ -184,13 +184,10 @@
 
     /// Acts on the document that has just come into force.
     fn apply_document(&mut self, now: Instant) {
-        let Some(text) = self.config.text() else { return };
-        // It was checked before it was staged; an unreadable one changes nothing.
-        if let Ok(document) = Document::from_json(text) {
-            self.catalog.apply(&document);
-            self.index();
-            self.reconcile(now);
-        }
+        let Some(document) = self.config.document() else { return };
+        self.catalog.apply(document);
+        self.index();
+        self.reconcile(now);
     }
 
     fn take_command(&mut self, now: Instant, ticket: Ticket, command: Command) {
@@ -200,7 +197,11 @@
             }
             Command::Document => Answer::Document {
                 version: self.config.version(),
-                document: self.config.text().cloned().unwrap_or_default(),
+                document: self
+                    .config
+                    .document()
+                    .map(|held| held.to_json().into())
+                    .unwrap_or_default(),
             },
             Command::Status => Answer::Status(self.status(now)),
             Command::Explain { model } => self.explain(&model),
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -2,18 +2,11 @@
 
 use super::Core;
 use crate::fleet::Fleet;
-use crate::hash::digest;
-use crate::instance::Instance as Identity;
-use crate::key::Ticket;
 use crate::prelude::*;
 use crate::request::{
     Dispatch, Failure, Kind, Progress, Ran, Refusal, Request, Spec, State, Step, Target,
 };
-use crate::routing::{self, Decision, Reason};
-use crate::table::{Expect, Operation, Outcome, Write};
-
-/// Instances that may pass a request on, at most.
-const HOPS: u8 = 2;
+use crate::routing::{Decision, Reason};
 
 /// Attempts at a request, at most.
 const ATTEMPTS: u32 = 3;
@@ -22,25 +15,9 @@
 const EJECTION: Duration = Duration::from_millis(1_000);
 
 /// When a caller is told to come back after a passing failure.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl Core {
-    /// Returns the instances that serve a model or service in a region, in order of preference.
-    pub fn homes(&self, region: &str, target: &Target) -> Vec<&Identity> {
-        match target {
-            Target::Model(model) => {
-                let Some(key) = self.catalog.resolve(model) else { return Vec::new() };
-                let revision = self.catalog.revision(key);
-                let homes = self.ownership.homes(region, &revision.model, revision.digest);
-                homes.into_iter().map(|home| &home.instance).collect()
-            }
-            Target::Service(name) => match self.membership.view_of(region) {
-                Some(view) => view.preference(digest(&**name)),
-                None => Vec::new(),
-            },
-        }
-    }
-
     /// Takes a request that has arrived.
     pub(super) fn take_arrival(&mut self, now: Instant, key: key::Request, spec: Spec) {
         let policy = self.catalog.policy();
@@ -107,7 +84,7 @@
     }
 
     /// Gives a request its next step.
-    fn route(&mut self, now: Instant, key: key::Request) {
+    pub(super) fn route(&mut self, now: Instant, key: key::Request) {
         let Some(request) = self.requests.get(key) else { return };
         if now >= request.deadline {
             return self.refuse(key, Kind::Deadline, Some(RETRY_AFTER));
@@ -119,79 +96,16 @@
         if !self.membership.may_serve(now) {
             return self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER));
         }
+        if self.is_in_doubt(now, key) {
+            return self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER));
+        }
+        let Some(request) = self.requests.get(key) else { return };
         match request.revision {
             Some(revision) => self.route_model(now, key, revision),
             None => self.route_service(now, key),
         }
     }
 
-    fn route_model(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
-        let candidates = self.candidates(revision);
-        if candidates.is_empty() {
-            return self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER));
-        }
-        match routing::choose(now, &self.fleet, candidates.iter().copied(), revision) {
-            Some((upstream, runners_up)) => {
-                self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
-                self.dispatch(now, key, upstream);
-            }
-            None => self.wait(now, key, revision),
-        }
-    }
-
-    fn route_service(&mut self, now: Instant, key: key::Request) {
-        let Some(Request { spec, .. }) = self.requests.get(key) else { return };
-        let Target::Service(name) = &spec.target else { return };
-        let Some(service) = self.catalog.service(name) else {
-            return self.refuse(key, Kind::NotFound, None);
-        };
-        let region = &self.membership.identity().region;
-        let chosen = self
-            .fleet
-            .iter()
-            .filter(|(_, upstream)| upstream.listing.pool == service.pool && upstream.is_open(now))
-            .min_by_key(|(_, upstream)| (upstream.listing.region != *region, upstream.running))
-            .map(|(key, _)| key);
-        match chosen {
-            Some(upstream) => {
-                self.decide(key, Some(upstream), Reason::LeastLoaded, Vec::new());
-                self.dispatch(now, key, upstream);
-            }
-            None => self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER)),
-        }
-    }
-
-    /// Lets a request wait for a load, unless too many already do.
-    fn wait(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
-        let limit = self.catalog.revision(revision).queue as usize;
-        if self.requests.waiting(revision).len() >= limit {
-            return self.refuse(key, Kind::Overloaded, Some(RETRY_AFTER));
-        }
-        self.requests.queue(key, revision);
-        self.decide(key, None, Reason::WaitsForLoad, Vec::new());
-        self.place(now);
-    }
-
-    /// Gives waiting requests the upstreams that now hold what they wait for.
-    pub(super) fn serve_waiting(&mut self, now: Instant) {
-        if !self.membership.may_serve(now) {
-            return;
-        }
-        for revision in self.requests.wanted() {
-            for key in self.requests.waiting(revision).to_vec() {
-                let candidates = self.candidates(revision).iter().copied();
-                let Some((upstream, runners_up)) =
-                    routing::choose(now, &self.fleet, candidates, revision)
-                else {
-                    break;
-                };
-                self.requests.unqueue(key, revision);
-                self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
-                self.dispatch(now, key, upstream);
-            }
-        }
-    }
-
     /// Refuses the waiting requests whose deadlines have passed.
     pub(super) fn refuse_overdue(&mut self, now: Instant) {
         for key in self.requests.overdue(now) {
@@ -199,7 +113,7 @@
         }
     }
 
-    fn dispatch(&mut self, now: Instant, key: key::Request, chosen: key::Upstream) {
+    pub(super) fn dispatch(&mut self, now: Instant, key: key::Request, chosen: key::Upstream) {
         let Some(request) = self.requests.get_mut(key) else { return };
         let Some(upstream) = self.fleet.get_mut(chosen) else { return };
         request.state = State::Running(chosen);
@@ -237,32 +151,6 @@
         }
     }
 
-    /// Returns whether another instance is home to what a request asks.
-    fn passes_on(&self, key: key::Request) -> bool {
-        self.next_home(key).is_some()
-    }
-
-    fn next_home(&self, key: key::Request) -> Option<&Identity> {
-        let request = self.requests.get(key)?;
-        if request.spec.hops >= HOPS {
-            return None;
-        }
-        let key = request.revision?;
-        if !self.candidates(key).is_empty() && request.spec.hops > 0 {
-            return None;
-        }
-        let revision = self.catalog.revision(key);
-        let own = self.membership.identity();
-        let others = self.membership.views().map(|view| &view.region);
-        let regions =
-            std::iter::once(&own.region).chain(others.filter(|name| **name != own.region));
-        regions
-            .filter(|region| revision.may_run_in(region))
-            .find_map(|region| self.ownership.home(region, &revision.model, revision.digest))
-            .map(|home| &home.instance)
-            .filter(|home| home.name != own.name)
-    }
-
     fn forward(&mut self, key: key::Request) {
         let Some(home) = self.next_home(key) else { return };
         let (instance, address) = (home.name.clone(), home.caller_address);
@@ -282,49 +170,8 @@
         self.effects.push(Effect::Request { request: key, step });
     }
 
-    /// Writes the claim of a request that may run only once.
-    fn claim(&mut self, now: Instant, key: key::Request) {
-        let Some(request) = self.requests.get(key) else { return };
-        let Some(idempotency) = request.spec.idempotency.clone() else {
-            // Without a key of the caller's there is nothing that another try could match.
-            if let Some(request) = self.requests.get_mut(key) {
-                request.claimed = true;
-            }
-            return self.route(now, key);
-        };
-        let claimer = self.membership.identity().name.clone();
-        let write = Write::put(format!("claim/{idempotency}"), Expect::Absent, &claimer);
-        let ticket = self.effects.table(Operation::Write(vec![write]));
-        if let Some(request) = self.requests.get_mut(key) {
-            request.state = State::Claiming(ticket);
-        }
-    }
-
-    /// Takes the outcome of a claim, and returns whether it was one.
-    pub(super) fn take_claim(&mut self, now: Instant, ticket: Ticket, outcome: &Outcome) -> bool {
-        let Some(key) = self.requests.claiming(ticket) else { return false };
-        match outcome {
-            Outcome::Written => {
-                if let Some(request) = self.requests.get_mut(key) {
-                    request.state = State::Waiting;
-                    request.claimed = true;
-                }
-                self.route(now, key);
-            }
-            Outcome::Conflict(_) => {
-                if let Some(request) = self.requests.get_mut(key) {
-                    request.spec.may_have_run = true;
-                }
-                self.refuse(key, Kind::Conflict, None);
-            }
-            // This instance has not sent it, and the key stays barred if the claim was written.
-            _ => self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER)),
-        }
-        true
-    }
-
     /// Ends a request with a refusal, at once.
-    fn refuse(&mut self, key: key::Request, kind: Kind, retry_after: Option<Duration>) {
+    pub(super) fn refuse(&mut self, key: key::Request, kind: Kind, retry_after: Option<Duration>) {
         self.decide(key, None, Reason::Refused, Vec::new());
         let request = self.requests.remove(key);
         let may_have_run = request.is_some_and(|request| request.spec.may_have_run);
@@ -333,7 +180,7 @@
         self.effects.push(Effect::Request { request: key, step });
     }
 
-    fn decide(
+    pub(super) fn decide(
         &mut self,
         key: key::Request,
         chosen: Option<key::Upstream>,
--- /dev/null
+++ b/crates/orioleroute/src/core/routes.rs
@@ -0,0 +1,131 @@
+//! Which instance and which upstream answer a request.
+
+use super::Core;
+use super::requests::RETRY_AFTER;
+use crate::hash::digest;
+use crate::instance::Instance as Identity;
+use crate::prelude::*;
+use crate::request::{Kind, Request, Target};
+use crate::routing::{self, Reason};
+
+/// Instances that may pass a request on, at most.
+const HOPS: u8 = 2;
+
+impl Core {
+    /// Returns the instances that serve a model or service in a region, in order of preference.
+    pub fn homes(&self, region: &str, target: &Target) -> Vec<&Identity> {
+        match target {
+            Target::Model(model) => {
+                let Some(key) = self.catalog.resolve(model) else { return Vec::new() };
+                let revision = self.catalog.revision(key);
+                let homes = self.ownership.homes(region, &revision.model, revision.digest);
+                homes.into_iter().map(|home| &home.instance).collect()
+            }
+            Target::Service(name) => match self.membership.view_of(region) {
+                Some(view) => view.preference(digest(&**name)),
+                None => Vec::new(),
+            },
+        }
+    }
+
+    pub(super) fn route_model(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
+        let candidates = self.candidates(revision);
+        if candidates.is_empty() {
+            return self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER));
+        }
+        match routing::choose(now, &self.fleet, candidates.iter().copied(), revision) {
+            Some((upstream, runners_up)) => {
+                self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
+                self.dispatch(now, key, upstream);
+            }
+            None => self.wait(now, key, revision),
+        }
+    }
+
+    pub(super) fn route_service(&mut self, now: Instant, key: key::Request) {
+        let Some(Request { spec, .. }) = self.requests.get(key) else { return };
+        let Target::Service(name) = &spec.target else { return };
+        let Some(service) = self.catalog.service(name) else {
+            return self.refuse(key, Kind::NotFound, None);
+        };
+        let region = &self.membership.identity().region;
+        let chosen = self
+            .fleet
+            .iter()
+            .filter(|(_, upstream)| upstream.listing.pool == service.pool && upstream.is_open(now))
+            .min_by_key(|(_, upstream)| (upstream.listing.region != *region, upstream.running))
+            .map(|(key, _)| key);
+        match chosen {
+            Some(upstream) => {
+                self.decide(key, Some(upstream), Reason::LeastLoaded, Vec::new());
+                self.dispatch(now, key, upstream);
+            }
+            None => self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER)),
+        }
+    }
+
+    /// Lets a request wait for a load, unless too many already do.
+    pub(super) fn wait(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
+        let limit = self.catalog.revision(revision).queue as usize;
+        if self.requests.waiting(revision).len() >= limit {
+            return self.refuse(key, Kind::Overloaded, Some(RETRY_AFTER));
+        }
+        self.requests.queue(key, revision);
+        self.decide(key, None, Reason::WaitsForLoad, Vec::new());
+        self.place(now);
+    }
+
+    /// Gives waiting requests the upstreams that now hold what they wait for.
+    pub(super) fn serve_waiting(&mut self, now: Instant) {
+        if !self.membership.may_serve(now) {
+            return;
+        }
+        for revision in self.requests.wanted() {
+            for key in self.requests.waiting(revision).to_vec() {
+                let candidates = self.candidates(revision).iter().copied();
+                let Some((upstream, runners_up)) =
+                    routing::choose(now, &self.fleet, candidates, revision)
+                else {
+                    break;
+                };
+                self.requests.unqueue(key, revision);
+                self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
+                self.dispatch(now, key, upstream);
+            }
+        }
+    }
+
+    /// Returns whether another instance is home to what a request asks.
+    pub(super) fn passes_on(&self, key: key::Request) -> bool {
+        self.next_home(key).is_some()
+    }
+
+    pub(super) fn next_home(&self, key: key::Request) -> Option<&Identity> {
+        let request = self.requests.get(key)?;
+        if request.spec.hops >= HOPS {
+            return None;
+        }
+        let key = request.revision?;
+        if !self.candidates(key).is_empty() && request.spec.hops > 0 {
+            return None;
+        }
+        let revision = self.catalog.revision(key);
+        let own = self.membership.identity();
+        let others = self.membership.views().map(|view| &view.region);
+        let regions =
+            std::iter::once(&own.region).chain(others.filter(|name| **name != own.region));
+        regions
+            .filter(|region| revision.may_run_in(region))
+            .find_map(|region| self.ownership.home(region, &revision.model, revision.digest))
+            .map(|home| &home.instance)
+            .filter(|home| home.name != own.name)
+    }
+
+    /// Returns whether a staged document of unknown fate would answer a request differently.
+    pub(super) fn is_in_doubt(&self, now: Instant, key: key::Request) -> bool {
+        let revision = self.requests.get(key).and_then(|request| request.revision);
+        revision.is_some_and(|revision| {
+            self.config.is_in_doubt(now, &self.catalog.revision(revision).adapter)
+        })
+    }
+}
--- a/crates/orioleroute/src/document.rs
+++ b/crates/orioleroute/src/document.rs
@@ -9,8 +9,10 @@
 use serde::{Deserialize, Serialize};
 
 mod check;
+mod delta;
 
 pub use check::Fault;
+pub use delta::Delta;
 
 /// The version of the format that this release reads.
 pub const FORMAT: u32 = 1;
--- a/crates/orioleroute/src/membership.rs
+++ b/crates/orioleroute/src/membership.rs
@@ -268,14 +268,14 @@
         false
     }
 
-    /// Takes a message about membership, and returns whether it was one.
+    /// Takes a message, if it is about membership.
     pub fn take_message(
         &mut self,
         now: Instant,
         from: &Arc<str>,
         message: &Message,
         effects: &mut Effects,
-    ) -> bool {
+    ) {
         match message {
             Message::Renew(renewal) => self.take_renewal(now, from, renewal, effects),
             Message::Granted(renewal) => self.take_grant(from, renewal),
@@ -288,9 +288,8 @@
                 self.settle(now);
             }
             Message::View(view) => self.take_view(now, view, effects),
-            _ => return false,
+            _ => {}
         }
-        true
     }
 
     fn is_confirmed(&self, now: Instant) -> bool {
@@ -366,9 +365,10 @@
         self.regions = row.version;
         let names: Vec<Arc<str>> = serde_json::from_str(&row.value).unwrap_or_default();
         for region in names {
-            if !self.views.contains_key(&region) {
-                let view = View { region: region.clone(), ..View::default() };
-                self.views.insert(region, view);
+            let known = self.views.len();
+            let view = View { region: region.clone(), ..View::default() };
+            self.views.entry(region).or_insert(view);
+            if self.views.len() > known {
                 self.refresh();
             }
         }
--- a/crates/orioleroute/src/message.rs
+++ b/crates/orioleroute/src/message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::document::{Delta, Document};
 use crate::view::View;
 
 /// A one-way message to a peer.
@@ -32,18 +33,13 @@
     Stage(Proposal),
     /// Says that the sender holds a staged document.
     Staged {
-        /// The version that the document will have.
-        version: u64,
-        /// The token of the submission.
-        token: u64,
+        /// The version and token of the submission.
+        mark: Mark,
+        /// The sender's incarnation.
+        incarnation: u64,
     },
     /// Says that a version was accepted.
-    Accepted {
-        /// The version.
-        version: u64,
-        /// The token of the submission.
-        token: u64,
-    },
+    Accepted(Mark),
     /// Asks for the document in force if it is newer than the sender's.
     Fetch {
         /// The sender's version.
@@ -69,10 +65,29 @@
 /// A document with the version that it has or will have.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Proposal {
-    /// The version.
+    /// The version and the token of the submission.
+    pub mark: Mark,
+    /// The version that it replaces.
+    pub base: Mark,
+    /// The document.
+    pub body: Body,
+}
+
+/// A version of the configuration and the token of the submission that made it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The version; zero before the first.
     pub version: u64,
-    /// The token of the submission.
+    /// The token.
     pub token: u64,
-    /// The document as JSON text.
-    pub document: Arc<str>,
+}
+
+/// A document, whole or as a change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Body {
+    /// The whole document.
+    Whole(Arc<Document>),
+    /// What changes the document that it replaces.
+    Change(Arc<Delta>),
 }
--- a/crates/orioleroute/tests/promises.rs
+++ b/crates/orioleroute/tests/promises.rs
@@ -187,15 +187,11 @@
 #[test]
 fn a_quiet_system_answers_every_request() {
     let mut world = world(1);
-    let asked: Vec<usize> = (0..6)
-        .map(|node| {
-            let adapter = node;
-            apply(&mut world, &Step::Ask { node, adapter });
-            node
-        })
-        .collect();
+    for node in 0..6 {
+        apply(&mut world, &Step::Ask { node, adapter: node });
+    }
     world.run(Duration::from_secs(5));
-    for number in asked {
+    for number in 0..6 {
         assert!(
             matches!(world.outcome(number), Some(standins::world::Outcome::Whole(_))),
             "request {number}: {:?}",
