Protect revisions in use through takeovers, and move waiting requests with their home

Now an eviction needs a report sampled half a second after the view settled, waiting requests are passed on when their home moves, and an instance without a configuration answers that nothing is available yet.

Ruled out: believing any report of the last 3 s.

--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -97,7 +97,7 @@
             Event::Message { from, message } => self.take_message(now, &from, &message),
             Event::Listed(listings) => {
                 self.fleet.list(&listings);
-                self.index();
+                self.index(now);
             }
             Event::Report { upstream, report } => self.take_report(now, upstream, report.as_ref()),
             Event::Ordered { ticket, upstream, outcome } => {
@@ -109,7 +109,7 @@
             Event::Shutdown => self.membership.leave(),
         }
         if self.membership.changes() != self.indexed {
-            self.index();
+            self.index(now);
         }
         self.effects.drain().collect()
     }
@@ -177,16 +177,17 @@
     }
 
     /// Brings the index of owners to the views, the list and the pools.
-    fn index(&mut self) {
+    fn index(&mut self, now: Instant) {
         self.indexed = self.membership.changes();
-        self.ownership.rebuild(&self.membership, &self.fleet, &self.catalog);
+        self.ownership.rebuild(now, &self.membership, &self.fleet, &self.catalog);
+        self.reroute_waiting(now);
     }
 
     /// Acts on the document that has just come into force.
     fn apply_document(&mut self, now: Instant) {
         let Some(document) = self.config.document() else { return };
         self.catalog.apply(document);
-        self.index();
+        self.index(now);
         self.reconcile(now);
     }
 
--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -11,6 +11,9 @@
 /// Between two reports asked of an engine.
 const PROBE: Duration = Duration::from_millis(1_000);
 
+/// How long a request may take from a former owner to the engine.
+const IN_FLIGHT: Duration = Duration::from_millis(500);
+
 impl Core {
     /// Asks the owned engines for reports that are due.
     pub(super) fn probe(&mut self, now: Instant) {
@@ -19,6 +22,7 @@
             let engine = self.catalog.pool(&upstream.listing.pool).is_some();
             if engine && now >= upstream.next_probe {
                 upstream.next_probe = now + PROBE;
+                upstream.probed = now;
                 let address = upstream.listing.address;
                 self.effects.push(Effect::Probe { upstream: key, address });
             }
@@ -91,7 +95,7 @@
             }
         }
         for (key, revision) in dropped {
-            if self.may_order(now, key) && !self.orders.is_barred(now, key, revision) {
+            if self.may_unload(now, key) && !self.orders.is_barred(now, key, revision) {
                 self.unload(now, key, revision, Reason::Dropped);
             }
         }
@@ -150,6 +154,19 @@
         });
     }
 
+    /// Returns whether this instance knows what is in use on an engine well enough to unload.
+    ///
+    /// A former owner's requests are seen only in a report that was sampled after it stopped
+    /// sending, and after what it sent last has arrived.
+    pub(super) fn may_unload(&self, now: Instant, key: key::Upstream) -> bool {
+        let (Some(upstream), Some(gained), Some(settled)) =
+            (self.fleet.get(key), self.ownership.gained(key), self.membership.settled_at())
+        else {
+            return false;
+        };
+        self.may_order(now, key) && upstream.sampled >= gained.max(settled) + IN_FLIGHT
+    }
+
     /// Returns whether this instance may give an engine orders at `now`.
     pub(super) fn may_order(&self, now: Instant, key: key::Upstream) -> bool {
         let Some(upstream) = self.fleet.get(key) else { return false };
--- a/crates/orioleroute/src/core/placing.rs
+++ b/crates/orioleroute/src/core/placing.rs
@@ -38,8 +38,10 @@
         let pinned = |key| catalog.revision(key).pinned;
         match placement::plan(now, &self.fleet, candidates, revision, pinned) {
             Some(Plan::Load(key)) => self.load(now, key, revision),
-            Some(Plan::Evict(key, victim)) => self.unload(now, key, victim, Reason::Room),
-            None => {}
+            Some(Plan::Evict(key, victim)) if self.may_unload(now, key) => {
+                self.unload(now, key, victim, Reason::Room)
+            }
+            Some(Plan::Evict(..)) | None => {}
         }
     }
 
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -22,15 +22,12 @@
     pub(super) fn take_arrival(&mut self, now: Instant, key: key::Request, spec: Spec) {
         let policy = self.catalog.policy();
         let patience = spec.patience.unwrap_or(Duration::from_millis(policy.deadline_ms.into()));
-        let revision = match &spec.target {
-            Target::Model(model) => match self.catalog.resolve(model) {
-                Some(revision) => Some(revision),
-                None => return self.refuse(key, Kind::NotFound, None),
-            },
-            Target::Service(name) => match self.catalog.service(name) {
-                Some(_) => None,
-                None => return self.refuse(key, Kind::NotFound, None),
-            },
+        let (revision, known) = match &spec.target {
+            Target::Model(model) => {
+                let revision = self.catalog.resolve(model);
+                (revision, revision.is_some())
+            }
+            Target::Service(name) => (None, self.catalog.service(name).is_some()),
         };
         let configured = revision.map(|revision| self.catalog.revision(revision).importance);
         let request = Request {
@@ -45,6 +42,13 @@
         };
         let needs_claim = !request.spec.repeatable;
         self.requests.fill(key, request);
+        if !known {
+            return match self.config.version() {
+                // An instance that has just started knows of no adapter yet.
+                0 => self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER)),
+                _ => self.refuse(key, Kind::NotFound, None),
+            };
+        }
         if needs_claim && !self.passes_on(key) {
             return self.claim(now, key);
         }
--- a/crates/orioleroute/src/core/routes.rs
+++ b/crates/orioleroute/src/core/routes.rs
@@ -75,6 +75,19 @@
         self.place(now);
     }
 
+    /// Passes on the waiting requests whose home has moved to another instance.
+    pub(super) fn reroute_waiting(&mut self, now: Instant) {
+        for revision in self.requests.wanted() {
+            if !self.candidates(revision).is_empty() {
+                continue;
+            }
+            for key in self.requests.waiting(revision).to_vec() {
+                self.requests.unqueue(key, revision);
+                self.route(now, key);
+            }
+        }
+    }
+
     /// Gives waiting requests the upstreams that now hold what they wait for.
     pub(super) fn serve_waiting(&mut self, now: Instant) {
         if !self.membership.may_serve(now) {
--- a/crates/orioleroute/src/fleet.rs
+++ b/crates/orioleroute/src/fleet.rs
@@ -49,6 +49,11 @@
     pub incarnation: u64,
     /// When the last report was taken.
     pub reported: Option<Instant>,
+    /// A time before which the last report cannot have been sampled, from when it was asked for and
+    /// how old the engine said it was.
+    pub sampled: Instant,
+    /// When the report under way was asked for.
+    pub probed: Instant,
     /// When the next report is asked for.
     pub next_probe: Instant,
     /// Until when it gets no new work because calls to it failed.
@@ -104,6 +109,8 @@
             running: 0,
             incarnation: 0,
             reported: None,
+            sampled: Instant::ZERO,
+            probed: Instant::ZERO,
             next_probe: Instant::ZERO,
             ejected_until: Instant::ZERO,
         });
@@ -150,6 +157,7 @@
             upstream.incarnation = report.incarnation;
         }
         upstream.reported = Some(now);
+        upstream.sampled = upstream.probed - Duration::from_millis(report.age_ms.into());
         let mut seen = Set::default();
         let mut foreign = Vec::new();
         for loaded in &report.loaded {
--- a/crates/orioleroute/src/membership.rs
+++ b/crates/orioleroute/src/membership.rs
@@ -179,6 +179,11 @@
         self.settled_at.is_some_and(|settled| fenced || now >= settled + wait)
     }
 
+    /// Returns when every member was heard to have applied the view, if that has come about.
+    pub fn settled_at(&self) -> Option<Instant> {
+        self.settled_at
+    }
+
     /// Returns whether this instance may answer requests at `now`.
     ///
     /// It may while it holds its lease. In an outage of the table it also may while it hears from
--- a/crates/orioleroute/src/ownership.rs
+++ b/crates/orioleroute/src/ownership.rs
@@ -28,15 +28,22 @@
 pub struct Ownership {
     homes: Map<Arc<str>, Map<Arc<str>, Vec<Home>>>,
     owned: Map<Arc<str>, Vec<key::Upstream>>,
-    mine: SecondaryMap<key::Upstream, ()>,
+    /// The upstreams that this instance owns, with when it gained them.
+    mine: SecondaryMap<key::Upstream, Instant>,
 }
 
 impl Ownership {
     /// Brings the index to the views, the list and the pools.
-    pub fn rebuild(&mut self, membership: &Membership, fleet: &Fleet, catalog: &Catalog) {
+    pub fn rebuild(
+        &mut self,
+        now: Instant,
+        membership: &Membership,
+        fleet: &Fleet,
+        catalog: &Catalog,
+    ) {
         self.homes.clear();
         self.owned.clear();
-        self.mine.clear();
+        let former = std::mem::take(&mut self.mine);
         let own = membership.identity();
         for (key, upstream) in fleet.iter() {
             let listing = &upstream.listing;
@@ -44,7 +51,7 @@
             let Some(owner) = view.owner(upstream.digest) else { continue };
             let mine = owner.name == own.name;
             if mine {
-                self.mine.insert(key, ());
+                self.mine.insert(key, former.get(key).copied().unwrap_or(now));
             }
             let Some(pool) = catalog.pool(&listing.pool) else { continue };
             let models = self.homes.entry(listing.region.clone()).or_default();
@@ -60,6 +67,11 @@
         self.mine.contains_key(key)
     }
 
+    /// Returns when this instance gained an upstream that it owns.
+    pub fn gained(&self, key: key::Upstream) -> Option<Instant> {
+        self.mine.get(key).copied()
+    }
+
     /// Returns the upstreams that this instance owns.
     pub fn mine(&self) -> impl Iterator<Item = key::Upstream> {
         self.mine.keys()
--- a/crates/orioleroute/tests/promises.rs
+++ b/crates/orioleroute/tests/promises.rs
@@ -21,6 +21,7 @@
     Book { node: usize, key: usize },
     Kill(usize),
     Start(usize),
+    Stop(usize),
     Freeze(usize),
     Wake(usize),
     Cut(usize, usize),
@@ -44,6 +45,7 @@
         3 => (node.clone(), 0..4_usize).prop_map(|(node, key)| Step::Book { node, key }),
         2 => node.clone().prop_map(Step::Kill),
         2 => node.clone().prop_map(Step::Start),
+        1 => node.clone().prop_map(Step::Stop),
         2 => node.clone().prop_map(Step::Freeze),
         2 => node.clone().prop_map(Step::Wake),
         1 => (node.clone(), node.clone()).prop_map(|(a, b)| Step::Cut(a, b)),
@@ -134,6 +136,7 @@
         Step::Kill(node) => world.kill(*node),
         Step::Start(node) if world.nodes[*node].core.is_none() => world.start(*node),
         Step::Start(_) => {}
+        Step::Stop(node) => world.stop(*node),
         Step::Freeze(node) => world.freeze(*node),
         Step::Wake(node) => world.wake(*node),
         Step::Cut(one, other) => world.cut(*one, *other),
--- a/crates/standins/src/world/mod.rs
+++ b/crates/standins/src/world/mod.rs
@@ -233,6 +233,11 @@
         self.lose_callers_of(number);
     }
 
+    /// Asks a node to leave gracefully; its process ends once it has.
+    pub fn stop(&mut self, number: usize) {
+        self.feed(number, Event::Shutdown);
+    }
+
     /// Stops a node's process without ending it.
     pub fn freeze(&mut self, number: usize) {
         self.nodes[number].frozen = self.nodes[number].core.is_some();
@@ -343,6 +348,7 @@
         let Some(core) = &mut node.core else { return };
         let effects = core.handle(self.now + node.skew, event);
         let version = core.version();
+        let done = core.is_done();
         if version != node.version {
             node.version = version;
             let incarnation = node.identity.incarnation;
@@ -351,6 +357,9 @@
         for effect in effects {
             self.carry_out(number, effect);
         }
+        if done {
+            self.kill(number);
+        }
     }
 
     fn record(&mut self, record: Record) {
