--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -9,7 +9,7 @@
 use monoio::net::TcpListener;
 use orioleroute::engine::{Loaded, Report};
 use orioleroute_wire::Error;
-use orioleroute_wire::server::{Connection, Limits, Request, Response, serve};
+use orioleroute_wire::server::{Connection, Request, Response};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
@@ -74,7 +74,7 @@
 ///
 /// Fails when the listener does.
 pub async fn run(listener: TcpListener, settings: Settings) -> std::io::Result<()> {
-    let state = Rc::new(RefCell::new(State {
+    let state = State {
         settings,
         faults: Faults::default(),
         incarnation: 1,
@@ -82,12 +82,8 @@
         loaded: HashMap::new(),
         reports: Vec::new(),
         history: Vec::new(),
-    }));
-    let limits = Limits::default();
-    serve(listener, limits, crate::CONNECTIONS, crate::explain, async move |connection, request| {
-        answer(&state, connection, request).await
-    })
-    .await
+    };
+    crate::serve(listener, state, answer).await
 }
 
 async fn answer(
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -11,7 +11,7 @@
 use monoio::net::TcpListener;
 use orioleroute::instance::Listing;
 use orioleroute_wire::Error;
-use orioleroute_wire::server::{Connection, Limits, Request, Response, serve};
+use orioleroute_wire::server::{Connection, Request, Response};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
@@ -47,12 +47,8 @@
 ///
 /// Fails when the listener does.
 pub async fn run(listener: TcpListener) -> std::io::Result<()> {
-    let state = Rc::new(RefCell::new(State::default()));
-    let limits = Limits { body_bytes: 64 << 20, ..Limits::default() };
-    serve(listener, limits, crate::CONNECTIONS, crate::explain, async move |connection, request| {
-        answer(&state, connection, request).await
-    })
-    .await
+    let state = State::default();
+    crate::serve(listener, state, answer).await
 }
 
 async fn answer(
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -8,7 +8,7 @@
 use http::{Method, StatusCode};
 use monoio::net::TcpListener;
 use orioleroute_wire::Error;
-use orioleroute_wire::server::{Connection, Limits, Request, Response, serve};
+use orioleroute_wire::server::{Connection, Request, Response};
 use serde::{Deserialize, Serialize};
 
 /// How the service misbehaves; set with `POST /faults`.
@@ -33,12 +33,8 @@
 ///
 /// Fails when the listener does.
 pub async fn run(listener: TcpListener) -> std::io::Result<()> {
-    let state = Rc::new(RefCell::new(State::default()));
-    let limits = Limits::default();
-    serve(listener, limits, crate::CONNECTIONS, crate::explain, async move |connection, request| {
-        answer(&state, connection, request).await
-    })
-    .await
+    let state = State::default();
+    crate::serve(listener, state, answer).await
 }
 
 async fn answer(
