Let the fakes restart engines under orders, hold foreign revisions and drain

Cause: an order under way outlived the restart of its fake engine, which no process can do. The process stand-in gets the same mark for draining in its report and declines new requests by 503.

--- a/crates/orioleroute/src/engine.rs
+++ b/crates/orioleroute/src/engine.rs
@@ -55,6 +55,10 @@
     pub age_ms: u32,
     /// The highest fencing number that the engine has seen; zero if it does not check any.
     pub fencing: u64,
+    /// Whether the engine is leaving and takes no new work; engines that do not say so count as
+    /// staying until the platform's list says otherwise.
+    #[serde(default)]
+    pub draining: bool,
 }
 
 /// One loaded revision of a [`Report`].
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -55,6 +55,8 @@
     pub break_after: u32,
     /// Restarts once, with nothing loaded.
     pub restart: bool,
+    /// Leaves: says so in its reports and declines new requests.
+    pub draining: bool,
 }
 
 struct State {
@@ -151,7 +153,8 @@
         let running = loaded.iter().map(|loaded| loaded.running).sum();
         let fencing = if self.settings.checks_fencing { self.fencing } else { 0 };
         let incarnation = self.incarnation;
-        let now = Report { incarnation, loaded, running, age_ms: 0, fencing };
+        let draining = self.faults.draining;
+        let now = Report { incarnation, loaded, running, age_ms: 0, fencing, draining };
         self.reports.push((Instant::now(), now.clone()));
         let recent = self.reports.iter().rposition(|(taken, _)| taken.elapsed() >= lag);
         match recent {
@@ -259,6 +262,10 @@
         }});
         return connection.respond(Response::json(StatusCode::NOT_FOUND, &error)).await;
     }
+    if state.borrow().faults.draining {
+        let declined = Response::text(StatusCode::SERVICE_UNAVAILABLE, "draining");
+        return connection.respond(declined).await;
+    }
     let id = request.header("x-request-id").unwrap_or_default().to_owned();
     let running = Running::begin(state, &name, &id);
     let tokens = body["max_tokens"].as_u64().unwrap_or(8) as u32;
--- a/crates/standins/src/world/engine.rs
+++ b/crates/standins/src/world/engine.rs
@@ -34,6 +34,8 @@
     pub order_replies_lost: bool,
     /// Requests run, and their answers are lost.
     pub answers_lost: bool,
+    /// It is leaving, says so in its reports, and declines new requests.
+    pub draining: bool,
 }
 
 /// An engine or plain service.
@@ -75,6 +77,8 @@
     pub(super) engine: usize,
     pub(super) order: engine::Order,
     pub(super) fencing: u64,
+    /// The incarnation of the engine that took it.
+    pub(super) taken_by: u64,
 }
 
 impl Engine {
@@ -102,6 +106,16 @@
         self.loaded.keys().map(String::as_str)
     }
 
+    /// Lets it hold a revision that nobody ordered.
+    pub fn hold(&mut self, name: &str) {
+        self.loaded.insert(name.into(), 0);
+    }
+
+    /// Lets it lose a revision that nobody ordered to unload.
+    pub fn lose(&mut self, name: &str) {
+        self.loaded.remove(name);
+    }
+
     /// Returns the requests that run on it.
     pub fn running(&self) -> usize {
         self.runs.len()
@@ -120,6 +134,7 @@
             loaded,
             age_ms: self.report_lag.as_millis() as u32,
             fencing: if self.checks_fencing { self.fencing } else { 0 },
+            draining: self.faults.draining,
         }
     }
 }
@@ -147,7 +162,7 @@
         self.queue.push(at, Delivery::Event { node, incarnation, event });
     }
 
-    pub(super) fn do_order(&mut self, order: Order) {
+    pub(super) fn do_order(&mut self, mut order: Order) {
         let engine = &mut self.engines[order.engine];
         if engine.faults.down {
             return self.end_order_with(&order, Outcome::Failed);
@@ -156,6 +171,7 @@
             return self.end_order_with(&order, Outcome::Fenced);
         }
         engine.fencing = engine.fencing.max(order.fencing);
+        order.taken_by = engine.incarnation;
         let load = matches!(order.order, engine::Order::Load { .. });
         let time = if load { engine.load_time } else { Duration::ZERO };
         let (upstream, fencing) = (order.engine, order.fencing);
@@ -165,6 +181,13 @@
 
     pub(super) fn end_order(&mut self, order: Order) {
         let engine = &mut self.engines[order.engine];
+        if order.taken_by != engine.incarnation {
+            // The process that took it has ended, which breaks the connection.
+            let (node, incarnation) = (order.node, order.incarnation);
+            let Order { ticket, upstream, .. } = order;
+            let event = Event::Ordered { ticket, upstream, outcome: Outcome::Unknown };
+            return self.queue.push(self.now, Delivery::Event { node, incarnation, event });
+        }
         let load = matches!(order.order, engine::Order::Load { .. });
         let name = order.order.name().to_string();
         let full = engine.loaded.len() >= engine.slots && !engine.loaded.contains_key(&name);
@@ -212,6 +235,9 @@
         if engine.faults.down {
             return self.tell_progress(node, request, Progress::Failed(Failure::Unsent));
         }
+        if engine.faults.draining {
+            return self.tell_progress(node, request, Progress::Failed(Failure::Declined));
+        }
         let name = dispatch.name.as_deref().unwrap_or_default().to_owned();
         if engine.slots > 0 && !engine.loaded.contains_key(&name) {
             return self.tell_progress(node, request, Progress::Failed(Failure::NotLoaded));
--- a/crates/standins/src/world/mod.rs
+++ b/crates/standins/src/world/mod.rs
@@ -385,6 +385,7 @@
                     engine,
                     order,
                     fencing,
+                    taken_by: 0,
                 };
                 self.queue.push(at, Delivery::Order(order));
             }
