Settle orders without replies by reports that can show their effect

Cause: an order of unknown outcome counted as undone. A load held no slot any more, and an unload made its revision answer requests while it could still be carried out. A report that was sampled before an order ended overruled it, and with it the count of requests on the way. Two reports under way could be taken for one another. Served names that no document has had stayed loaded.

Each revision on an engine now has its last order. A report settles it only if it was sampled late enough; an unanswered order holds its slot until then. Names that no document has had get a revision that is not current, so one rule unloads both. An engine that says in its report that it drains, or that declines a request, gets no new work.

--- a/crates/orioleroute/src/catalog.rs
+++ b/crates/orioleroute/src/catalog.rs
@@ -105,6 +105,27 @@
         self.by_name.get(name).copied()
     }
 
+    /// Returns the revision with a served name, which is made up as not current if no document has
+    /// had it, so that an engine that holds it can be brought back to the document in force.
+    pub fn intern(&mut self, name: &str) -> key::Revision {
+        if let Some(key) = self.find(name) {
+            return key;
+        }
+        let (adapter, version) = name.split_once('@').unwrap_or((name, ""));
+        self.put(Revision {
+            name: name.into(),
+            adapter: adapter.into(),
+            version: version.into(),
+            model: "".into(),
+            regions: Vec::new(),
+            importance: Importance::default(),
+            pinned: false,
+            queue: 0,
+            digest: digest(name),
+            current: false,
+        })
+    }
+
     /// Returns a revision.
     pub fn revision(&self, key: key::Revision) -> &Revision {
         &self.revisions[key]
--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -2,7 +2,7 @@
 
 use super::Core;
 use crate::engine::{self, Report};
-use crate::fleet::{Residency, Resident};
+use crate::fleet::Residency;
 use crate::key::Ticket;
 use crate::orders::Order;
 use crate::prelude::*;
@@ -20,7 +20,8 @@
         for key in self.ownership.mine() {
             let Some(upstream) = self.fleet.get_mut(key) else { continue };
             let engine = self.catalog.pool(&upstream.listing.pool).is_some();
-            if engine && now >= upstream.next_probe {
+            if engine && !upstream.probing && now >= upstream.next_probe {
+                upstream.probing = true;
                 upstream.next_probe = now + PROBE;
                 upstream.probed = now;
                 let address = upstream.listing.address;
@@ -36,13 +37,29 @@
         key: key::Upstream,
         report: Option<&Report>,
     ) {
+        if let Some(upstream) = self.fleet.get_mut(key) {
+            upstream.probing = false;
+        }
         let Some(report) = report else { return };
+        for loaded in &report.loaded {
+            self.catalog.intern(&loaded.name);
+        }
         let catalog = &self.catalog;
-        self.fleet.report(now, key, report, |name| catalog.find(name));
+        let done = self.fleet.report(now, key, report, |name| catalog.find(name));
+        for ticket in done {
+            self.end_settled(key, ticket);
+        }
         self.reconcile(now);
         self.serve_waiting(now);
     }
 
+    /// Ends a load that a report has shown to be done before its reply came.
+    fn end_settled(&mut self, key: key::Upstream, ticket: Ticket) {
+        if let Some(order) = self.orders.end(ticket) {
+            self.orders.succeed(key, order.revision);
+        }
+    }
+
     /// Takes the outcome of an order.
     pub(super) fn take_ordered(
         &mut self,
@@ -51,41 +68,32 @@
         key: key::Upstream,
         outcome: engine::Outcome,
     ) {
-        let Some(Order { revision: Some(revision), load }) = self.orders.end(ticket) else {
-            return;
-        };
+        let Some(Order { revision, load }) = self.orders.end(ticket) else { return };
+        match outcome {
+            engine::Outcome::Done if load => self.orders.succeed(key, revision),
+            engine::Outcome::Done => {}
+            _ => self.orders.fail(now, key, revision),
+        }
+        if outcome == engine::Outcome::Fenced {
+            self.membership.refresh();
+        }
         let Some(upstream) = self.fleet.get_mut(key) else { return };
+        upstream.end_order(now, ticket, revision, outcome);
         // What really holds is what the next report says, so it is asked for at once.
         upstream.next_probe = now;
-        match (outcome, load) {
-            (engine::Outcome::Done, true) => {
-                if let Some(resident) = upstream.residents.get_mut(&revision) {
-                    resident.residency = Residency::Loaded;
-                }
-                self.orders.succeed(key, revision);
-            }
-            (engine::Outcome::Done, false) => {
-                upstream.residents.remove(&revision);
-            }
-            (_, true) => {
-                upstream.residents.remove(&revision);
-                self.orders.fail(now, key, revision);
-            }
-            (_, false) => {
-                if let Some(resident) = upstream.residents.get_mut(&revision) {
-                    resident.residency = Residency::Loaded;
-                }
-                self.orders.fail(now, key, revision);
-            }
-        }
         self.serve_waiting(now);
         self.place(now);
     }
 
     /// Unloads what the configuration in force does not have.
     pub(super) fn reconcile(&mut self, now: Instant) {
+        // Without a document nothing is known of what an engine should hold.
+        if self.config.version() == 0 {
+            return;
+        }
         let mut dropped = Vec::new();
-        for (key, upstream) in self.fleet.iter() {
+        for key in self.ownership.mine() {
+            let Some(upstream) = self.fleet.get(key) else { continue };
             for (revision, resident) in &upstream.residents {
                 let idle = resident.running == 0 && resident.reported == 0;
                 let loaded = resident.residency == Residency::Loaded;
@@ -102,42 +110,41 @@
     }
 
     pub(super) fn load(&mut self, now: Instant, key: key::Upstream, revision: key::Revision) {
-        let resident =
-            Resident { residency: Residency::Loading, running: 0, reported: 0, used: now };
+        let name = self.catalog.revision(revision).name.clone();
+        let order = engine::Order::Load { name };
+        let ticket = self.order(key, revision, order, Reason::Demand);
         if let Some(upstream) = self.fleet.get_mut(key) {
-            upstream.residents.insert(revision, resident);
+            upstream.begin_load(now, ticket, revision);
         }
-        let name = self.catalog.revision(revision).name.clone();
-        self.order(key, revision, engine::Order::Load { name }, Reason::Demand);
     }
 
     pub(super) fn unload(
         &mut self,
-        _now: Instant,
+        now: Instant,
         key: key::Upstream,
         revision: key::Revision,
         reason: Reason,
     ) {
-        let upstream = self.fleet.get_mut(key);
-        if let Some(resident) = upstream.and_then(|upstream| upstream.residents.get_mut(&revision))
-        {
-            resident.residency = Residency::Unloading;
-        }
         let name = self.catalog.revision(revision).name.clone();
-        self.order(key, revision, engine::Order::Unload { name }, reason);
+        let order = engine::Order::Unload { name };
+        let ticket = self.order(key, revision, order, reason);
+        if let Some(upstream) = self.fleet.get_mut(key) {
+            upstream.begin_unload(now, ticket, revision);
+        }
     }
 
+    /// Gives an order to a listed engine, and returns its ticket.
     fn order(
         &mut self,
         key: key::Upstream,
         revision: key::Revision,
         order: engine::Order,
         reason: Reason,
-    ) {
-        let Some(upstream) = self.fleet.get(key) else { return };
+    ) -> Ticket {
         let ticket = self.effects.ticket();
+        let Some(upstream) = self.fleet.get(key) else { return ticket };
         let load = matches!(order, engine::Order::Load { .. });
-        self.orders.give(ticket, Order { revision: Some(revision), load });
+        self.orders.give(ticket, Order { revision, load });
         self.effects.push(Effect::Decide(Decision {
             request: None,
             name: order.name().clone(),
@@ -152,6 +159,7 @@
             order,
             fencing: self.membership.view().version,
         });
+        ticket
     }
 
     /// Returns whether this instance knows what is in use on an engine well enough to unload.
--- a/crates/orioleroute/src/core/operators.rs
+++ b/crates/orioleroute/src/core/operators.rs
@@ -81,10 +81,9 @@
         if !upstream.is_known(now) {
             return Holding::Unknown;
         }
-        let foreign = !self.fleet.foreign(key).is_empty();
         let dropped =
             upstream.residents.keys().any(|revision| !self.catalog.revision(*revision).current);
-        if foreign || dropped { Holding::Pending } else { Holding::Holds }
+        if dropped { Holding::Pending } else { Holding::Holds }
     }
 
     fn loaded(&self, key: key::Upstream) -> Vec<Arc<str>> {
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -220,9 +220,13 @@
     match failure {
         Failure::Unsent | Failure::Broken => upstream.ejected_until = now + EJECTION,
         Failure::NotLoaded => {
-            upstream.residents.remove(&revision);
+            upstream.deny(now, revision);
+            upstream.next_probe = now;
+        }
+        // One that declines may be leaving, which its report says sooner than the list.
+        Failure::Declined => {
+            upstream.ejected_until = now + EJECTION;
             upstream.next_probe = now;
         }
-        Failure::Declined => {}
     }
 }
--- a/crates/orioleroute/src/effect.rs
+++ b/crates/orioleroute/src/effect.rs
@@ -59,7 +59,8 @@
         /// The fencing number, the version of the view under which it is given.
         fencing: u64,
     },
-    /// Asks an engine for a report.
+    /// Asks an engine for a report; exactly one [`crate::Event::Report`] comes back, with `None` if
+    /// the engine gave none.
     Probe {
         /// The engine.
         upstream: key::Upstream,
--- a/crates/orioleroute/src/fleet.rs
+++ b/crates/orioleroute/src/fleet.rs
@@ -1,23 +1,29 @@
 //! The upstreams, what they hold and what runs on them.
 
-use slotmap::{SecondaryMap, SlotMap};
+use slotmap::SlotMap;
 
-use crate::engine::Report;
+use crate::engine::{Outcome, Report};
 use crate::hash::digest;
 use crate::instance::{Listing, Phase};
+use crate::key::Ticket;
 use crate::prelude::*;
 
+mod order;
+
+pub use order::LATE_ORDER;
+use order::Order;
+
 /// How long a report is believed.
 pub const REPORT_LIFE: Duration = Duration::from_millis(3_000);
 
 /// Where a revision is in its life on an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Residency {
-    /// A load was ordered.
+    /// A load was ordered, and may or may not have been done.
     Loading,
     /// It answers requests.
     Loaded,
-    /// An unload was ordered.
+    /// An unload was ordered, and may or may not have been done; it gets no new requests.
     Unloading,
 }
 
@@ -58,12 +64,17 @@
     pub next_probe: Instant,
     /// Until when it gets no new work because calls to it failed.
     pub ejected_until: Instant,
+    /// Whether its last report said that it is leaving, which the list shows later.
+    pub draining: bool,
+    /// Whether a report is under way; a second one could be taken for the first.
+    pub probing: bool,
+    orders: Map<key::Revision, Order>,
 }
 
 impl Upstream {
     /// Returns whether new work may be given to it at `now`.
     pub fn is_open(&self, now: Instant) -> bool {
-        self.listing.phase == Phase::Live && now >= self.ejected_until
+        self.listing.phase == Phase::Live && !self.draining && now >= self.ejected_until
     }
 
     /// Returns whether a revision is loaded on it.
@@ -77,6 +88,122 @@
     pub fn is_known(&self, now: Instant) -> bool {
         self.reported.is_some_and(|taken| now < taken + REPORT_LIFE)
     }
+
+    /// Notes that a load was ordered; the revision takes a slot from now on.
+    pub fn begin_load(&mut self, now: Instant, ticket: Ticket, revision: key::Revision) {
+        let resident =
+            Resident { residency: Residency::Loading, running: 0, reported: 0, used: now };
+        self.residents.insert(revision, resident);
+        self.orders.insert(revision, Order::UnderWay(ticket, now));
+    }
+
+    /// Notes that an unload was ordered; the revision gets no new requests from now on.
+    pub fn begin_unload(&mut self, now: Instant, ticket: Ticket, revision: key::Revision) {
+        if let Some(resident) = self.residents.get_mut(&revision) {
+            resident.residency = Residency::Unloading;
+        }
+        self.orders.insert(revision, Order::UnderWay(ticket, now));
+    }
+
+    /// Notes the outcome of an order, unless a report has settled it already.
+    pub fn end_order(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        revision: key::Revision,
+        outcome: Outcome,
+    ) {
+        let Some(Order::UnderWay(given, _)) = self.orders.get(&revision) else { return };
+        if *given != ticket {
+            return;
+        }
+        if outcome == Outcome::Unknown {
+            self.orders.insert(revision, Order::Unanswered(ticket, now));
+            return;
+        }
+        self.orders.insert(revision, Order::Ended(now));
+        let Some(resident) = self.residents.get_mut(&revision) else { return };
+        let loads = resident.residency == Residency::Loading;
+        match loads == (outcome == Outcome::Done) {
+            true => resident.residency = Residency::Loaded,
+            false => {
+                self.residents.remove(&revision);
+            }
+        }
+    }
+
+    /// Notes that the engine denied holding a revision that counts as loaded.
+    pub fn deny(&mut self, now: Instant, revision: key::Revision) {
+        let loaded = self.has_loaded(revision);
+        if loaded {
+            self.orders.insert(revision, Order::Ended(now));
+            self.lose(revision);
+        }
+    }
+
+    /// Gives a revision up that the engine does not hold, once none of its requests is left.
+    ///
+    /// Requests on their way to the engine would run if the revision were loaded again, so that
+    /// their number must not be forgotten.
+    fn lose(&mut self, revision: key::Revision) {
+        let Some(resident) = self.residents.get_mut(&revision) else { return };
+        if resident.running > 0 {
+            resident.residency = Residency::Unloading;
+        } else {
+            self.residents.remove(&revision);
+        }
+    }
+
+    /// Compares a revision that the engine holds with the orders given, and returns the ticket of a
+    /// load that is thereby known to be done.
+    fn take_seen(&mut self, now: Instant, revision: key::Revision, running: u32) -> Option<Ticket> {
+        let sampled = self.sampled;
+        let order = self.orders.get(&revision).copied();
+        let Some(resident) = self.residents.get_mut(&revision) else {
+            let stale = order.is_some_and(|order| !order.is_disproved_at(sampled));
+            if !stale {
+                let residency = Residency::Loaded;
+                let resident = Resident { residency, running: 0, reported: running, used: now };
+                self.residents.insert(revision, resident);
+            }
+            return None;
+        };
+        resident.reported = running;
+        let settled = order.is_none_or(|order| match resident.residency {
+            Residency::Loading | Residency::Loaded => order.is_proved_at(sampled),
+            Residency::Unloading => order.is_disproved_at(sampled),
+        });
+        if !settled {
+            return None;
+        }
+        let loads = resident.residency == Residency::Loading;
+        resident.residency = Residency::Loaded;
+        self.orders.remove(&revision);
+        order.filter(|_| loads).and_then(Order::ticket)
+    }
+
+    /// Compares the residents that the engine does not hold with the orders given.
+    fn take_unseen(&mut self, seen: &Set<key::Revision>) {
+        let unseen: Vec<(key::Revision, Residency)> = self
+            .residents
+            .iter()
+            .filter(|(revision, _)| !seen.contains(*revision))
+            .map(|(revision, resident)| (*revision, resident.residency))
+            .collect();
+        for (revision, residency) in unseen {
+            let order = self.orders.get(&revision).copied();
+            let settled = order.is_none_or(|order| match (residency, order) {
+                // An unload under way might still take effect on what is loaded after it.
+                (Residency::Unloading, Order::UnderWay(..)) => false,
+                (Residency::Unloading, _) => order.is_proved_at(self.sampled),
+                (Residency::Loading | Residency::Loaded, _) => order.is_disproved_at(self.sampled),
+            });
+            if settled {
+                self.orders.remove(&revision);
+                self.lose(revision);
+            }
+        }
+    }
 }
 
 /// All listed upstreams.
@@ -84,7 +211,6 @@
 pub struct Fleet {
     upstreams: SlotMap<key::Upstream, Upstream>,
     by_name: Map<Arc<str>, key::Upstream>,
-    foreign: SecondaryMap<key::Upstream, Vec<Arc<str>>>,
 }
 
 impl Fleet {
@@ -113,6 +239,9 @@
             probed: Instant::ZERO,
             next_probe: Instant::ZERO,
             ejected_until: Instant::ZERO,
+            draining: false,
+            probing: false,
+            orders: Map::default(),
         });
         self.by_name.insert(listing.name.clone(), key);
     }
@@ -137,46 +266,40 @@
         self.upstreams.iter_mut()
     }
 
-    /// Returns the served names on an engine that no document in force has had.
-    pub fn foreign(&self, key: key::Upstream) -> &[Arc<str>] {
-        self.foreign.get(key).map_or(&[], |names| names)
-    }
-
-    /// Takes a report: the engine's word decides what is loaded, save for orders under way.
+    /// Takes a report, and returns the tickets of the loads that it shows to be done.
+    ///
+    /// The engine's word decides what is loaded, save for orders that its figures are too old for.
+    /// Served names that `find` does not know are passed over.
     pub fn report(
         &mut self,
         now: Instant,
         key: key::Upstream,
         report: &Report,
         find: impl Fn(&str) -> Option<key::Revision>,
-    ) {
-        let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        if upstream.incarnation != report.incarnation {
-            // A restart loses what was loaded, and every order under way with it.
-            upstream.residents.retain(|_, resident| resident.running > 0);
-            upstream.incarnation = report.incarnation;
+    ) -> Vec<Ticket> {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return Vec::new() };
+        // An age in whole milliseconds is rounded down.
+        let age = Duration::from_millis(u64::from(report.age_ms) + 1);
+        let sampled = upstream.probed - age;
+        if sampled < upstream.sampled {
+            return Vec::new();
         }
+        upstream.sampled = sampled;
         upstream.reported = Some(now);
-        upstream.sampled = upstream.probed - Duration::from_millis(report.age_ms.into());
+        upstream.incarnation = report.incarnation;
+        upstream.draining = report.draining;
         let mut seen = Set::default();
-        let mut foreign = Vec::new();
+        let mut done = Vec::new();
         for loaded in &report.loaded {
-            let Some(revision) = find(&loaded.name) else {
-                foreign.push(loaded.name.clone());
-                continue;
-            };
+            let Some(revision) = find(&loaded.name) else { continue };
             seen.insert(revision);
-            let resident = upstream.residents.entry(revision).or_insert(Resident {
-                residency: Residency::Loaded,
-                running: 0,
-                reported: 0,
-                used: now,
-            });
-            resident.reported = loaded.running;
+            done.extend(upstream.take_seen(now, revision, loaded.running));
         }
-        upstream.residents.retain(|revision, resident| {
-            seen.contains(revision) || resident.residency == Residency::Loading
+        upstream.take_unseen(&seen);
+        let residents = &upstream.residents;
+        upstream.orders.retain(|revision, order| {
+            residents.contains_key(revision) || !order.is_disproved_at(sampled)
         });
-        self.foreign.insert(key, foreign);
+        done
     }
 }
--- a/crates/orioleroute/src/orders.rs
+++ b/crates/orioleroute/src/orders.rs
@@ -9,11 +9,14 @@
 /// The longest wait after failures.
 pub const BACKOFF_MAX: Duration = Duration::from_secs(10);
 
+/// Failures that are remembered although their wait is over, at most.
+const REMEMBERED: usize = 4_096;
+
 /// An order under way.
 #[derive(Clone, Copy, Debug)]
 pub struct Order {
-    /// The revision; `None` for one that no configuration has had.
-    pub revision: Option<key::Revision>,
+    /// The revision.
+    pub revision: key::Revision,
     /// Whether it is a load.
     pub load: bool,
 }
@@ -43,6 +46,9 @@
 
     /// Notes a failure, which bars the same order for a while.
     pub fn fail(&mut self, now: Instant, upstream: key::Upstream, revision: key::Revision) {
+        if self.failures.len() >= REMEMBERED {
+            self.failures.retain(|_, (_, until)| now < *until);
+        }
         let (count, until) = self.failures.entry((upstream, revision)).or_default();
         let wait = BACKOFF.saturating_mul(1 << (*count).min(10)).min(BACKOFF_MAX);
         *count += 1;
