Evict nothing before the leases of former owners have lapsed

Cause: on engines that check fencing numbers a new owner unloaded half a second after all members had applied its view. A removed member that is cut off from its peers, and then from the table, goes on answering until its lease lapses, and requests carry no fencing numbers.

The rights to order and to unload are now kept for each upstream. They come with the waits of the leases, and stay through following views, so that a join or a removal no longer stops the orders to upstreams that keep their owner.

--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -150,6 +150,7 @@
             self.membership.refresh();
         }
         self.config.tick(now, &self.membership, &mut self.effects);
+        self.ownership.mature(now, &self.membership);
         self.probe(now);
         self.reconcile(now);
         self.refuse_overdue(now);
--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -167,12 +167,11 @@
     /// A former owner's requests are seen only in a report that was sampled after it stopped
     /// sending, and after what it sent last has arrived.
     pub(super) fn may_unload(&self, now: Instant, key: key::Upstream) -> bool {
-        let (Some(upstream), Some(gained), Some(settled)) =
-            (self.fleet.get(key), self.ownership.gained(key), self.membership.settled_at())
+        let (Some(upstream), Some(alone)) = (self.fleet.get(key), self.ownership.alone_since(key))
         else {
             return false;
         };
-        self.may_order(now, key) && upstream.sampled >= gained.max(settled) + IN_FLIGHT
+        self.may_order(now, key) && upstream.sampled >= alone + IN_FLIGHT
     }
 
     /// Returns whether this instance may give an engine orders at `now`.
@@ -182,8 +181,6 @@
             .catalog
             .pool(&upstream.listing.pool)
             .is_some_and(|pool| pool.fencing == crate::document::Fencing::Checked);
-        self.ownership.is_mine(key)
-            && self.membership.holds_lease(now)
-            && self.membership.is_settled(now, fenced)
+        self.membership.holds_lease(now) && self.ownership.is_settled(key, fenced)
     }
 }
--- a/crates/orioleroute/src/membership.rs
+++ b/crates/orioleroute/src/membership.rs
@@ -168,20 +168,19 @@
         self.is_member() && (self.is_confirmed(now) || self.is_extended(now))
     }
 
-    /// Returns whether upstreams gained by the applied view may be given orders.
-    ///
-    /// Engines that check fencing numbers need no wait for the leases of removed members.
-    pub fn is_settled(&self, now: Instant, fenced: bool) -> bool {
+    /// Returns when every member was heard to have applied the view, if that has come about.
+    pub fn settled_at(&self) -> Option<Instant> {
+        self.settled_at
+    }
+
+    /// Returns when the leases of all members removed before the applied view will have lapsed, if
+    /// every member was heard to have applied it.
+    pub fn lapsed_at(&self) -> Option<Instant> {
         let wait = match self.view().unclean.is_empty() {
             true => LEASE + LEASE_MARGIN,
             false => EXTENSION + LEASE_MARGIN,
         };
-        self.settled_at.is_some_and(|settled| fenced || now >= settled + wait)
-    }
-
-    /// Returns when every member was heard to have applied the view, if that has come about.
-    pub fn settled_at(&self) -> Option<Instant> {
-        self.settled_at
+        self.settled_at.map(|settled| settled + wait)
     }
 
     /// Returns whether this instance may answer requests at `now`.
--- a/crates/orioleroute/src/ownership.rs
+++ b/crates/orioleroute/src/ownership.rs
@@ -23,13 +23,30 @@
     pub upstreams: u32,
 }
 
+/// How far this instance may go with an upstream that it owns.
+///
+/// A former owner may act until its lease lapses, so that the right to order and the right to unload
+/// come later than the ownership. Once there, they last through the following views, since nobody
+/// else has owned the upstream since; see `docs/DESIGN.md`, section "Leases".
+#[derive(Clone, Copy, Debug)]
+struct Tenure {
+    /// When it gained the upstream.
+    gained: Instant,
+    /// When every member had applied a view in which it owns the upstream.
+    settled: Option<Instant>,
+    /// When the leases of all former owners had lapsed.
+    lapsed: Option<Instant>,
+}
+
 /// The index of one instance.
 #[derive(Debug, Default)]
 pub struct Ownership {
     homes: Map<Arc<str>, Map<Arc<str>, Vec<Home>>>,
     owned: Map<Arc<str>, Vec<key::Upstream>>,
-    /// The upstreams that this instance owns, with when it gained them.
-    mine: SecondaryMap<key::Upstream, Instant>,
+    /// The upstreams that this instance owns.
+    mine: SecondaryMap<key::Upstream, Tenure>,
+    /// The version of the view of the own region that the index was built from.
+    version: u64,
 }
 
 impl Ownership {
@@ -43,7 +60,13 @@
     ) {
         self.homes.clear();
         self.owned.clear();
-        let former = std::mem::take(&mut self.mine);
+        let mut former = std::mem::take(&mut self.mine);
+        let version = membership.view().version;
+        if version > self.version + 1 {
+            // Somebody else may have owned anything in a view that was passed over.
+            former.clear();
+        }
+        self.version = version;
         let own = membership.identity();
         for (key, upstream) in fleet.iter() {
             let listing = &upstream.listing;
@@ -51,7 +74,8 @@
             let Some(owner) = view.owner(upstream.digest) else { continue };
             let mine = owner.name == own.name;
             if mine {
-                self.mine.insert(key, former.get(key).copied().unwrap_or(now));
+                let fresh = Tenure { gained: now, settled: None, lapsed: None };
+                self.mine.insert(key, former.get(key).copied().unwrap_or(fresh));
             }
             let Some(pool) = catalog.pool(&listing.pool) else { continue };
             let models = self.homes.entry(listing.region.clone()).or_default();
@@ -67,9 +91,32 @@
         self.mine.contains_key(key)
     }
 
-    /// Returns when this instance gained an upstream that it owns.
-    pub fn gained(&self, key: key::Upstream) -> Option<Instant> {
-        self.mine.get(key).copied()
+    /// Notes how far the rights to the owned upstreams have come at `now`.
+    pub fn mature(&mut self, now: Instant, membership: &Membership) {
+        let settled = membership.settled_at();
+        let lapsed = membership.lapsed_at().filter(|lapsed| now >= *lapsed);
+        for tenure in self.mine.values_mut() {
+            tenure.settled = tenure.settled.or(settled);
+            tenure.lapsed = tenure.lapsed.or(lapsed);
+        }
+    }
+
+    /// Returns whether former owners of an upstream can give no orders that it would take.
+    ///
+    /// Engines that check fencing numbers refuse them, so there is no wait for their leases.
+    pub fn is_settled(&self, key: key::Upstream, fenced: bool) -> bool {
+        self.mine.get(key).is_some_and(|tenure| match fenced {
+            true => tenure.settled.is_some(),
+            false => tenure.lapsed.is_some(),
+        })
+    }
+
+    /// Returns since when no other instance sends requests to an owned upstream.
+    ///
+    /// Fencing numbers are on orders only, so that a former owner's lease counts for all engines.
+    pub fn alone_since(&self, key: key::Upstream) -> Option<Instant> {
+        let tenure = self.mine.get(key)?;
+        tenure.lapsed.map(|lapsed| lapsed.max(tenure.gained))
     }
 
     /// Returns the upstreams that this instance owns.
--- /dev/null
+++ b/crates/orioleroute/tests/lease.rs
@@ -0,0 +1,134 @@
+//! Takeovers and outages of the table: who may order, and how soon requests are answered again.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{ADAPTERS, ONE_REGION, Shape, is_whole, request, time_to_answer, world};
+use orioleroute::request::Target;
+use rstest::rstest;
+use standins::world::World;
+use standins::world::check::breaches;
+
+const SEEDS: u64 = 50;
+const THREE_REGIONS: Shape =
+    Shape { regions: &["zurich", "geneva", "lugano"], slots: 12, ..ONE_REGION };
+
+/// Returns the node that is home to an adapter in the region of the first node.
+fn home(world: &World, adapter: usize) -> usize {
+    let target = Target::Model(format!("adapter-{adapter}").into());
+    let core = world.nodes.iter().find_map(|node| node.core.as_ref()).expect("a live node");
+    let name = core.homes("zurich", &target)[0].name.clone();
+    world.nodes.iter().position(|node| node.identity.name == name).expect("a known node")
+}
+
+/// Kills the home of an adapter and returns how long it goes unanswered at another node.
+fn takeover(seed: u64, checks_fencing: bool, loaded: bool) -> Option<Duration> {
+    let mut world = world(seed, Shape { checks_fencing, ..ONE_REGION });
+    let home = home(&world, 0);
+    let other = (home + 1) % world.nodes.len();
+    if loaded {
+        time_to_answer(&mut world, other, 0, Duration::from_secs(5))?;
+    }
+    world.run(Duration::from_millis(seed * 37 % 1_000));
+
+    world.kill(home);
+    let taken = time_to_answer(&mut world, other, 0, Duration::from_secs(60));
+
+    assert_eq!(breaches(&world.records), [], "seed {seed}");
+    taken
+}
+
+#[rstest]
+#[case::fenced_and_cold(true, false, 8)]
+#[case::fenced_and_loaded(true, true, 8)]
+#[case::unfenced_and_cold(false, false, 10)]
+#[case::unfenced_and_loaded(false, true, 10)]
+fn a_successor_answers_soon_after_a_kill(
+    #[case] checks_fencing: bool,
+    #[case] loaded: bool,
+    #[case] bound_s: u64,
+) {
+    let taken = (0..SEEDS).map(|seed| takeover(seed, checks_fencing, loaded));
+    let mut taken: Vec<Duration> = taken.map(|taken| taken.unwrap_or(Duration::MAX)).collect();
+    taken.sort();
+
+    let (median, worst) = (taken[taken.len() / 2], taken[taken.len() - 1]);
+    println!("fenced {checks_fencing}, loaded {loaded}: median {median:?}, worst {worst:?}");
+    assert!(worst < Duration::from_secs(bound_s), "{worst:?}");
+}
+
+#[test]
+fn a_table_outage_of_10_minutes_stops_neither_answers_nor_cold_loads() {
+    for seed in 0..5 {
+        let mut world = world(seed, THREE_REGIONS);
+        world.platform.faults.table_down = true;
+        let mut asked = Vec::new();
+        for round in 0..60 {
+            for node in 0..world.nodes.len() {
+                let adapter = (round / 5 + node) % ADAPTERS;
+                asked.push(world.ask(node, request(adapter, Duration::from_secs(5))));
+            }
+            world.run(Duration::from_secs(10));
+        }
+
+        let missed: Vec<_> = asked
+            .iter()
+            .filter(|number| !is_whole(&world, **number))
+            .map(|number| world.outcome(*number))
+            .collect();
+        assert!(missed.is_empty(), "seed {seed}: {missed:?}");
+        assert_eq!(breaches(&world.records), [], "seed {seed}");
+    }
+}
+
+#[test]
+fn after_a_death_in_a_table_outage_the_others_answer_from_what_is_loaded_and_load_again_after_it() {
+    for seed in 0..20 {
+        let mut world = world(seed, Shape { slots: 12, ..ONE_REGION });
+        let homes: Vec<usize> = (0..ADAPTERS).map(|adapter| home(&world, adapter)).collect();
+        let dead = homes[0];
+        let warm: Vec<usize> = (0..ADAPTERS).filter(|adapter| homes[*adapter] != dead).collect();
+        for adapter in &warm {
+            time_to_answer(&mut world, homes[*adapter], *adapter, Duration::from_secs(5))
+                .expect("an answer");
+        }
+        world.platform.faults.table_down = true;
+        world.run(Duration::from_secs(60));
+        world.kill(dead);
+
+        let mut asked = Vec::new();
+        for _ in 0..30 {
+            for adapter in &warm {
+                let spec = request(*adapter, Duration::from_secs(5));
+                asked.push(world.ask(homes[*adapter], spec));
+            }
+            world.run(Duration::from_secs(10));
+        }
+        let missed = asked.iter().filter(|number| !is_whole(&world, **number)).count();
+        assert_eq!(missed, 0, "seed {seed}: {missed} of {}", asked.len());
+
+        world.heal();
+        let taken = time_to_answer(&mut world, (dead + 1) % 3, 0, Duration::from_secs(30));
+        assert!(taken.is_some_and(|taken| taken < Duration::from_secs(10)), "{taken:?}");
+        assert_eq!(breaches(&world.records), [], "seed {seed}");
+    }
+}
+
+#[test]
+fn an_upstream_that_says_it_is_leaving_gets_no_new_work_although_the_list_lags() {
+    for seed in 0..20 {
+        let mut world = world(seed, Shape { engines: 1, ..ONE_REGION });
+        time_to_answer(&mut world, 0, 0, Duration::from_secs(5)).expect("an answer");
+        world.engines[0].faults.draining = true;
+        world.run(Duration::from_secs(3));
+
+        let number = world.ask(0, request(0, Duration::from_secs(5)));
+        world.run(Duration::from_millis(200));
+
+        let core = world.nodes[common::owner(&world, 0)].core.as_ref().unwrap();
+        let (_, upstream) = core.fleet().iter().next().unwrap();
+        assert!(!upstream.is_open(world.now + Duration::from_secs(60)), "seed {seed}");
+        assert_eq!(upstream.running, 0, "seed {seed}: {:?}", world.outcome(number));
+    }
+}
--- /dev/null
+++ b/crates/orioleroute/tests/membership.rs
@@ -0,0 +1,68 @@
+//! What a new owner may do while a former one still acts.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{ONE_REGION, Shape, owner, request, time_to_answer, world};
+use rstest::rstest;
+use standins::world::check::breaches;
+
+/// An owner that is cut off from its peers, and later from the table, goes on answering until its
+/// lease lapses; what it sends must not lose its revision meanwhile.
+#[rstest]
+#[case::engines_that_check_fencing(true)]
+#[case::engines_that_ignore_fencing(false)]
+fn a_new_owner_evicts_nothing_that_an_isolated_owner_still_uses(#[case] checks_fencing: bool) {
+    for seed in 0..20 {
+        let shape = Shape { engines: 1, slots: 1, checks_fencing, ..ONE_REGION };
+        let mut world = world(seed, shape);
+        let former = owner(&world, 0);
+        time_to_answer(&mut world, former, 0, Duration::from_secs(5)).expect("an answer");
+        world.engines[0].run_time = Duration::from_millis(20);
+        for other in (0..3).filter(|other| *other != former) {
+            world.cut(former, other);
+        }
+
+        for millis in (0..12_000).step_by(40) {
+            if millis == 3_000 {
+                world.severed.insert(former);
+            }
+            world.ask(former, request(0, Duration::from_secs(1)));
+            if millis % 1_000 == 0 {
+                world.ask((former + 1) % 3, request(1, Duration::from_secs(10)));
+            }
+            world.run(Duration::from_millis(40));
+        }
+
+        assert_eq!(breaches(&world.records), [], "seed {seed}");
+    }
+}
+
+/// A member that leaves may answer until it has read that it is out.
+#[test]
+fn a_new_owner_evicts_nothing_that_a_leaving_owner_still_uses() {
+    for seed in 0..20 {
+        let mut world = world(seed, Shape { engines: 1, slots: 1, ..ONE_REGION });
+        let former = owner(&world, 0);
+        time_to_answer(&mut world, former, 0, Duration::from_secs(5)).expect("an answer");
+        world.engines[0].run_time = Duration::from_millis(20);
+        world.stop(former);
+
+        for millis in (0..8_000).step_by(40) {
+            if millis == 80 + seed * 40 {
+                world.severed.insert(former);
+                for other in (0..3).filter(|other| *other != former) {
+                    world.cut(former, other);
+                }
+            }
+            world.ask(former, request(0, Duration::from_secs(1)));
+            if millis % 500 == 0 {
+                world.ask((former + 1) % 3, request(1, Duration::from_secs(10)));
+            }
+            world.run(Duration::from_millis(40));
+        }
+
+        assert_eq!(breaches(&world.records), [], "seed {seed}");
+    }
+}
