Ship and apply changes of a document as changes

Cause: each member worked a change out of two whole documents again and encoded all adapters for its digest, every 64th version went to all members whole, and whoever was one version behind was sent the whole document. A member that knew from the head row of a version that it did not hold answered by its old one (in the world: removed, back in its region, object store down and peers cut off). A request that waited for a version which a new document dropped was held to its deadline.

The digest is a sum and is carried along, the catalog takes the change, the last 64 changes are kept for peers that are behind, and whole documents go only to the object store and to instances that have none. An instance that is behind refuses until it has caught up.

--- a/crates/orioleroute/src/catalog.rs
+++ b/crates/orioleroute/src/catalog.rs
@@ -4,8 +4,8 @@
 
 use slotmap::SlotMap;
 
-use crate::document::{Document, Importance, Policy, Pool, Service};
-use crate::hash::{Map, digest};
+use crate::document::{Adapter, Delta, Document, Importance, Policy, Pool, Service};
+use crate::hash::{Map, Set, digest};
 use crate::key;
 
 /// One version of one adapter.
@@ -69,25 +69,31 @@
             revision.current = false;
         }
         for adapter in &document.adapters {
-            for version in &adapter.versions {
-                let name: Arc<str> = format!("{}@{version}", adapter.name).into();
-                let revision = Revision {
-                    digest: digest(&*name),
-                    name,
-                    adapter: adapter.name.clone(),
-                    version: version.clone(),
-                    model: adapter.model.clone(),
-                    regions: adapter.regions.clone(),
-                    importance: adapter.importance,
-                    pinned: adapter.pinned,
-                    queue: adapter.queue,
-                    current: true,
-                };
-                let key = self.put(revision);
-                if *version == adapter.default {
-                    self.defaults.insert(adapter.name.clone(), key);
-                }
-            }
+            self.put_adapter(adapter);
+        }
+    }
+
+    /// Brings the index of a document to the document that `delta` makes of it.
+    ///
+    /// Its cost grows with the adapters that change, save for one pass over the revisions.
+    pub fn change(&mut self, delta: &Delta) {
+        if let Some(policy) = &delta.policy {
+            self.policy = policy.clone();
+        }
+        if let Some(pools) = &delta.pools {
+            self.pools = pools.iter().map(|pool| (pool.name.clone(), pool.clone())).collect();
+        }
+        if let Some(services) = &delta.services {
+            let named = services.iter().map(|service| (service.name.clone(), service.clone()));
+            self.services = named.collect();
+        }
+        let changed: Set<&str> = delta.names().map(|name| &**name).collect();
+        self.defaults.retain(|adapter, _| !changed.contains(&**adapter));
+        for revision in self.revisions.values_mut() {
+            revision.current &= !changed.contains(&*revision.adapter);
+        }
+        for adapter in &delta.put {
+            self.put_adapter(adapter);
         }
     }
 
@@ -151,6 +157,28 @@
         &self.policy
     }
 
+    fn put_adapter(&mut self, adapter: &Adapter) {
+        for version in &adapter.versions {
+            let name: Arc<str> = format!("{}@{version}", adapter.name).into();
+            let revision = Revision {
+                digest: digest(&*name),
+                name,
+                adapter: adapter.name.clone(),
+                version: version.clone(),
+                model: adapter.model.clone(),
+                regions: adapter.regions.clone(),
+                importance: adapter.importance,
+                pinned: adapter.pinned,
+                queue: adapter.queue,
+                current: true,
+            };
+            let key = self.put(revision);
+            if *version == adapter.default {
+                self.defaults.insert(adapter.name.clone(), key);
+            }
+        }
+    }
+
     fn put(&mut self, revision: Revision) -> key::Revision {
         if let Some(key) = self.by_name.get(&revision.name) {
             self.revisions[*key] = revision;
--- a/crates/orioleroute/src/config.rs
+++ b/crates/orioleroute/src/config.rs
@@ -5,6 +5,8 @@
 //! staged document would change, since it cannot tell whether the document was accepted; see
 //! `docs/DESIGN.md`, section "Configuration".
 
+use std::collections::VecDeque;
+
 use crate::document::{Delta, Document};
 use crate::effect::Effects;
 use crate::key::Ticket;
@@ -37,18 +39,40 @@
 /// It leaves a margin under the 4 s after which an accepted document must be in force.
 const DOUBT: Duration = Duration::from_millis(3_000);
 
+/// Changes that are kept for peers that are behind, at most.
+const RECENT: usize = 64;
+
 /// A document with its version.
 #[derive(Clone, Debug)]
 struct Held {
     mark: Mark,
     document: Arc<Document>,
+    digest: u64,
+    /// What made it out of the document before it, unless it came whole.
+    change: Option<Change>,
+}
+
+/// A change and the version that it builds on.
+#[derive(Clone, Debug)]
+struct Change {
+    base: Mark,
+    delta: Arc<Delta>,
 }
 
 /// A confirmed document that is not known to be accepted.
 #[derive(Clone, Debug)]
 struct Staged {
     held: Held,
-    delta: Delta,
+    delta: Arc<Delta>,
+}
+
+/// What came into force since the last look.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// These changes, in order.
+    Changes(Vec<Arc<Delta>>),
+    /// A document that is no known change of the former one.
+    Whole,
 }
 
 /// The configuration of one instance.
@@ -60,11 +84,16 @@
     head_row: u64,
     staged_row: u64,
     head_read: Instant,
+    /// The highest version that is known to be accepted.
+    accepted: u64,
     submission: Option<Submission>,
     fetch: Option<Fetch>,
     reading: Option<(Ticket, Instant)>,
     next_poll: Instant,
     stale_views: bool,
+    /// The changes that led to the document in force, the newest last.
+    recent: VecDeque<Proposal>,
+    news: Option<News>,
 }
 
 impl Config {
@@ -83,10 +112,17 @@
         self.staged.iter().map(|staged| staged.held.mark.version).max()
     }
 
-    /// Returns whether a document that may have been accepted unnoticed changes an adapter.
+    /// Returns whether a document that may have been accepted unnoticed changes an adapter, or one
+    /// was accepted that this instance does not hold yet.
     pub fn is_in_doubt(&self, now: Instant, adapter: &str) -> bool {
-        now >= self.head_read + DOUBT
-            && self.staged.iter().any(|staged| staged.delta.touches(adapter))
+        self.accepted > self.version()
+            || now >= self.head_read + DOUBT
+                && self.staged.iter().any(|staged| staged.delta.touches(adapter))
+    }
+
+    /// Returns what came into force since this was last asked.
+    pub fn take_news(&mut self) -> Option<News> {
+        self.news.take()
     }
 
     /// Returns whether the views have to be read anew before a submission can go on.
@@ -142,6 +178,7 @@
                 false
             }
             Message::Accepted(mark) => {
+                self.accepted = self.accepted.max(mark.version);
                 let accepted = self.accept(*mark);
                 self.catch_up(from, mark.version, membership, effects);
                 accepted
@@ -210,31 +247,53 @@
         if self.staged.iter().any(|staged| staged.held.mark == held.mark) {
             return;
         }
-        let empty = Arc::default();
-        let old = self.document().unwrap_or(&empty);
-        let delta = Delta::between(old, &held.document);
+        let delta = match &held.change {
+            Some(change) if change.base == self.mark() => change.delta.clone(),
+            _ => {
+                let empty = Arc::default();
+                let old = self.document().unwrap_or(&empty);
+                Arc::new(Delta::between(old, &held.document))
+            }
+        };
         self.staged.push(Staged { held, delta });
     }
 
+    /// Passes on what a peer misses: the recent changes if they suffice, else the whole document.
     fn pass_on(&self, to: &Arc<str>, version: u64, membership: &Membership, effects: &mut Effects) {
-        if let Some(held) = self.in_force.as_ref().filter(|held| held.mark.version > version) {
-            let body = Body::Whole(held.document.clone());
-            let proposal = Proposal { mark: held.mark, base: Mark::default(), body };
-            send(membership, to, Message::Document(proposal), effects);
+        let Some(held) = self.in_force.as_ref().filter(|held| held.mark.version > version) else {
+            return;
+        };
+        let first = self.recent.iter().position(|change| change.base.version == version);
+        if let Some(first) = first.filter(|_| version > 0) {
+            for change in self.recent.range(first..) {
+                send(membership, to, Message::Document(change.clone()), effects);
+            }
+            return;
         }
+        let body = Body::Whole(held.document.clone());
+        let proposal = Proposal { mark: held.mark, base: Mark::default(), body };
+        send(membership, to, Message::Document(proposal), effects);
     }
 
     /// Returns the document of a proposal, if it is whole or builds on the one in force.
     fn resolve(&self, proposal: &Proposal) -> Option<Held> {
-        let document = match &proposal.body {
-            Body::Whole(document) => document.clone(),
+        let mark = proposal.mark;
+        match &proposal.body {
+            Body::Whole(document) => {
+                let digest = document.digest();
+                Some(Held { mark, document: document.clone(), digest, change: None })
+            }
             Body::Change(delta) if proposal.base == self.mark() => {
-                let empty = Arc::default();
-                Arc::new(delta.apply(self.document().unwrap_or(&empty))?)
+                let document = match &self.in_force {
+                    Some(old) => delta.apply_to(&old.document, old.digest)?,
+                    None => delta.apply(&Document::default())?,
+                };
+                let change = Change { base: proposal.base, delta: delta.clone() };
+                let digest = delta.digest;
+                Some(Held { mark, document: Arc::new(document), digest, change: Some(change) })
             }
-            Body::Change(_) => return None,
-        };
-        Some(Held { mark: proposal.mark, document })
+            Body::Change(_) => None,
+        }
     }
 
     /// Puts a document in force unless a version at least as high already is.
@@ -243,10 +302,31 @@
             return false;
         }
         self.staged.retain(|staged| staged.held.mark.version > held.mark.version);
+        self.note_news(&held);
         self.in_force = Some(held);
         true
     }
 
+    /// Notes how a document that comes into force differs from the one in force.
+    fn note_news(&mut self, held: &Held) {
+        let change = held.change.as_ref().filter(|change| change.base == self.mark());
+        let Some(change) = change else {
+            self.recent.clear();
+            self.news = Some(News::Whole);
+            return;
+        };
+        if self.recent.len() >= RECENT {
+            self.recent.pop_front();
+        }
+        let Change { base, delta } = change.clone();
+        let body = Body::Change(delta.clone());
+        self.recent.push_back(Proposal { mark: held.mark, base, body });
+        match self.news.get_or_insert(News::Changes(Vec::new())) {
+            News::Changes(changes) => changes.push(delta),
+            News::Whole => {}
+        }
+    }
+
     /// Puts the staged document in force if it is the one accepted.
     fn accept(&mut self, mark: Mark) -> bool {
         let staged = self.staged.iter().find(|staged| staged.held.mark == mark);
@@ -269,6 +349,7 @@
         let head = rows.iter().find(|row| &*row.key == HEAD);
         self.head_row = self.head_row.max(head.map_or(0, |row| row.version));
         let mark: Option<Mark> = head.and_then(|row| serde_json::from_str(&row.value).ok());
+        self.accepted = self.accepted.max(mark.map_or(0, |mark| mark.version));
         let settled = self.settle(now, mark, effects);
         let Some(mark) = mark.filter(|mark| mark.version > self.version()) else {
             return settled;
--- a/crates/orioleroute/src/config/fetch.rs
+++ b/crates/orioleroute/src/config/fetch.rs
@@ -3,7 +3,7 @@
 //! Each version's object holds a whole document or a change. An instance that is behind walks back
 //! from the accepted version until it meets a whole document or the one that it has in force.
 
-use super::{Config, Held};
+use super::{Change, Config, Held};
 use crate::effect::Effects;
 use crate::key::Ticket;
 use crate::message::{Body, Mark, Proposal};
@@ -63,18 +63,16 @@
         changed
     }
 
-    /// Returns the object that holds a version.
-    pub(super) fn object(held: &Held, base: Option<&Held>) -> Proposal {
-        let whole = held.mark.version % super::submission::SNAPSHOT_EVERY == 1;
-        let body = match base {
-            Some(base) if !whole => {
-                let delta = crate::document::Delta::between(&base.document, &held.document);
-                Body::Change(Arc::new(delta))
+    /// Returns a document as it is passed on, whole or as a change if it is one.
+    pub(super) fn proposal(held: &Held, whole: bool) -> Proposal {
+        let mark = held.mark;
+        match held.change.clone().filter(|_| !whole) {
+            Some(Change { base, delta }) => Proposal { mark, base, body: Body::Change(delta) },
+            None => {
+                let base = held.change.as_ref().map_or(Mark::default(), |change| change.base);
+                Proposal { mark, base, body: Body::Whole(held.document.clone()) }
             }
-            _ => Body::Whole(held.document.clone()),
-        };
-        let base = base.map_or(Mark::default(), |base| base.mark);
-        Proposal { mark: held.mark, base, body }
+        }
     }
 }
 
--- a/crates/orioleroute/src/config/submission.rs
+++ b/crates/orioleroute/src/config/submission.rs
@@ -1,8 +1,8 @@
 //! A submission on its way from the operator to acceptance.
 
 use super::fetch::key_of;
-use super::{Config, HEAD, Held, STAGED, answer, send};
-use crate::document::Document;
+use super::{Change, Config, HEAD, Held, STAGED, answer, send};
+use crate::document::{Delta, Document};
 use crate::effect::Effects;
 use crate::hash::digest;
 use crate::instance::Instance as Identity;
@@ -81,15 +81,16 @@
             return answer(ticket, Answer::Failed { reason }, effects);
         }
         let mark = Mark { version: base + 1, token: digest(&(ticket.0, now, text)) };
-        let held = Held { mark, document: Arc::new(document) };
-        let object = Self::object(&held, self.in_force.as_ref());
+        let held = self.successor(mark, document);
+        let proposal = Self::proposal(&held, held.change.is_none());
+        let object = Self::proposal(&held, mark.version % SNAPSHOT_EVERY == 1);
         let value = serde_json::to_string(&object).unwrap_or_default();
         let storing = effects.ticket();
         effects.push(Effect::Put { ticket: storing, key: key_of(mark), value: value.into() });
         self.stale_views = true;
         self.submission = Some(Submission {
             ticket,
-            proposal: object,
+            proposal,
             held,
             confirmed: Set::default(),
             stage: Stage::Storing(storing),
@@ -101,6 +102,19 @@
         });
     }
 
+    /// Returns the document in force after an acceptance, as a change of the one in force now.
+    fn successor(&self, mark: Mark, document: Document) -> Held {
+        let change = self.in_force.as_ref().map(|old| Change {
+            base: old.mark,
+            delta: Arc::new(Delta::between(&old.document, &document)),
+        });
+        let digest = match &change {
+            Some(change) => change.delta.digest,
+            None => document.digest(),
+        };
+        Held { mark, document: Arc::new(document), digest, change }
+    }
+
     /// Takes the outcome of an object's write.
     pub fn take_put(&mut self, ticket: Ticket, stored: bool, effects: &mut Effects) {
         let Some(submission) = &mut self.submission else { return };
--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -1,7 +1,7 @@
 //! The core of one instance: events in, effects out.
 
 use crate::catalog::Catalog;
-use crate::config::Config;
+use crate::config::{Config, News};
 use crate::effect::Effects;
 use crate::fleet::Fleet;
 use crate::instance::Instance as Identity;
@@ -11,7 +11,7 @@
 use crate::orders::Orders;
 use crate::ownership::Ownership;
 use crate::prelude::*;
-use crate::request::Requests;
+use crate::request::{Kind, Requests};
 
 mod claims;
 mod engines;
@@ -186,12 +186,32 @@
 
     /// Acts on the document that has just come into force.
     fn apply_document(&mut self, now: Instant) {
-        let Some(document) = self.config.document() else { return };
-        self.catalog.apply(document);
+        match self.config.take_news() {
+            Some(News::Changes(changes)) => {
+                changes.iter().for_each(|delta| self.catalog.change(delta));
+            }
+            Some(News::Whole) | None => {
+                let Some(document) = self.config.document() else { return };
+                self.catalog.apply(document);
+            }
+        }
+        self.refuse_dropped();
         self.index(now);
         self.reconcile(now);
     }
 
+    /// Refuses the waiting requests whose revisions the document in force no longer has.
+    fn refuse_dropped(&mut self) {
+        for revision in self.requests.wanted() {
+            if self.catalog.revision(revision).current {
+                continue;
+            }
+            for key in self.requests.waiting(revision).to_vec() {
+                self.refuse(key, Kind::NotFound, None);
+            }
+        }
+    }
+
     fn take_command(&mut self, now: Instant, ticket: Ticket, command: Command) {
         let answer = match command {
             Command::Submit { base, document } => {
--- a/crates/orioleroute/src/core/routes.rs
+++ b/crates/orioleroute/src/core/routes.rs
@@ -94,6 +94,9 @@
             return;
         }
         for revision in self.requests.wanted() {
+            if self.config.is_in_doubt(now, &self.catalog.revision(revision).adapter) {
+                continue;
+            }
             for key in self.requests.waiting(revision).to_vec() {
                 let candidates = self.candidates(revision).iter().copied();
                 let Some((upstream, runners_up)) =
--- a/crates/orioleroute/src/document/delta.rs
+++ b/crates/orioleroute/src/document/delta.rs
@@ -59,26 +59,48 @@
     /// Returns the successor of `old`, or `None` if `old` is not the document that the delta was
     /// made from.
     pub fn apply(&self, old: &Document) -> Option<Document> {
+        self.apply_to(old, old.digest())
+    }
+
+    /// Returns the successor of `old`, whose digest is known, or `None` if `old` is not the document
+    /// that the delta was made from.
+    ///
+    /// The digest of the successor is worked out from the adapters that change, since to encode all
+    /// of tens of thousands would take longer than everything else.
+    pub fn apply_to(&self, old: &Document, old_digest: u64) -> Option<Document> {
         let mut new = old.clone();
-        let dropped: Set<&str> = self.dropped.iter().map(|name| &**name).collect();
-        new.adapters.retain(|adapter| !dropped.contains(&*adapter.name));
-        let places: Map<Arc<str>, usize> = new
-            .adapters
-            .iter()
-            .enumerate()
-            .map(|(place, adapter)| (adapter.name.clone(), place))
-            .collect();
-        for adapter in &self.put {
-            match places.get(&adapter.name) {
-                Some(place) => new.adapters[*place] = adapter.clone(),
-                None => new.adapters.push(adapter.clone()),
-            }
-        }
         replace(&mut new.models, &self.models);
         replace(&mut new.pools, &self.pools);
         replace(&mut new.services, &self.services);
         replace(&mut new.policy, &self.policy);
-        (new.digest() == self.digest).then_some(new)
+        let mut sum = old_digest.wrapping_sub(old.digest_of_parts());
+        sum = sum.wrapping_add(new.digest_of_parts());
+
+        let dropped: Set<&str> = self.dropped.iter().map(|name| &**name).collect();
+        let mut put: Map<&str, &Adapter> =
+            self.put.iter().map(|adapter| (&*adapter.name, adapter)).collect();
+        new.adapters.retain_mut(|adapter| {
+            let next = put.remove(&*adapter.name);
+            let gone = dropped.contains(&*adapter.name);
+            if gone || next.is_some() {
+                sum = sum.wrapping_sub(digest_of(adapter));
+            }
+            if let Some(next) = next {
+                sum = sum.wrapping_add(digest_of(next));
+                adapter.clone_from(next);
+            }
+            !gone
+        });
+        for adapter in self.put.iter().filter(|adapter| put.contains_key(&*adapter.name)) {
+            sum = sum.wrapping_add(digest_of(adapter));
+            new.adapters.push(adapter.clone());
+        }
+        (sum == self.digest).then_some(new)
+    }
+
+    /// Returns the names of the adapters that are new, changed or dropped.
+    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.put.iter().map(|adapter| &adapter.name).chain(&self.dropped)
     }
 
     /// Returns whether requests for an adapter could be answered differently by the successor.
@@ -92,14 +114,22 @@
 
 impl Document {
     /// Returns a digest that does not depend on the order of the adapters.
+    ///
+    /// It is the sum of a digest of each adapter and one of the other parts, so that a change can be
+    /// worked into it.
     pub fn digest(&self) -> u64 {
+        let parts = self.digest_of_parts();
+        self.adapters.iter().map(digest_of).fold(parts, u64::wrapping_add)
+    }
+
+    fn digest_of_parts(&self) -> u64 {
         let parts = [
             digest_of(&self.models),
             digest_of(&self.pools),
             digest_of(&self.services),
             digest_of(&self.policy),
         ];
-        self.adapters.iter().map(digest_of).fold(digest(&parts), u64::wrapping_add)
+        digest(&parts)
     }
 }
 
--- a/crates/orioleroute/tests/common/mod.rs
+++ b/crates/orioleroute/tests/common/mod.rs
@@ -13,8 +13,12 @@
 /// A document with adapters of one base model that runs on engines that do and do not check
 /// fencing numbers, in which each adapter has `versions` versions.
 pub fn document(versions: usize, slots: u32) -> String {
+    document_of(ADAPTERS, versions, slots)
+}
+
+pub fn document_of(adapters: usize, versions: usize, slots: u32) -> String {
     let versions: Vec<String> = (1..=versions).map(|version| format!("v{version}")).collect();
-    let adapters: Vec<_> = (0..ADAPTERS)
+    let adapters: Vec<_> = (0..adapters)
         .map(|adapter| {
             json!({
                 "name": format!("adapter-{adapter}"),
--- a/crates/orioleroute/tests/configuration.rs
+++ b/crates/orioleroute/tests/configuration.rs
@@ -135,7 +135,70 @@
     })
 }
 
+/// Lets a node be removed, and three documents be accepted without it.
+fn world_with_one_behind(adapters: usize) -> World {
+    let mut world = world(1, ONE_REGION);
+    for adapter in 0..common::ADAPTERS {
+        common::time_to_answer(&mut world, 2, adapter, Duration::from_secs(5)).expect("an answer");
+    }
+    world.freeze(2);
+    world.run(Duration::from_secs(6));
+    for base in 1..4 {
+        let document = common::document_of(adapters, base as usize, 4).into();
+        world.command(0, Command::Submit { base, document });
+        world.run(Duration::from_secs(3));
+    }
+    world
+}
+
+#[test]
+fn a_member_that_missed_changes_is_sent_just_these() {
+    const ADAPTERS: usize = 1_000;
+    let mut world = world_with_one_behind(ADAPTERS);
+    let document = common::document_of(ADAPTERS + 1, 3, 4).into();
+    world.command(0, Command::Submit { base: 4, document });
+    world.run(Duration::from_secs(3));
+    world.wake(2);
+    world.run(Duration::from_secs(5));
+    assert_eq!(versions(&world), [5; 3]);
+
+    world.freeze(2);
+    world.run(Duration::from_secs(6));
+    let document = common::document_of(ADAPTERS, 3, 4).into();
+    world.command(0, Command::Submit { base: 5, document });
+    world.run(Duration::from_secs(3));
+    world.platform.faults.objects_down = true;
+    let before: u64 = world.nodes.iter().map(|node| node.counts.bytes).sum();
+    world.wake(2);
+    world.run(Duration::from_secs(3));
+
+    let after: u64 = world.nodes.iter().map(|node| node.counts.bytes).sum();
+    assert_eq!(versions(&world), [6; 3]);
+    let whole = common::document_of(ADAPTERS, 3, 4).len() as u64;
+    assert!(after - before < whole / 2, "{} bytes, whole {whole}", after - before);
+}
+
+#[test]
+fn a_member_that_knows_it_is_behind_answers_nothing() {
+    let mut world = world_with_one_behind(common::ADAPTERS);
+    world.platform.faults.objects_down = true;
+    world.cut(0, 2);
+    world.cut(1, 2);
+
+    world.wake(2);
+    for _ in 0..80 {
+        for adapter in 0..common::ADAPTERS {
+            world.ask(2, common::request(adapter, Duration::from_secs(1)));
+        }
+        world.run(Duration::from_millis(100));
+    }
+
+    assert_eq!(breaches(&world.records), []);
+}
+
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn a_change_leads_from_its_base_to_its_successor_and_from_nowhere_else(
         old in documents(),
@@ -160,3 +223,20 @@
         }
     }
 }
+
+#[test]
+fn a_request_that_waits_for_a_dropped_version_is_refused_at_once() {
+    let shape = Shape { engines: 1, slots: 1, ..ONE_REGION };
+    let mut world = world(1, shape);
+    submit(&mut world, 0, 1, 2);
+    world.run(Duration::from_secs(2));
+    world.engines[0].faults.loads_fail = true;
+    let target = orioleroute::request::Target::Model("adapter-0@v2".into());
+    let spec = common::request(0, Duration::from_secs(30));
+    let number = world.ask(0, orioleroute::request::Spec { target, ..spec });
+
+    submit(&mut world, 0, 2, 1);
+    world.run(Duration::from_secs(2));
+
+    assert!(world.outcome(number).is_some());
+}
