Check more promises, under more faults, after every event

The world doubles, delays and reorders messages, slows the table, lets writes take effect after their asker gave up, loses answers after they ran, stops streams half way, gives attempts up at the caller's deadline, and settles: it mends all faults, lets time pass and records what then holds. The checker also follows the table's head row, what each operator was told, when answers came, graceful stops and convergence. Faults also come in pairs at the same moment.

Two faults of the world mended on the way: an answer that was lost still reached its caller, and a table operation that took effect late was given up only after it had.

--- a/crates/orioleroute/tests/promises.rs
+++ b/crates/orioleroute/tests/promises.rs
@@ -6,8 +6,8 @@
 use orioleroute::request::{Spec, Target};
 use proptest::prelude::*;
 use serde_json::json;
-use standins::world::check::breaches;
-use standins::world::{Engine, Faults, World};
+use standins::world::check::{Breach, Promise};
+use standins::world::{Engine, Faults, Network, World};
 
 const REGIONS: [&str; 2] = ["zurich", "geneva"];
 const NODES_PER_REGION: usize = 3;
@@ -17,8 +17,14 @@
 /// One thing that happens in a history.
 #[derive(Clone, Debug)]
 enum Step {
-    Ask { node: usize, adapter: usize },
-    Book { node: usize, key: usize },
+    Ask {
+        node: usize,
+        adapter: usize,
+    },
+    Book {
+        node: usize,
+        key: usize,
+    },
     Kill(usize),
     Start(usize),
     Stop(usize),
@@ -28,37 +34,77 @@
     CutOneWay(usize, usize),
     Sever(usize),
     TableDown,
+    TableSlow(u64),
     RepliesLost,
+    WritesLate(u64),
+    ObjectsDown,
+    Messages {
+        doubled: u64,
+        delayed: u64,
+        delay: u64,
+    },
     Heal,
     RestartEngine(usize),
+    EngineDown(usize, bool),
     LoadsFail(usize, bool),
+    OrderRepliesLost(usize, bool),
+    AnswersLost(usize, bool),
+    ReportsLate(usize, u64),
     Leave(usize),
-    Submit { node: usize, versions: usize },
+    /// Two operators submit at two nodes at once.
+    Race {
+        one: usize,
+        other: usize,
+    },
+    /// Two faults at the same moment.
+    Both(Box<Step>, Box<Step>),
+    Submit {
+        node: usize,
+        versions: usize,
+    },
     Wait(u64),
 }
 
-fn step() -> impl Strategy<Value = Step> {
+fn fault() -> impl Strategy<Value = Step> {
     let node = 0..REGIONS.len() * NODES_PER_REGION;
     let engine = 0..REGIONS.len() * ENGINES_PER_REGION;
     prop_oneof![
-        12 => (node.clone(), 0..ADAPTERS).prop_map(|(node, adapter)| Step::Ask { node, adapter }),
-        3 => (node.clone(), 0..4_usize).prop_map(|(node, key)| Step::Book { node, key }),
-        2 => node.clone().prop_map(Step::Kill),
-        2 => node.clone().prop_map(Step::Start),
+        3 => node.clone().prop_map(Step::Kill),
         1 => node.clone().prop_map(Step::Stop),
-        2 => node.clone().prop_map(Step::Freeze),
-        2 => node.clone().prop_map(Step::Wake),
+        3 => node.clone().prop_map(Step::Freeze),
         1 => (node.clone(), node.clone()).prop_map(|(a, b)| Step::Cut(a, b)),
-        1 => (node.clone(), node.clone()).prop_map(|(a, b)| Step::CutOneWay(a, b)),
-        1 => node.clone().prop_map(Step::Sever),
+        2 => (node.clone(), node.clone()).prop_map(|(a, b)| Step::CutOneWay(a, b)),
+        1 => node.prop_map(Step::Sever),
         1 => Just(Step::TableDown),
+        1 => (100..3_000_u64).prop_map(Step::TableSlow),
         1 => Just(Step::RepliesLost),
-        2 => Just(Step::Heal),
+        1 => (500..6_000_u64).prop_map(Step::WritesLate),
+        1 => Just(Step::ObjectsDown),
+        1 => (0..50_u64, 0..50_u64, 1..2_000_u64)
+            .prop_map(|(doubled, delayed, delay)| Step::Messages { doubled, delayed, delay }),
         1 => engine.clone().prop_map(Step::RestartEngine),
+        1 => (engine.clone(), any::<bool>()).prop_map(|(e, down)| Step::EngineDown(e, down)),
         1 => (engine.clone(), any::<bool>()).prop_map(|(e, fail)| Step::LoadsFail(e, fail)),
+        1 => (engine.clone(), any::<bool>()).prop_map(|(e, lost)| Step::OrderRepliesLost(e, lost)),
+        1 => (engine.clone(), any::<bool>()).prop_map(|(e, lost)| Step::AnswersLost(e, lost)),
+        1 => (engine.clone(), 0..2_000_u64).prop_map(|(e, lag)| Step::ReportsLate(e, lag)),
         1 => engine.prop_map(Step::Leave),
-        2 => (node, 1..3_usize).prop_map(|(node, versions)| Step::Submit { node, versions }),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let node = 0..REGIONS.len() * NODES_PER_REGION;
+    prop_oneof![
+        12 => (node.clone(), 0..ADAPTERS).prop_map(|(node, adapter)| Step::Ask { node, adapter }),
+        3 => (node.clone(), 0..4_usize).prop_map(|(node, key)| Step::Book { node, key }),
+        2 => node.clone().prop_map(Step::Start),
+        3 => node.clone().prop_map(Step::Wake),
+        2 => Just(Step::Heal),
+        2 => (node.clone(), 1..3_usize).prop_map(|(node, versions)| Step::Submit { node, versions }),
+        1 => (node.clone(), node).prop_map(|(one, other)| Step::Race { one, other }),
         12 => (1..3_000_u64).prop_map(Step::Wait),
+        10 => fault(),
+        3 => (fault(), fault()).prop_map(|(a, b)| Step::Both(Box::new(a), Box::new(b))),
     ]
 }
 
@@ -147,9 +193,36 @@
             world.severed.insert(*node);
         }
         Step::TableDown => world.platform.faults.table_down = true,
+        Step::TableSlow(millis) => {
+            world.platform.faults.slow = Duration::from_millis(*millis);
+        }
         Step::RepliesLost => world.platform.faults.replies_lost = true,
+        Step::WritesLate(millis) => {
+            world.platform.faults.writes_late = Some(Duration::from_millis(*millis));
+        }
+        Step::ObjectsDown => world.platform.faults.objects_down = true,
+        Step::Messages { doubled, delayed, delay } => {
+            let delay = Duration::from_millis(*delay);
+            world.network = Network { doubled: *doubled, delayed: *delayed, delay };
+        }
         Step::Heal => world.heal(),
         Step::RestartEngine(engine) => world.restart_engine(*engine),
+        Step::EngineDown(engine, down) => world.engines[*engine].faults.down = *down,
+        Step::OrderRepliesLost(engine, lost) => {
+            world.engines[*engine].faults.order_replies_lost = *lost;
+        }
+        Step::AnswersLost(engine, lost) => world.engines[*engine].faults.answers_lost = *lost,
+        Step::ReportsLate(engine, millis) => {
+            world.engines[*engine].report_lag = Duration::from_millis(*millis);
+        }
+        Step::Race { one, other } => {
+            apply(world, &Step::Submit { node: *one, versions: 1 });
+            apply(world, &Step::Submit { node: *other, versions: 2 });
+        }
+        Step::Both(one, other) => {
+            apply(world, one);
+            apply(world, other);
+        }
         Step::LoadsFail(engine, fail) => world.engines[*engine].faults.loads_fail = *fail,
         Step::Leave(engine) => world.let_leave(*engine),
         Step::Submit { node, versions } => {
@@ -161,29 +234,63 @@
     }
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: std::env::var("ORIOLEROUTE_HISTORIES")
-            .ok()
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(2_000),
+/// Returns the first breach of a history, looked for after every event of it.
+fn first_breach(seed: u64, steps: &[Step], promised: impl Fn(Promise) -> bool) -> Option<Breach> {
+    let mut world = world(seed);
+    let first = |world: &World| {
+        world.checker.breaches().iter().find(|breach| promised(breach.promise)).cloned()
+    };
+    for step in steps {
+        apply(&mut world, step);
+        if let Some(breach) = first(&world) {
+            return Some(breach);
+        }
+    }
+    world.settle(QUIET);
+    first(&world)
+}
+
+/// How long after the last fault everything has to be in order again.
+const QUIET: Duration = Duration::from_secs(30);
+
+/// Returns the number of histories, `usual` unless the environment asks for another.
+fn histories(usual: u32) -> u32 {
+    let asked = std::env::var("ORIOLEROUTE_HISTORIES").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
+fn proving(histories: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases: histories,
         max_shrink_iters: 2_000,
         failure_persistence: None,
         ..ProptestConfig::default()
-    })]
+    }
+}
+
+proptest! {
+    #![proptest_config(proving(histories(2_000)))]
 
     #[test]
     fn every_promise_holds_in_every_history(
         seed in any::<u64>(),
         steps in prop::collection::vec(step(), 1..60),
     ) {
-        let mut world = world(seed);
-        for step in &steps {
-            apply(&mut world, step);
-        }
-        world.run(Duration::from_secs(10));
-        let breaches = breaches(&world.records);
-        prop_assert!(breaches.is_empty(), "{breaches:?}");
+        let breach = first_breach(seed, &steps, |promise| promise != Promise::Prompt);
+        prop_assert!(breach.is_none(), "{breach:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(proving(histories(2_000) / 10))]
+
+    #[test]
+    fn no_refusal_waits_until_near_the_deadline(
+        seed in any::<u64>(),
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        let breach = first_breach(seed, &steps, |promise| promise == Promise::Prompt);
+        prop_assert!(breach.is_none(), "{breach:?}");
     }
 }
 
--- a/crates/standins/src/world/caller.rs
+++ b/crates/standins/src/world/caller.rs
@@ -2,9 +2,11 @@
 
 use orioleroute::key;
 use orioleroute::prelude::Event;
-use orioleroute::request::{Progress, Refusal, Spec, Step, Target};
+use std::time::Duration;
 
-use super::queue::Delivery;
+use orioleroute::request::{Failure, Progress, Refusal, Spec, Step, Target};
+
+use super::queue::{Delivery, End, Place};
 use super::{LOCAL_DELAY_US, REMOTE_DELAY_US, Record, World, node_of};
 
 /// What a caller asked.
@@ -18,8 +20,16 @@
     pub repeatable: bool,
     /// The idempotency key.
     pub idempotency: Option<String>,
+    /// How long the caller waits.
+    pub patience: Duration,
 }
 
+/// How long a caller waits that does not say so.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// How often a stopped process is looked at again.
+const FROZEN: Duration = Duration::from_millis(50);
+
 /// What a caller had as its final answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
@@ -42,6 +52,7 @@
             target: spec.target.clone(),
             repeatable: spec.repeatable,
             idempotency: spec.idempotency.as_deref().map(str::to_owned),
+            patience: spec.patience.unwrap_or(PATIENCE),
         };
         self.asked.push(asked.clone());
         self.record(Record::Asked(number, asked));
@@ -84,28 +95,85 @@
     ) {
         let Some(number) = self.places.get(&from).copied() else { return };
         if !self.arrive(node, spec, number, Some(from)) {
-            let failure = orioleroute::request::Failure::Unsent;
-            self.tell_progress(from.0, from.1, Progress::Failed(failure));
+            self.tell_progress(from.0, from.1, Progress::Failed(Failure::Unsent));
+        }
+    }
+
+    /// Starts an attempt, which its node gives up at the caller's deadline.
+    fn attempt(&mut self, node: usize, request: key::Request, patience: Duration) -> Place {
+        self.next_attempt += 1;
+        let attempt = self.next_attempt;
+        self.attempts.insert((node, request), attempt);
+        let incarnation = self.nodes[node].identity.incarnation;
+        let place = Place { node, incarnation, request, attempt };
+        self.queue.push(self.now + patience, Delivery::Timeout(place));
+        place
+    }
+
+    fn is_current(&self, place: Place) -> bool {
+        self.is_alive(place.node, place.incarnation)
+            && self.attempts.get(&(place.node, place.request)) == Some(&place.attempt)
+    }
+
+    /// Gives up an attempt that is still under way.
+    pub(super) fn time_out(&mut self, place: Place) {
+        if !self.is_current(place) {
+            return;
+        }
+        if self.nodes[place.node].frozen {
+            return self.queue.push(self.now + FROZEN, Delivery::Timeout(place));
+        }
+        let above = (place.node, place.request);
+        let child = self.parents.iter().find(|(_, parent)| **parent == above);
+        if let Some((child, _)) = child.map(|(child, parent)| (*child, *parent)) {
+            self.parents.remove(&child);
+            self.places.remove(&child);
+            self.tell_progress(child.0, child.1, Progress::Gone);
+        }
+        self.take_run_answer(place, End::Failed(Failure::Broken));
+    }
+
+    /// Takes the end of an attempt, once its node runs.
+    pub(super) fn take_run_answer(&mut self, place: Place, end: End) {
+        if !self.is_current(place) {
+            return;
+        }
+        if self.nodes[place.node].frozen {
+            return self.queue.push(self.now + FROZEN, Delivery::RunAnswer { place, end });
+        }
+        let (node, request) = (place.node, place.request);
+        self.attempts.remove(&(node, request));
+        match end {
+            End::Whole(name) => {
+                self.finish(node, request, Outcome::Whole(name));
+                self.tell_progress(node, request, Progress::Finished);
+            }
+            End::BrokenOff => {
+                self.finish(node, request, Outcome::Broken);
+                self.tell_progress(node, request, Progress::Gone);
+            }
+            End::Failed(failure) => {
+                self.tell_progress(node, request, Progress::Failed(failure));
+            }
         }
     }
 
     pub(super) fn take_step(&mut self, node: usize, request: key::Request, step: Step) {
         let Some(number) = self.places.get(&(node, request)).copied() else { return };
-        let incarnation = self.nodes[node].identity.incarnation;
         match step {
             Step::Dispatch(dispatch) => {
                 let at = self.now + self.delay(LOCAL_DELAY_US);
                 let version = self.nodes[node].core.as_ref().map_or(0, |core| core.version());
                 let asked = number;
-                let delivery =
-                    Delivery::Dispatch { node, incarnation, version, request, dispatch, asked };
-                self.queue.push(at, delivery);
+                let place = self.attempt(node, request, dispatch.patience);
+                self.queue.push(at, Delivery::Dispatch { place, version, dispatch, asked });
             }
             Step::Forward { address, may_have_run, .. } => {
                 let to = node_of(address);
                 let Some(core) = &self.nodes[node].core else { return };
                 let Some(held) = core.requests().get(request) else { return };
                 let mut spec = held.spec.clone();
+                let left = held.deadline.since(self.now + self.nodes[node].skew);
                 spec.hops += 1;
                 spec.may_have_run = may_have_run;
                 let local = self.nodes[node].identity.region == self.nodes[to].identity.region;
@@ -113,9 +181,10 @@
                     self.now + self.delay(if local { LOCAL_DELAY_US } else { REMOTE_DELAY_US });
                 let from = (node, request);
                 if self.cuts.contains(&(node, to)) {
-                    let progress = Progress::Failed(orioleroute::request::Failure::Unsent);
+                    let progress = Progress::Failed(Failure::Unsent);
                     return self.tell_progress(node, request, progress);
                 }
+                self.attempt(node, request, left);
                 self.queue.push(at, Delivery::Arrive { node: to, from, spec });
             }
             Step::Refuse(refusal) => self.finish(node, request, Outcome::Refused(refusal)),
@@ -133,18 +202,16 @@
         }
     }
 
-    /// Notes the whole answer of an upstream to a request that is still waited for.
-    pub(super) fn answered_by(&mut self, node: usize, request: key::Request, name: String) {
-        if self.places.contains_key(&(node, request)) {
-            self.finish(node, request, Outcome::Whole(name));
-        }
-    }
-
     /// Passes the end of a request back to where it came from.
     fn finish(&mut self, node: usize, request: key::Request, outcome: Outcome) {
         let Some(number) = self.places.remove(&(node, request)) else { return };
         match self.parents.remove(&(node, request)) {
+            Some((parent, above)) if self.cuts.contains(&(node, parent)) => {
+                self.attempts.remove(&(parent, above));
+                self.tell_progress(parent, above, Progress::Failed(Failure::Broken));
+            }
             Some((parent, above)) => {
+                self.attempts.remove(&(parent, above));
                 self.finish(parent, above, outcome);
                 self.tell_progress(parent, above, Progress::Finished);
             }
@@ -159,8 +226,8 @@
             let Some(number) = self.places.remove(&place) else { continue };
             match self.parents.remove(&place) {
                 Some((parent, above)) => {
-                    let failure = orioleroute::request::Failure::Broken;
-                    self.tell_progress(parent, above, Progress::Failed(failure));
+                    self.attempts.remove(&(parent, above));
+                    self.tell_progress(parent, above, Progress::Failed(Failure::Broken));
                 }
                 None => self.record(Record::Answered(number, Outcome::Lost)),
             }
--- a/crates/standins/src/world/check.rs
+++ b/crates/standins/src/world/check.rs
@@ -5,17 +5,26 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use orioleroute::operator::Answer;
 use orioleroute::prelude::Instant;
 use orioleroute::request::{Ran, Target};
 
 use super::{Asked, Outcome, Record};
 
+mod config;
+
 /// How soon an accepted configuration is in force everywhere.
 pub const IN_FORCE: Duration = Duration::from_secs(4);
 
 /// How soon a leaving upstream receives no new work.
 pub const LEAVING: Duration = Duration::from_secs(3);
 
+/// How long after a caller's deadline its answer may still be on its way.
+pub const GRACE: Duration = Duration::from_millis(500);
+
+/// The part of a caller's patience after which a refusal comes too late, in percent.
+pub const HELD_PERCENT: u32 = 80;
+
 /// A promise of the brief.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Promise {
@@ -37,6 +46,18 @@
     InForce,
     /// A configuration never reverts.
     NoRevert,
+    /// A version is accepted once, and names one document.
+    NoFork,
+    /// What an operator is told of a submission is true.
+    Truth,
+    /// A caller of a node that lives has its final answer by its deadline and [`GRACE`].
+    Answered,
+    /// A refusal does not wait until near the deadline; see [`HELD_PERCENT`].
+    Prompt,
+    /// A graceful stop cuts off no request.
+    GracefulStop,
+    /// Once all faults are mended, all nodes have the accepted version and engines what it allows.
+    Converged,
 }
 
 /// A broken promise.
@@ -50,36 +71,40 @@
     pub what: String,
 }
 
-/// Returns every breach in what happened.
-pub fn breaches(records: &[(Instant, Record)]) -> Vec<Breach> {
-    let mut checker = Checker::default();
-    for (at, record) in records {
-        checker.take(*at, record);
-    }
-    checker.breaches
-}
-
+/// The promises, checked record by record.
 #[derive(Default)]
-struct Checker {
+pub struct Checker {
     breaches: Vec<Breach>,
-    asked: BTreeMap<usize, Asked>,
+    asked: BTreeMap<usize, (Instant, Asked)>,
     answered: BTreeSet<usize>,
+    frozen: BTreeSet<usize>,
+    last_frozen: Option<Instant>,
+    last_graceful: Option<(Instant, usize)>,
+    config: config::Accepted,
     began: BTreeSet<usize>,
     not_run: BTreeSet<usize>,
     runs: BTreeMap<String, u32>,
     leaving: BTreeMap<usize, Instant>,
     fencing: BTreeMap<usize, u64>,
-    accepted: Vec<(Instant, u64)>,
     versions: BTreeMap<(usize, u64), u64>,
 }
 
 impl Checker {
-    fn take(&mut self, at: Instant, record: &Record) {
+    /// Returns every breach so far, the first one first.
+    pub fn breaches(&self) -> &[Breach] {
+        &self.breaches
+    }
+
+    /// Takes what happened next.
+    pub fn take(&mut self, at: Instant, record: &Record) {
         match record {
             Record::Asked(number, asked) => {
-                self.asked.insert(*number, asked.clone());
+                self.asked.insert(*number, (at, asked.clone()));
+            }
+            Record::Answered(number, outcome) => {
+                self.take_answer(at, *number, outcome);
+                self.check_time(at, *number, outcome);
             }
-            Record::Answered(number, outcome) => self.take_answer(at, *number, outcome),
             Record::Began { asked, upstream, name, version, node } => {
                 self.take_run(at, *asked, *upstream, name, *version, *node);
             }
@@ -89,19 +114,16 @@
                     self.breach(Promise::InUse, at, what);
                 }
             }
-            Record::Took { upstream, fencing } => {
-                let last = self.fencing.entry(*upstream).or_default();
-                if fencing < last {
-                    let what = format!("upstream {upstream}: {fencing} after {last}");
-                    self.breach(Promise::Fencing, at, what);
-                } else {
-                    *last = *fencing;
-                }
-            }
+            Record::Took { upstream, fencing } => self.take_fencing(at, *upstream, *fencing),
             Record::Leaving(upstream) => {
                 self.leaving.entry(*upstream).or_insert(at);
             }
-            Record::Accepted(version) => self.accepted.push((at, *version)),
+            Record::Submitted { ticket, object } => self.config.submit(*ticket, object),
+            Record::Head { version, object } => {
+                let breaches = self.config.take_head(at, *version, object);
+                self.breaches.extend(breaches);
+            }
+            Record::Told { ticket, answer } => self.take_told(at, *ticket, answer),
             Record::InForce { node, incarnation, version } => {
                 let last = self.versions.insert((*node, *incarnation), *version);
                 if last.is_some_and(|last| last > *version) {
@@ -109,6 +131,79 @@
                     self.breach(Promise::NoRevert, at, what);
                 }
             }
+            Record::Frozen(node) => {
+                self.frozen.insert(*node);
+            }
+            Record::Woken(node) => self.thaw(at, *node),
+            Record::Ended { node, graceful } => {
+                self.thaw(at, *node);
+                self.last_graceful = graceful.then_some((at, *node));
+            }
+            Record::Quiet { versions, strays } => self.take_quiet(at, versions, strays),
+        }
+    }
+
+    fn thaw(&mut self, at: Instant, node: usize) {
+        if self.frozen.remove(&node) {
+            self.last_frozen = Some(at);
+        }
+    }
+
+    fn take_fencing(&mut self, at: Instant, upstream: usize, fencing: u64) {
+        let last = self.fencing.entry(upstream).or_default();
+        if fencing < *last {
+            let what = format!("upstream {upstream}: {fencing} after {last}");
+            self.breach(Promise::Fencing, at, what);
+        } else {
+            *last = fencing;
+        }
+    }
+
+    fn take_told(&mut self, at: Instant, ticket: u64, answer: &Answer) {
+        if let Some(what) = self.config.check_told(ticket, answer) {
+            self.breach(Promise::Truth, at, what);
+        }
+    }
+
+    fn take_quiet(&mut self, at: Instant, versions: &[(usize, u64)], strays: &[(usize, String)]) {
+        let newest = self.config.newest();
+        for (node, version) in versions {
+            if *version != newest {
+                let what = format!("node {node} is at {version}, accepted is {newest}");
+                self.breach(Promise::Converged, at, what);
+            }
+        }
+        for (engine, name) in strays {
+            self.breach(Promise::Converged, at, format!("upstream {engine} still holds {name}"));
+        }
+        let unanswered = self.asked.keys().filter(|number| !self.answered.contains(number));
+        for number in unanswered.copied().collect::<Vec<_>>() {
+            self.breach(Promise::Answered, at, format!("request {number} has no answer"));
+        }
+    }
+
+    /// Checks when an answer came, unless some process was stopped while it was waited for.
+    fn check_time(&mut self, at: Instant, number: usize, outcome: &Outcome) {
+        let Some((since, asked)) = self.asked.get(&number) else { return };
+        let (since, patience, node) = (*since, asked.patience, asked.node);
+        if *outcome == Outcome::Lost {
+            if self.last_graceful == Some((at, node)) && since < at {
+                let what = format!("request {number} was cut off by node {node}");
+                self.breach(Promise::GracefulStop, at, what);
+            }
+            return;
+        }
+        if !self.frozen.is_empty() || self.last_frozen.is_some_and(|last| last >= since) {
+            return;
+        }
+        let took = at.since(since);
+        if took > patience + GRACE {
+            let what = format!("request {number} had its answer after {took:?}");
+            self.breach(Promise::Answered, at, what);
+        }
+        if matches!(outcome, Outcome::Refused(_)) && took * 100 > patience * HELD_PERCENT {
+            let what = format!("request {number} was held for {took:?}, then {outcome:?}");
+            self.breach(Promise::Prompt, at, what);
         }
     }
 
@@ -118,7 +213,7 @@
         }
         match outcome {
             Outcome::Whole(name) => {
-                let target = self.asked.get(&number).map(|asked| &asked.target);
+                let target = self.asked.get(&number).map(|(_, asked)| &asked.target);
                 let Some(Target::Model(model)) = target else { return };
                 let named = match model.contains('@') {
                     true => **model == **name,
@@ -158,14 +253,13 @@
             let what = format!("request {number} on leaving upstream {upstream}");
             self.breach(Promise::Leaving, at, what);
         }
-        let due = self.accepted.iter().filter(|(since, _)| at > *since + IN_FORCE);
-        if let Some(newest) = due.map(|(_, version)| *version).max()
-            && newest > version
-        {
+        let newest = self.config.due(at);
+        if newest > version {
             let what = format!("{name} run by node {node} at version {version}, not {newest}");
             self.breach(Promise::InForce, at, what);
         }
-        let Some(asked) = self.asked.get(&number).filter(|asked| !asked.repeatable) else { return };
+        let asked = self.asked.get(&number).map(|(_, asked)| asked);
+        let Some(asked) = asked.filter(|asked| !asked.repeatable) else { return };
         let id = asked.idempotency.clone().unwrap_or_else(|| format!("request {number}"));
         let runs = self.runs.entry(id.clone()).or_default();
         *runs += 1;
--- a/crates/standins/src/world/engine.rs
+++ b/crates/standins/src/world/engine.rs
@@ -8,10 +8,10 @@
 use orioleroute::instance::Listing;
 use orioleroute::key;
 use orioleroute::key::Ticket;
-use orioleroute::prelude::Event;
-use orioleroute::request::{Dispatch, Failure, Progress};
+use orioleroute::prelude::{Event, Instant};
+use orioleroute::request::{Dispatch, Failure};
 
-use super::queue::Delivery;
+use super::queue::{Delivery, End, Place};
 use super::{Record, World, upstream_of};
 
 /// Ports of fake addresses of upstreams start here.
@@ -60,9 +60,10 @@
 }
 
 struct Run {
-    node: usize,
-    request: key::Request,
+    place: Place,
     name: String,
+    /// From when on the caller has a part of the answer, if it is streamed.
+    streamed: Option<Instant>,
 }
 
 /// An order on its way.
@@ -132,7 +133,7 @@
         engine.loaded.clear();
         let runs = std::mem::take(&mut engine.runs);
         for run in runs.into_values() {
-            self.tell_progress(run.node, run.request, Progress::Failed(Failure::Broken));
+            self.lose_run(run);
         }
     }
 
@@ -201,45 +202,52 @@
 
     pub(super) fn begin_run(
         &mut self,
-        node: usize,
+        place: Place,
         version: u64,
-        request: key::Request,
         dispatch: &Dispatch,
         asked: usize,
     ) {
         let upstream = upstream_of(dispatch.address);
         let engine = &mut self.engines[upstream];
         if engine.faults.down {
-            return self.tell_progress(node, request, Progress::Failed(Failure::Unsent));
+            return self.take_run_answer(place, End::Failed(Failure::Unsent));
         }
         let name = dispatch.name.as_deref().unwrap_or_default().to_owned();
         if engine.slots > 0 && !engine.loaded.contains_key(&name) {
-            return self.tell_progress(node, request, Progress::Failed(Failure::NotLoaded));
+            return self.take_run_answer(place, End::Failed(Failure::NotLoaded));
         }
         engine.next_run += 1;
         let run = engine.next_run;
-        engine.runs.insert(run, Run { node, request, name: name.clone() });
+        // Every other caller asks for a stream, and has the first part after half of the time.
+        let streamed = (asked % 2 == 1).then_some(self.now + engine.run_time / 2);
+        engine.runs.insert(run, Run { place, name: name.clone(), streamed });
         let end = self.now + engine.run_time;
+        let node = place.node;
         self.record(Record::Began { asked, upstream, name, node, version });
-        self.tell_progress(node, request, Progress::Begun);
         self.queue.push(end, Delivery::RunEnd { upstream, run });
     }
 
     pub(super) fn end_run(&mut self, upstream: usize, run: u64) {
         let Some(run) = self.engines[upstream].runs.remove(&run) else { return };
-        let lost = self.engines[upstream].faults.answers_lost;
-        let progress = match lost {
-            true => Progress::Failed(Failure::Broken),
-            false => Progress::Finished,
+        if self.engines[upstream].faults.answers_lost {
+            return self.lose_run(run);
+        }
+        self.take_run_answer(run.place, End::Whole(run.name));
+    }
+
+    /// Breaks off what an upstream answers.
+    fn lose_run(&mut self, run: Run) {
+        let end = match run.streamed {
+            Some(first) if self.now >= first => End::BrokenOff,
+            _ => End::Failed(Failure::Broken),
         };
-        self.answered_by(run.node, run.request, run.name);
-        self.tell_progress(run.node, run.request, progress);
+        self.take_run_answer(run.place, end);
     }
 
     /// Ends the runs of a node whose connections have closed.
     pub(super) fn drop_runs_of(&mut self, node: usize) {
         for engine in &mut self.engines {
-            engine.runs.retain(|_, run| run.node != node);
+            engine.runs.retain(|_, run| run.place.node != node);
         }
     }
 }
--- a/crates/standins/src/world/mod.rs
+++ b/crates/standins/src/world/mod.rs
@@ -9,8 +9,11 @@
 mod caller;
 pub mod check;
 mod engine;
+mod faults;
+mod network;
 mod platform;
 mod queue;
+mod record;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -27,63 +30,10 @@
 
 pub use caller::{Asked, Outcome};
 pub use engine::Engine;
+pub use network::Network;
 pub use platform::{Faults, Platform};
 use queue::{Delivery, Queue};
-
-/// Something that really happened, for the checker.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Record {
-    /// A caller asked.
-    Asked(usize, Asked),
-    /// A caller had a final answer.
-    Answered(usize, Outcome),
-    /// An upstream began to run a request.
-    Began {
-        /// The caller's request.
-        asked: usize,
-        /// The upstream.
-        upstream: usize,
-        /// The served name.
-        name: String,
-        /// The node that sent it.
-        node: usize,
-        /// The configuration version in force at that node.
-        version: u64,
-    },
-    /// An engine took an order, which it then carries out.
-    Took {
-        /// The engine.
-        upstream: usize,
-        /// The fencing number.
-        fencing: u64,
-    },
-    /// An engine did an order.
-    Ordered {
-        /// The engine.
-        upstream: usize,
-        /// The node that gave the order.
-        node: usize,
-        /// Whether it was a load.
-        load: bool,
-        /// The served name.
-        name: String,
-        /// The requests that ran on the revision at that moment.
-        running: u32,
-    },
-    /// An upstream began to leave.
-    Leaving(usize),
-    /// An operator was told that a version is accepted.
-    Accepted(u64),
-    /// A node's configuration version changed.
-    InForce {
-        /// The node.
-        node: usize,
-        /// Its incarnation.
-        incarnation: u64,
-        /// The version.
-        version: u64,
-    },
-}
+pub use record::Record;
 
 /// An instance of the system.
 pub struct Node {
@@ -120,6 +70,10 @@
     pub orders: u64,
     /// Reports asked of engines.
     pub probes: u64,
+    /// Events that its core handled.
+    pub events: u64,
+    /// Time that its core spent on them.
+    pub busy: Duration,
 }
 
 /// Several cores and everything around them.
@@ -134,6 +88,10 @@
     pub engines: Vec<Engine>,
     /// What really happened, in order.
     pub records: Vec<(Instant, Record)>,
+    /// The promises, checked as each record is made.
+    pub checker: check::Checker,
+    /// How messages between nodes are doubled and delayed.
+    pub network: Network,
     /// Directed pairs of nodes between which messages are lost.
     pub cuts: BTreeSet<(usize, usize)>,
     /// Nodes that cannot reach the platform.
@@ -143,6 +101,9 @@
     asked: Vec<Asked>,
     places: BTreeMap<(usize, key::Request), usize>,
     parents: BTreeMap<(usize, key::Request), (usize, key::Request)>,
+    attempts: BTreeMap<(usize, key::Request), u64>,
+    next_attempt: u64,
+    commanding: Option<Ticket>,
     queue: Queue,
     rng: StdRng,
     next_ticket: u64,
@@ -170,12 +131,17 @@
             platform: Platform::default(),
             engines: Vec::new(),
             records: Vec::new(),
+            checker: check::Checker::default(),
+            network: Network::default(),
             cuts: BTreeSet::new(),
             severed: BTreeSet::new(),
             answers: BTreeMap::new(),
             asked: Vec::new(),
             places: BTreeMap::new(),
             parents: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            next_attempt: 0,
+            commanding: None,
             queue: Queue::default(),
             rng: StdRng::seed_from_u64(seed),
             next_ticket: 0,
@@ -227,7 +193,14 @@
 
     /// Kills a node's process: its connections close, and what it had in memory is lost.
     pub fn kill(&mut self, number: usize) {
-        self.nodes[number].core = None;
+        self.end(number, false);
+    }
+
+    fn end(&mut self, number: usize, graceful: bool) {
+        if self.nodes[number].core.take().is_none() {
+            return;
+        }
+        self.record(Record::Ended { node: number, graceful });
         self.nodes[number].frozen = false;
         self.drop_runs_of(number);
         self.lose_callers_of(number);
@@ -240,7 +213,10 @@
 
     /// Stops a node's process without ending it.
     pub fn freeze(&mut self, number: usize) {
-        self.nodes[number].frozen = self.nodes[number].core.is_some();
+        if self.nodes[number].core.is_some() && !self.nodes[number].frozen {
+            self.nodes[number].frozen = true;
+            self.record(Record::Frozen(number));
+        }
     }
 
     /// Lets a stopped process go on; what arrived meanwhile is handled first.
@@ -249,6 +225,7 @@
             return;
         }
         self.nodes[number].frozen = false;
+        self.record(Record::Woken(number));
         for event in std::mem::take(&mut self.nodes[number].backlog) {
             self.feed(number, event);
         }
@@ -264,6 +241,7 @@
     pub fn heal(&mut self) {
         self.cuts.clear();
         self.severed.clear();
+        self.network = Network::default();
         self.platform.faults = Faults::default();
     }
 
@@ -346,7 +324,14 @@
             return;
         }
         let Some(core) = &mut node.core else { return };
+        let command = match &event {
+            Event::Command { ticket, .. } => Some(*ticket),
+            _ => None,
+        };
+        let began = std::time::Instant::now();
         let effects = core.handle(self.now + node.skew, event);
+        node.counts.busy += began.elapsed();
+        node.counts.events += 1;
         let version = core.version();
         let done = core.is_done();
         if version != node.version {
@@ -354,15 +339,18 @@
             let incarnation = node.identity.incarnation;
             self.record(Record::InForce { node: number, incarnation, version });
         }
+        self.commanding = command;
         for effect in effects {
             self.carry_out(number, effect);
         }
+        self.commanding = None;
         if done {
-            self.kill(number);
+            self.end(number, true);
         }
     }
 
     fn record(&mut self, record: Record) {
+        self.checker.take(self.now, &record);
         self.records.push((self.now, record));
     }
 
@@ -371,7 +359,12 @@
         match effect {
             Effect::Send { address, message, .. } => self.send(number, address, message),
             Effect::Table { ticket, operation } => self.ask_table(number, ticket, operation),
-            Effect::Put { ticket, key, value } => self.put_object(number, ticket, &key, &value),
+            Effect::Put { ticket, key, value } => {
+                if let Some(Ticket(ticket)) = self.commanding {
+                    self.record(Record::Submitted { ticket, object: key.to_string() });
+                }
+                self.put_object(number, ticket, &key, &value);
+            }
             Effect::Get { ticket, key } => self.get_object(number, ticket, &key),
             Effect::Order { ticket, upstream, address, order, fencing } => {
                 self.nodes[number].counts.orders += 1;
@@ -391,43 +384,26 @@
             Effect::Probe { upstream, address } => self.probe(number, upstream, address),
             Effect::Request { request, step } => self.take_step(number, request, step),
             Effect::Answer { ticket, answer } => {
-                if let Answer::Accepted { version } = answer {
-                    self.record(Record::Accepted(version));
-                }
+                self.record(Record::Told { ticket: ticket.0, answer: answer.clone() });
                 self.answers.insert(ticket.0, answer);
             }
             Effect::Decide(_) => {}
         }
     }
 
-    fn send(&mut self, from: usize, address: SocketAddr, message: orioleroute::message::Message) {
-        let to = node_of(address);
-        let bytes = orioleroute_wire::rpc::encode(&message).map_or(0, |encoded| encoded.len());
-        let counts = &mut self.nodes[from].counts;
-        counts.messages += 1;
-        counts.bytes += bytes as u64;
-        if self.cuts.contains(&(from, to)) || to >= self.nodes.len() {
-            return;
-        }
-        let local = self.nodes[from].identity.region == self.nodes[to].identity.region;
-        let delay = self.delay(if local { LOCAL_DELAY_US } else { REMOTE_DELAY_US });
-        let name = self.nodes[from].identity.name.clone();
-        let event = Event::Message { from: name, message };
-        // A message is to whoever listens there, whatever its incarnation.
-        let incarnation = self.nodes[to].identity.incarnation;
-        self.queue.push(self.now + delay, Delivery::Event { node: to, incarnation, event });
-    }
-
     fn delay(&mut self, (shortest, longest): (u64, u64)) -> Duration {
         Duration::from_micros(self.rng.random_range(shortest..longest))
     }
 
+    fn is_alive(&self, node: usize, incarnation: u64) -> bool {
+        let node = &self.nodes[node];
+        node.identity.incarnation == incarnation && node.core.is_some()
+    }
+
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Tick { node, incarnation } => {
-                if self.nodes[node].identity.incarnation != incarnation
-                    || self.nodes[node].core.is_none()
-                {
+                if !self.is_alive(node, incarnation) {
                     return;
                 }
                 self.feed(node, Event::Tick);
@@ -438,18 +414,19 @@
                     self.feed(node, event);
                 }
             }
-            Delivery::Operation { node, incarnation, ticket, operation } => {
-                self.do_operation(node, incarnation, ticket, &operation);
+            Delivery::Operation { node, incarnation, ticket, operation, since } => {
+                self.do_operation(node, incarnation, ticket, &operation, since);
             }
             Delivery::Order(order) => self.do_order(order),
             Delivery::OrderEnd(order) => self.end_order(order),
-            Delivery::Dispatch { node, incarnation, version, request, dispatch, asked } => {
-                let same = self.nodes[node].identity.incarnation == incarnation;
-                if same && self.nodes[node].core.is_some() {
-                    self.begin_run(node, version, request, &dispatch, asked);
+            Delivery::Dispatch { place, version, dispatch, asked } => {
+                if self.is_alive(place.node, place.incarnation) {
+                    self.begin_run(place, version, &dispatch, asked);
                 }
             }
             Delivery::RunEnd { upstream, run } => self.end_run(upstream, run),
+            Delivery::RunAnswer { place, end } => self.take_run_answer(place, end),
+            Delivery::Timeout(place) => self.time_out(place),
             Delivery::Arrive { node, from, spec } => self.arrive_forwarded(node, from, spec),
         }
     }
--- a/crates/standins/src/world/platform.rs
+++ b/crates/standins/src/world/platform.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use orioleroute::config::HEAD;
 use orioleroute::key::Ticket;
-use orioleroute::prelude::{Arc, Event};
-use orioleroute::table::{Expect, Operation, Outcome, Row};
+use orioleroute::message::Mark;
+use orioleroute::prelude::{Arc, Event, Instant};
+use orioleroute::table::{Expect, Operation, Outcome, Row, Write};
 
-use super::World;
 use super::queue::Delivery;
+use super::{Record, World};
 
 /// The shortest and longest delay of an operation, in microseconds.
 const DELAY_US: (u64, u64) = (1_000, 10_000);
@@ -25,6 +27,8 @@
     pub replies_lost: bool,
     /// Writes take effect this much later, after whoever asked has given up.
     pub writes_late: Option<Duration>,
+    /// Replies take this much longer, and whoever asked may have given up by then.
+    pub slow: Duration,
     /// The object store does nothing.
     pub objects_down: bool,
 }
@@ -93,28 +97,51 @@
             Operation::Write(_) => faults.writes_late.unwrap_or_default(),
             Operation::Read(_) => Duration::ZERO,
         };
-        let at = self.now + self.delay(DELAY_US) + late;
-        let delivery = Delivery::Operation { node, incarnation, ticket, operation };
-        self.queue.push(at, delivery);
+        let delay = self.delay(DELAY_US) + late + faults.slow / 2;
+        let given_up = delay >= GIVE_UP;
+        if given_up {
+            let event = Event::Table { ticket, outcome: Outcome::Unknown };
+            self.queue.push(self.now + GIVE_UP, Delivery::Event { node, incarnation, event });
+        }
+        let ticket = (!given_up).then_some(ticket);
+        let delivery =
+            Delivery::Operation { node, incarnation, ticket, operation, since: self.now };
+        self.queue.push(self.now + delay, delivery);
     }
 
     pub(super) fn do_operation(
         &mut self,
         node: usize,
         incarnation: u64,
-        ticket: Ticket,
+        ticket: Option<Ticket>,
         operation: &Operation,
+        since: Instant,
     ) {
         let outcome = self.platform.carry_out(operation);
+        if let (Operation::Write(writes), Outcome::Written) = (operation, &outcome) {
+            self.note_head(writes);
+        }
+        // Whoever asked has given up already.
+        let Some(ticket) = ticket else { return };
         let faults = self.platform.faults;
         let lost = faults.replies_lost || self.severed.contains(&node);
-        let late = matches!(operation, Operation::Write(_)) && faults.writes_late.is_some();
-        let (outcome, delay) = match lost || late {
-            true => (Outcome::Unknown, GIVE_UP),
-            false => (outcome, self.delay(DELAY_US)),
+        let at = self.now + self.delay(DELAY_US) + faults.slow / 2;
+        let given_up = since + GIVE_UP;
+        let (outcome, at) = match lost || at >= given_up {
+            true => (Outcome::Unknown, given_up),
+            false => (outcome, at),
         };
         let event = Event::Table { ticket, outcome };
-        self.queue.push(self.now + delay, Delivery::Event { node, incarnation, event });
+        self.queue.push(at, Delivery::Event { node, incarnation, event });
+    }
+
+    /// Notes what a write accepted.
+    fn note_head(&mut self, writes: &[Write]) {
+        let head = writes.iter().find(|write| &*write.key == HEAD);
+        let Some(value) = head.and_then(|write| write.value.as_deref()) else { return };
+        let Ok(Mark { version, token }) = serde_json::from_str(value) else { return };
+        let object = format!("config/{version}-{token:016x}.json");
+        self.record(Record::Head { version, object });
     }
 
     pub(super) fn put_object(
