Decide a submission as soon as the head has its version

Cause: a submission that waits for confirmations reads the rows anew each second and so learns the row number of a head that another submission wrote meanwhile. Its own acceptance then met the condition and accepted the same version a second time, with another document. Instances that had the first one never saw the second.

Ruled out: the condition of the write itself, which the fake table checks; lost replies, since most of the histories had none.

--- a/crates/orioleroute/src/config/submission.rs
+++ b/crates/orioleroute/src/config/submission.rs
@@ -159,8 +159,11 @@
         }
     }
 
-    /// Decides a submission whose last write had an unknown outcome, from the head as read, and
-    /// returns whether a new document is in force.
+    /// Decides a submission that was overtaken, or whose last write had an unknown outcome, from the
+    /// head as read, and returns whether a new document is in force.
+    ///
+    /// A submission under way is decided as soon as the head has its version: the row number read
+    /// with it would meet the condition of the acceptance, which would then accept the version twice.
     pub(super) fn settle(
         &mut self,
         now: Instant,
@@ -168,11 +171,12 @@
         effects: &mut Effects,
     ) -> bool {
         let Some(submission) = &mut self.submission else { return false };
-        if !matches!(submission.stage, Stage::Settling | Stage::Overtaken) {
+        let undecided = matches!(submission.stage, Stage::Settling | Stage::Overtaken);
+        let mark = submission.held.mark;
+        if !undecided && head.is_none_or(|head| head.version < mark.version) {
             return false;
         }
         let overtaken = submission.stage == Stage::Overtaken;
-        let mark = submission.held.mark;
         let ticket = submission.ticket;
         match head {
             Some(head) if head == mark => {
