Tell an operator when it is not known whether a version was accepted

Cause: an acceptance whose reply was lost, and that another version followed before the head could be read again, was answered with "another document was accepted first; nothing was accepted". The test of this history failed so before the change, with the breach of the truth of what an operator is told, and passes after it.

--- a/crates/orioleroute/src/config/submission.rs
+++ b/crates/orioleroute/src/config/submission.rs
@@ -34,6 +34,8 @@
     /// The members that hold the document, by name and incarnation.
     confirmed: Set<(Arc<str>, u64)>,
     stage: Stage,
+    /// Whether the head was written with an outcome that is not known.
+    may_be_accepted: bool,
     since: Instant,
     next_send: Instant,
     answered: bool,
@@ -82,6 +84,7 @@
             held,
             confirmed: Set::default(),
             stage: Stage::Storing(storing),
+            may_be_accepted: false,
             since: now,
             next_send: now,
             answered: false,
@@ -131,6 +134,8 @@
         match (submission.stage, outcome) {
             (Stage::Marking(marking), Outcome::Written) if marking == ticket => {
                 self.staged_row += 1;
+                // The head's last write, if it has not taken effect yet, no longer can.
+                submission.may_be_accepted = false;
                 submission.stage = Stage::Confirming;
                 self.drive(now, membership, effects);
                 false
@@ -151,6 +156,7 @@
                 false
             }
             (Stage::Marking(writing) | Stage::Accepting(writing), _) if writing == ticket => {
+                submission.may_be_accepted |= submission.stage == Stage::Accepting(writing);
                 submission.stage = Stage::Settling;
                 self.next_poll = now;
                 false
@@ -184,6 +190,13 @@
                 let accepted = self.submission.take();
                 accepted.is_some_and(|submission| self.adopt(submission.held))
             }
+            Some(head) if head.version > mark.version && submission.may_be_accepted => {
+                let reason = "another version followed before it was known whether this one was \
+                              accepted; compare the document in force";
+                answer(ticket, Answer::Failed { reason: reason.into() }, effects);
+                self.submission = None;
+                false
+            }
             Some(head) if head.version >= mark.version => {
                 self.submission = None;
                 answer(ticket, Answer::Conflict { version: head.version }, effects);
--- a/crates/standins/src/world/check/config.rs
+++ b/crates/standins/src/world/check/config.rs
@@ -58,6 +58,7 @@
                 let true_of_head = accepted.is_some_and(|(_, head, _)| head == version);
                 (!true_of_head).then(|| format!("{object} was called accepted and was not"))
             }
+            Answer::Failed { reason } if !reason.contains("nothing was accepted") => None,
             Answer::Conflict { .. } | Answer::Failed { .. } | Answer::Invalid { .. } => {
                 self.denied.insert(object.clone());
                 accepted.map(|_| format!("{object} was called not accepted and was"))
