--- a/crates/orioleroute/src/config/submission.rs
+++ b/crates/orioleroute/src/config/submission.rs
@@ -37,6 +37,8 @@
     /// The members that hold the document, by name and incarnation.
     confirmed: Set<(Arc<str>, u64)>,
     stage: Stage,
+    /// Whether the head was written with an outcome that is not known.
+    may_be_accepted: bool,
     since: Instant,
     next_send: Instant,
     answered: bool,
@@ -94,6 +96,7 @@
             held,
             confirmed: Set::default(),
             stage: Stage::Storing(storing),
+            may_be_accepted: false,
             since: now,
             next_send: now,
             answered: false,
@@ -161,6 +164,8 @@
             (Stage::Marking(marking), Outcome::Written) if marking == ticket => {
                 // The rows may have been read since the write, and before its reply.
                 self.staged_row = self.staged_row.max(submission.marked);
+                // The head's last write, if it has not taken effect yet, no longer can.
+                submission.may_be_accepted = false;
                 submission.stage = Stage::Confirming;
                 self.drive(now, membership, effects);
                 false
@@ -181,6 +186,7 @@
                 false
             }
             (Stage::Marking(writing) | Stage::Accepting(writing), _) if writing == ticket => {
+                submission.may_be_accepted |= submission.stage == Stage::Accepting(writing);
                 submission.stage = Stage::Settling;
                 self.read_anew(now);
                 false
@@ -189,8 +195,11 @@
         }
     }
 
-    /// Decides a submission whose last write had an unknown outcome, from the head as read, and
-    /// returns whether a new document is in force.
+    /// Decides a submission that was overtaken, or whose last write had an unknown outcome, from the
+    /// head as read, and returns whether a new document is in force.
+    ///
+    /// A submission under way is decided as soon as the head has its version: the row number read
+    /// with it would meet the condition of the acceptance, which would then accept the version twice.
     pub(super) fn settle(
         &mut self,
         now: Instant,
@@ -198,11 +207,12 @@
         effects: &mut Effects,
     ) -> bool {
         let Some(submission) = &mut self.submission else { return false };
-        if !matches!(submission.stage, Stage::Settling | Stage::Overtaken) {
+        let undecided = matches!(submission.stage, Stage::Settling | Stage::Overtaken);
+        let mark = submission.held.mark;
+        if !undecided && head.is_none_or(|head| head.version < mark.version) {
             return false;
         }
         let overtaken = submission.stage == Stage::Overtaken;
-        let mark = submission.held.mark;
         let ticket = submission.ticket;
         match head {
             Some(head) if head == mark => {
@@ -210,6 +220,13 @@
                 let accepted = self.submission.take();
                 accepted.is_some_and(|submission| self.adopt(submission.held))
             }
+            Some(head) if head.version > mark.version && submission.may_be_accepted => {
+                let reason = "another version followed before it was known whether this one was \
+                              accepted; compare the document in force";
+                answer(ticket, Answer::Failed { reason: reason.into() }, effects);
+                self.submission = None;
+                false
+            }
             Some(head) if head.version >= mark.version => {
                 self.submission = None;
                 answer(ticket, Answer::Conflict { version: head.version }, effects);
