Tell callers of streams that break off, and test faults on real processes

Cause: the node closed the caller's connection when an engine or another node broke off, so the caller could not tell whether to ask again. The stream now ends with an error event that says "may-have-run".

Seen failing first: the tests of a killed node, cut connections and an engine that breaks off (unexpected eof instead of the event). Passed at once, so still to be seen failing by a trial: frozen owner, restarted engine, SIGTERM, hanging up, no io_uring.

--- a/crates/orioleroute-node/src/callers.rs
+++ b/crates/orioleroute-node/src/callers.rs
@@ -11,7 +11,6 @@
 use orioleroute_wire::server::{Connection, Fault, Limits, Request, Response, serve};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use slog::error;
 
 use crate::relay::{self, Job};
 use crate::settings::Settings;
@@ -48,7 +47,7 @@
         answer(&shell, connection, request).await
     });
     if let Err(cause) = served.await {
-        error!(log, "caller listener failed"; "error" => cause.to_string());
+        slog::error!(log, "caller listener failed"; "error" => cause.to_string());
     }
 }
 
@@ -190,15 +189,27 @@
     }
 }
 
+/// Returns the last event of a stream that broke off.
+///
+/// The blank line before it ends an event of which only a part arrived.
+pub fn broken_off() -> Bytes {
+    let kind = Kind::Upstream.to_string();
+    let body = error(StatusCode::BAD_GATEWAY, &kind, "the stream broke off", Ran::MayHaveRun);
+    format!("\n\ndata: {body}\n\n").into()
+}
+
 fn problem(status: StatusCode, kind: &str, message: &str, ran: Ran) -> Response {
-    let body = json!({ "error": {
+    Response::json(status, &error(status, kind, message, ran)).with(RAN, ran.to_string())
+}
+
+fn error(status: StatusCode, kind: &str, message: &str, ran: Ran) -> Value {
+    json!({ "error": {
         "message": message,
         "type": kind,
         "param": Value::Null,
         "code": status.as_u16(),
         "ran": ran.to_string(),
-    }});
-    Response::json(status, &body).with(RAN, ran.to_string())
+    }})
 }
 
 /// Returns the body of a completion with another model name.
--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -38,8 +38,8 @@
     Finished,
     /// It failed before the caller got any part of the answer.
     Failed(Failure),
-    /// It failed after the caller got a part; the connection must be closed.
-    BrokenOff(Error),
+    /// It failed after the caller got a part, and the caller was told so.
+    BrokenOff,
 }
 
 /// Runs a request until its final answer.
@@ -87,9 +87,9 @@
             Attempt::Failed(failure) => {
                 shell.feed(Event::Progress { request: key, progress: Progress::Failed(failure) });
             }
-            Attempt::BrokenOff(error) => {
+            Attempt::BrokenOff => {
                 guard.last = Progress::Failed(Failure::Broken);
-                return Err(error);
+                return Ok(());
             }
         }
     }
@@ -265,7 +265,11 @@
         };
         match part {
             Some(Ok(part)) => connection.chunk(&part).await?,
-            Some(Err(error)) => return Ok(Attempt::BrokenOff(error)),
+            Some(Err(_)) => {
+                connection.chunk(&callers::broken_off()).await?;
+                connection.finish().await?;
+                return Ok(Attempt::BrokenOff);
+            }
             None => {
                 connection.finish().await?;
                 return Ok(Attempt::Finished);
--- /dev/null
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -0,0 +1,257 @@
+//! Faults of real processes, with the promises checked from the callers' side.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use standins::link::Link;
+use standins::process::Process;
+use standins::system::{self, set_faults, until};
+use standins::{engine, platform, service};
+use support::{System, book, complete, hang_up_early, is_by, ran, stream};
+
+/// How long a caller waits for a refusal that is given at once.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+#[test]
+fn a_killed_node_is_succeeded_and_its_streams_are_told() {
+    let mut system = System::start(3);
+    let home = system.home(0, "milk");
+    let others: Vec<usize> = (0..3).filter(|index| *index != home).collect();
+    let through_other = stream(system.callers(others[0]), "milk", 2_000);
+    let direct = stream(system.callers(home), "milk", 2_000);
+
+    system.nodes[home].signal(Signal::SIGKILL).expect("it runs");
+    let killed = Instant::now();
+
+    let forwarded = through_other.join().expect("it was read");
+    assert!(forwarded.says_broken(), "{} {:?}", forwarded.text, forwarded.error);
+    assert!(direct.join().expect("it was read").error.is_some());
+    let addresses = [system.callers(others[0]), system.callers(others[1])];
+    until("a successor answers", || {
+        is_by(complete(addresses[0], "milk", "after").as_ref(), "milk@v1")
+    });
+    println!("figure: {:?} from the kill to the first answer", killed.elapsed());
+    until("so does the other", || {
+        is_by(complete(addresses[1], "milk", "after").as_ref(), "milk@v1")
+    });
+    system.nodes.remove(home);
+    system.until_members(2);
+    system.assert_nothing_evicted_in_use();
+}
+
+#[test]
+fn a_frozen_owner_wakes_without_harm() {
+    let system = System::start(3);
+    let home = system.home(0, "milk");
+    let other = (home + 1) % 3;
+    set_faults(system.service, &service::Faults { delay_ms: 1_500, replies_lost: false });
+    let address = system.callers(home);
+    let booking = std::thread::spawn(move || book(address, "frozen"));
+    until("the booking runs", || system.runs("frozen") == 1);
+
+    system.nodes[home].signal(Signal::SIGSTOP).expect("it runs");
+    let again = book(system.callers(other), "frozen").expect("it answers");
+    until("it is removed", || {
+        system::status(&system.nodes[other]).is_some_and(|status| status.instances.len() == 2)
+    });
+    system.submit(other, 1, "v2");
+    until("the others answer", || {
+        is_by(complete(system.callers(other), "milk", "meanwhile").as_ref(), "milk@v2")
+    });
+    let running = stream(system.callers(other), "milk", 300);
+    system.nodes[home].signal(Signal::SIGCONT).expect("it is stopped");
+    let woken = complete(address, "milk", "woken");
+
+    assert!(!is_by(woken.as_ref(), "milk@v1"), "it answered by the old configuration");
+    assert_eq!(again.status, StatusCode::CONFLICT);
+    assert_eq!(ran(&again), Some("may-have-run"));
+    let first = booking.join().expect("it was asked").expect("it was answered");
+    assert_eq!(first.status, StatusCode::OK);
+    assert!(running.join().expect("it was read").is_whole(300));
+    system.until_members(3);
+    until("it answers by the new configuration", || {
+        is_by(complete(address, "milk", "later").as_ref(), "milk@v2")
+    });
+    assert_eq!(system.runs("frozen"), 1);
+    system.assert_nothing_evicted_in_use();
+}
+
+#[test]
+fn cut_connections_break_no_promise() {
+    let engines = [system::engine(engine::Settings::default())];
+    let link = Link::to(engines[0]).expect("a port is free");
+    let system = System::with_engines(2, &engines, &[link.address]);
+    let address = system.callers(system.home(0, "milk"));
+    let broken = stream(address, "milk", 2_000);
+
+    assert!(link.cut() > 0);
+
+    let broken = broken.join().expect("it was read");
+    assert!(broken.says_broken(), "{} {:?}", broken.text, broken.error);
+    until("an answer comes over new connections", || {
+        is_by(complete(address, "milk", "after").as_ref(), "milk@v1")
+    });
+    until("nothing runs on unread", || {
+        system.history().iter().filter(|entry| entry["event"] == "begin").count()
+            == system.history().iter().filter(|entry| entry["event"] == "end").count()
+    });
+}
+
+#[test]
+fn a_long_outage_of_the_table_stops_only_calls_that_may_run_once() {
+    let system = System::start(3);
+    let address = system.callers(0);
+    assert!(is_by(complete(address, "milk@v1", "before").as_ref(), "milk@v1"));
+    set_faults(system.platform, &platform::Faults { table_down: true, ..Default::default() });
+    let begun = Instant::now();
+    let mut answers = 0;
+
+    // Three leases, so that none that the table confirmed is left.
+    until("three leases pass", || {
+        let answer = complete(address, "milk@v1", "meanwhile");
+        assert!(is_by(answer.as_ref(), "milk@v1"), "{answer:?}");
+        answers += 1;
+        begun.elapsed() > Duration::from_secs(9)
+    });
+    let cold = complete(address, "milk@v2", "cold");
+    let asked = Instant::now();
+    let refused = book(address, "outage").expect("it answers");
+    let waited = asked.elapsed();
+
+    assert!(answers > 10);
+    assert!(is_by(cold.as_ref(), "milk@v2"), "{cold:?}");
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(ran(&refused), Some("not-run"));
+    assert!(refused.headers.contains_key("retry-after"));
+    assert_eq!(system.runs("outage"), 0);
+    assert!(waited < AT_ONCE, "{waited:?}");
+    set_faults(system.platform, &platform::Faults::default());
+    until("the booking runs", || {
+        book(address, "outage").is_some_and(|answer| answer.status == StatusCode::OK)
+    });
+    assert_eq!(system.runs("outage"), 1);
+}
+
+#[test]
+fn a_booking_survives_lost_replies_of_the_table() {
+    let system = System::start(2);
+    let address = system.callers(0);
+    set_faults(
+        system.platform,
+        &platform::Faults { table_replies_lost: true, ..Default::default() },
+    );
+
+    let refused = book(address, "lost").expect("it answers");
+    let runs = system.runs("lost");
+    set_faults(system.platform, &platform::Faults::default());
+
+    assert_eq!(ran(&refused), Some("not-run"));
+    assert_eq!(runs, 0);
+    until("the booking runs", || {
+        book(address, "lost").is_some_and(|answer| answer.status == StatusCode::OK)
+    });
+    let again = book(system.callers(1), "lost").expect("it answers");
+    assert_eq!(again.status, StatusCode::CONFLICT);
+    assert_eq!(system.runs("lost"), 1);
+}
+
+#[test]
+fn a_restarted_engine_is_loaded_again() {
+    let engines = [system::engine(engine::Settings::default())];
+    let system = System::with_engines(2, &engines, &engines);
+    let address = system.callers(0);
+    assert!(is_by(complete(address, "milk", "before").as_ref(), "milk@v1"));
+
+    set_faults(engines[0], &engine::Faults { restart: true, ..Default::default() });
+    let answer = complete(address, "milk", "after");
+
+    assert!(is_by(answer.as_ref(), "milk@v1"), "{answer:?}");
+    assert_eq!(system.begins("after"), 1);
+}
+
+#[test]
+fn an_engine_that_breaks_off_is_told_of() {
+    let system = System::start(2);
+    let address = system.callers(system.home(0, "milk"));
+    for engine in &system.engines {
+        set_faults(*engine, &engine::Faults { break_after: 5, ..Default::default() });
+    }
+
+    let broken = stream(address, "milk", 50).join().expect("it was read");
+
+    assert!(broken.says_broken(), "{} {:?}", broken.text, broken.error);
+    assert_eq!(broken.text.matches("w0 ").count(), 1);
+}
+
+#[test]
+fn a_terminated_node_cuts_off_no_stream() {
+    let mut system = System::start(2);
+    let leaving = system.home(0, "milk");
+    let other = 1 - leaving;
+    let streams: Vec<_> = [leaving, other, leaving, other]
+        .map(|index| stream(system.callers(index), "milk", 300))
+        .into();
+
+    system.nodes[leaving].signal(Signal::SIGTERM).expect("it runs");
+    system.add_node("node-new");
+
+    for stream in streams {
+        let stream = stream.join().expect("it was read");
+        assert!(stream.is_whole(300), "{} {:?}", stream.text, stream.error);
+    }
+    let ended = system.nodes[leaving].wait(Duration::from_secs(10)).expect("it ends");
+    assert!(ended.success());
+    system.nodes.remove(leaving);
+    system.until_members(2);
+    let address = system.callers(1);
+    until("the new node answers", || is_by(complete(address, "milk", "after").as_ref(), "milk@v1"));
+    system.assert_nothing_evicted_in_use();
+}
+
+#[rstest]
+#[case::at_its_home(true)]
+#[case::through_another_node(false)]
+fn a_caller_that_hangs_up_cancels_its_work(#[case] at_home: bool) {
+    let system = System::start(2);
+    let home = system.home(0, "milk");
+    let asked = if at_home { home } else { 1 - home };
+
+    hang_up_early(system.callers(asked), "milk", 1_000);
+
+    let ended =
+        until("the work ends", || system.history().iter().any(|entry| entry["event"] == "end"));
+    // The whole stream would last ten seconds.
+    assert!(ended < Duration::from_secs(3), "{ended:?}");
+}
+
+#[test]
+fn a_node_uses_no_io_uring_and_starts_no_process() {
+    let system = System::start(2);
+    let address = system.callers(0);
+    assert!(is_by(complete(address, "milk", "one").as_ref(), "milk@v1"));
+    assert_eq!(book(address, "seat").map(|answer| answer.status), Some(StatusCode::OK));
+
+    for node in &system.nodes {
+        assert_eq!(links(node).iter().find(|link| link.contains("io_uring")), None);
+        assert!(links(node).iter().any(|link| link.contains("eventpoll")));
+        assert_eq!(children(node), "");
+    }
+}
+
+/// Returns what the open files of a process are.
+fn links(process: &Process) -> Vec<String> {
+    let folder = std::fs::read_dir(format!("/proc/{}/fd", process.id())).expect("it runs");
+    let links = folder.flatten().filter_map(|entry| std::fs::read_link(entry.path()).ok());
+    links.map(|link| link.display().to_string()).collect()
+}
+
+/// Returns the ids of the processes that the threads of a process started.
+fn children(process: &Process) -> String {
+    let threads = std::fs::read_dir(format!("/proc/{}/task", process.id())).expect("it runs");
+    let lists = threads.flatten().map(|thread| thread.path().join("children"));
+    lists.map(|list| std::fs::read_to_string(list).expect("the kernel lists children")).collect()
+}
--- /dev/null
+++ b/crates/orioleroute-node/tests/support/mod.rs
@@ -0,0 +1,244 @@
+//! A system of node processes for tests of faults, seen from its callers' side.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use orioleroute::instance::Listing;
+use orioleroute::operator::{Answer, Command};
+use orioleroute_wire::client::{Answer as HttpAnswer, Call, Pool};
+use orioleroute_wire::{Error, runtime};
+use serde_json::{Value, json};
+use standins::engine::Settings;
+use standins::process::Process;
+use standins::system::{self, call, listing, node, publish, status, until};
+
+/// The region of every node.
+pub const REGION: &str = "zurich";
+
+/// The longest wait for the first part of a stream.
+const FIRST_PART: Duration = Duration::from_secs(10);
+
+/// A platform, two engines, a service and nodes with a document in force.
+pub struct System {
+    /// The platform.
+    pub platform: SocketAddr,
+    /// The engines.
+    pub engines: Vec<SocketAddr>,
+    /// The plain service.
+    pub service: SocketAddr,
+    /// The nodes.
+    pub nodes: Vec<Process>,
+}
+
+impl System {
+    /// Starts a system with this many nodes.
+    pub fn start(nodes: usize) -> Self {
+        let engines: Vec<SocketAddr> =
+            (0..2).map(|_| system::engine(Settings::default())).collect();
+        Self::with_engines(nodes, &engines, &engines)
+    }
+
+    /// Starts a system whose nodes reach the engines at other addresses than the test does.
+    pub fn with_engines(nodes: usize, engines: &[SocketAddr], reached: &[SocketAddr]) -> Self {
+        let platform = system::platform();
+        let service = system::service();
+        let mut list: Vec<Listing> = reached
+            .iter()
+            .enumerate()
+            .map(|(index, address)| {
+                listing(&format!("engine-{index}"), "coaching", REGION, *address)
+            })
+            .collect();
+        list.push(listing("course", "course", REGION, service));
+        publish(platform, &list);
+        let mut system = Self { platform, engines: engines.to_vec(), service, nodes: Vec::new() };
+        for index in 0..nodes {
+            system.add_node(&format!("node-{index}"));
+        }
+        system.until_members(nodes);
+        system.submit(0, 0, "v1");
+        system
+    }
+
+    /// Starts one more node.
+    pub fn add_node(&mut self, name: &str) {
+        let program = Path::new(env!("CARGO_BIN_EXE_orioleroute-node"));
+        self.nodes.push(node(program, name, REGION, self.platform, &[]).expect("it starts"));
+    }
+
+    /// Submits a document whose default version is given, and waits until it is in force.
+    pub fn submit(&self, by: usize, base: u64, default: &str) {
+        let document: Arc<str> = document(default).to_string().into();
+        let submit = Command::Submit { base, document };
+        let answer = system::command(&self.nodes[by], &submit);
+        assert_eq!(answer, Some(Answer::Accepted { version: base + 1 }));
+        until("it is in force", || {
+            status(&self.nodes[by]).is_some_and(|status| status.version == base + 1)
+        });
+    }
+
+    /// Waits until every node that runs sees this many members and the newest document.
+    pub fn until_members(&self, count: usize) -> Duration {
+        until("the members are known", || {
+            self.nodes
+                .iter()
+                .all(|node| status(node).is_some_and(|status| status.instances.len() == count))
+        })
+    }
+
+    /// Returns where a node takes callers.
+    pub fn callers(&self, index: usize) -> SocketAddr {
+        self.nodes[index].address("callers").expect("the node printed its addresses")
+    }
+
+    /// Returns the number of the node that is home to a model, by the word of another.
+    pub fn home(&self, asked: usize, model: &str) -> usize {
+        let question = Call::new(Method::GET, format!("/route?adapter={model}"));
+        let answer = call(self.callers(asked), question).expect("the node answers");
+        let body: Value = serde_json::from_slice(&answer.body).expect("it is JSON");
+        let address = body["addresses"][0].as_str().expect("there is a home").parse();
+        let address: SocketAddr = address.expect("it is an address");
+        let mut nodes = 0..self.nodes.len();
+        nodes.find(|index| self.callers(*index) == address).expect("it is one of the nodes")
+    }
+
+    /// Returns how often the service ran a booking.
+    pub fn runs(&self, key: &str) -> u64 {
+        let answer = call(self.service, Call::new(Method::GET, "/runs")).expect("it answers");
+        let body: Value = serde_json::from_slice(&answer.body).expect("it is JSON");
+        body[key].as_u64().unwrap_or(0)
+    }
+
+    /// Returns everything that the engines did.
+    pub fn history(&self) -> Vec<Value> {
+        let histories = self.engines.iter().map(|engine| {
+            let answer = call(*engine, Call::new(Method::GET, "/history")).expect("it answers");
+            serde_json::from_slice::<Vec<Value>>(&answer.body).expect("it is JSON")
+        });
+        histories.flatten().collect()
+    }
+
+    /// Returns how often the engines began a request.
+    pub fn begins(&self, request: &str) -> usize {
+        let history = self.history();
+        history.iter().filter(|entry| entry["request"] == request).count()
+    }
+
+    /// Checks that nothing was unloaded while it was in use.
+    pub fn assert_nothing_evicted_in_use(&self) {
+        for entry in self.history() {
+            assert!(entry["event"] != "unload" || entry["running"] == 0, "{entry}");
+        }
+    }
+}
+
+fn document(default: &str) -> Value {
+    json!({
+        "format": 1,
+        "models": [{ "name": "coach-7b" }],
+        "pools": [{ "name": "coaching", "model": "coach-7b", "slots": 2, "fencing": "checked" }],
+        "adapters": [{
+            "name": "milk", "model": "coach-7b", "versions": ["v1", "v2"], "default": default,
+        }],
+        "services": [{ "name": "bookings", "pool": "course" }],
+    })
+}
+
+fn completion(model: &str, tokens: u32, stream: bool) -> Call {
+    let body = json!({ "model": model, "max_tokens": tokens, "prompt": "hello", "stream": stream });
+    Call::new(Method::POST, "/v1/completions").json(&body)
+}
+
+/// Asks for a whole answer under a request's name.
+pub fn complete(address: SocketAddr, model: &str, request: &str) -> Option<HttpAnswer> {
+    call(address, completion(model, 3, false).header("x-request-id", request)).ok()
+}
+
+/// Returns whether an answer is whole and by a served name.
+pub fn is_by(answer: Option<&HttpAnswer>, served: &str) -> bool {
+    answer.is_some_and(|answer| {
+        let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        answer.status == StatusCode::OK && body["model"] == served
+    })
+}
+
+/// Books a seat once, whatever comes back.
+pub fn book(address: SocketAddr, key: &str) -> Option<HttpAnswer> {
+    let request = Call::new(Method::POST, "/services/bookings/enrol")
+        .header("idempotency-key", key)
+        .body("text/plain", "one seat");
+    call(address, request).ok()
+}
+
+/// Returns what an answer says about whether the request ran.
+pub fn ran(answer: &HttpAnswer) -> Option<&str> {
+    answer.headers.get("x-request-ran")?.to_str().ok()
+}
+
+/// What a caller had of a stream.
+pub struct Stream {
+    /// The text up to its end.
+    pub text: String,
+    /// How the connection broke, if it did.
+    pub error: Option<Error>,
+}
+
+impl Stream {
+    /// Returns whether it has every token once, in order, and its end.
+    pub fn is_whole(&self, tokens: u32) -> bool {
+        let words: String = self
+            .text
+            .lines()
+            .filter_map(|line| serde_json::from_str::<Value>(line.strip_prefix("data: ")?).ok())
+            .filter_map(|event| Some(event["choices"][0]["text"].as_str()?.to_owned()))
+            .collect();
+        let expected: String = (0..tokens).map(|index| format!("w{index} ")).collect();
+        self.error.is_none() && words == expected && self.text.ends_with("data: [DONE]\n\n")
+    }
+
+    /// Returns whether its last event says that the answer broke off and may have run.
+    pub fn says_broken(&self) -> bool {
+        let last = self.text.trim_end().lines().last().and_then(|line| line.strip_prefix("data: "));
+        let event: Value =
+            last.and_then(|data| serde_json::from_str(data).ok()).unwrap_or_default();
+        event["error"]["ran"] == "may-have-run"
+    }
+}
+
+/// Reads a stream on a thread of its own, and returns once its first part is there.
+pub fn stream(address: SocketAddr, model: &str, tokens: u32) -> JoinHandle<Stream> {
+    let (begun, first) = std::sync::mpsc::channel();
+    let question = completion(model, tokens, true);
+    let reader = std::thread::spawn(move || {
+        runtime::block_on(async move {
+            let mut read = Stream { text: String::new(), error: None };
+            let mut incoming = match Pool::new().open(address, question).await {
+                Ok(incoming) => incoming,
+                Err(error) => return Stream { error: Some(error), ..read },
+            };
+            while let Some(part) = incoming.next().await {
+                match part {
+                    Ok(part) => read.text.push_str(&String::from_utf8_lossy(&part)),
+                    Err(error) => read.error = Some(error),
+                }
+                let _ = begun.send(());
+            }
+            read
+        })
+    });
+    first.recv_timeout(FIRST_PART).expect("the stream begins");
+    reader
+}
+
+/// Begins a stream, reads its first part and goes away.
+pub fn hang_up_early(address: SocketAddr, model: &str, tokens: u32) {
+    let question = completion(model, tokens, true);
+    runtime::block_on(async move {
+        let mut incoming = Pool::new().open(address, question).await.expect("it answers");
+        incoming.next().await.expect("it begins").expect("it begins well");
+    });
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! their guarantees, and can be told over HTTP to fail. They serve demonstrations and tests only.
 
 pub mod engine;
+pub mod link;
 pub mod platform;
 pub mod process;
 pub mod service;
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -49,6 +49,11 @@
         values.find_map(|value| value.parse().ok())
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
