Claim requests in groups, settle unknown claims by reading, and free keys that were not used

Cause: each claim was a write of its own; one whose reply was lost, or whose request was then not sent, barred its key for good; in an outage each request waited for the table's time limit.

A conflict refuses only the rows it names; a row says claimed, finished or abandoned, and abandoned is written only by the claimer that sent nothing. An unknown outcome is read; if the row is absent it is taken as abandoned, so that a late write cannot bar it. An outage is known from any operation without a reply, and claims are then refused at once.

Seen failing first, now passing: the process tests of lost replies and of a long outage of the table. cargo test -p orioleroute (2,000 histories) and -p orioleroute-node: green.

--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -1,6 +1,7 @@
 //! The core of one instance: events in, effects out.
 
 use crate::catalog::Catalog;
+use crate::claim::Claims;
 use crate::config::Config;
 use crate::effect::Effects;
 use crate::fleet::Fleet;
@@ -54,6 +55,7 @@
     catalog: Catalog,
     fleet: Fleet,
     requests: Requests,
+    claims: Claims,
     orders: Orders,
     ownership: Ownership,
     indexed: u64,
@@ -64,6 +66,7 @@
     /// Returns the core of an instance that has just started.
     pub fn new(identity: Identity) -> Self {
         Self {
+            claims: Claims::new(&identity),
             membership: Membership::new(identity),
             config: Config::default(),
             catalog: Catalog::default(),
@@ -111,6 +114,7 @@
         if self.membership.changes() != self.indexed {
             self.index(now);
         }
+        self.flush_claims(now);
         self.effects.drain().collect()
     }
 
@@ -139,9 +143,11 @@
         &self.requests
     }
 
-    /// Returns whether the instance has left and every request has had its final answer.
+    /// Returns whether the instance has left, every request has had its final answer, and every
+    /// claim is settled or cannot be.
     pub fn is_done(&self) -> bool {
-        self.membership.has_left() && self.requests.is_empty()
+        let settled = self.claims.is_empty() || self.claims.is_down();
+        self.membership.has_left() && self.requests.is_empty() && settled
     }
 
     fn tick(&mut self, now: Instant) {
@@ -153,14 +159,15 @@
         self.probe(now);
         self.reconcile(now);
         self.refuse_overdue(now);
+        self.refuse_unclaimed(now);
         self.place(now);
     }
 
     fn take_table(&mut self, now: Instant, ticket: Ticket, outcome: &crate::table::Outcome) {
-        if self.membership.take_outcome(now, ticket, outcome, &mut self.effects) {
+        if self.take_claims(now, ticket, outcome) {
             return;
         }
-        if self.take_claim(now, ticket, outcome) {
+        if self.membership.take_outcome(now, ticket, outcome, &mut self.effects) {
             return;
         }
         let membership = &self.membership;
--- a/crates/orioleroute/src/core/claims.rs
+++ b/crates/orioleroute/src/core/claims.rs
@@ -2,50 +2,78 @@
 
 use super::Core;
 use super::requests::RETRY_AFTER;
+use crate::claim::{self, Claims, Verdict};
 use crate::key::Ticket;
 use crate::prelude::*;
-use crate::request::{Kind, State};
-use crate::table::{Expect, Operation, Outcome, Write};
+use crate::request::{Kind, Ran, Request, State, Target};
+use crate::table::Outcome;
 
 impl Core {
-    /// Writes the claim of a request that may run only once.
+    /// Claims a request that may run only once, before any of it is sent.
     pub(super) fn claim(&mut self, now: Instant, key: key::Request) {
-        let Some(request) = self.requests.get(key) else { return };
-        let Some(idempotency) = request.spec.idempotency.clone() else {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let (Target::Model(target) | Target::Service(target)) = &request.spec.target;
+        let Some(idempotency) = &request.spec.idempotency else {
             // Without a key of the caller's there is nothing that another try could match.
-            if let Some(request) = self.requests.get_mut(key) {
-                request.claimed = true;
-            }
             return self.route(now, key);
         };
-        let claimer = self.membership.identity().name.clone();
-        let write = Write::put(format!("claim/{idempotency}"), Expect::Absent, &claimer);
-        let ticket = self.effects.table(Operation::Write(vec![write]));
-        if let Some(request) = self.requests.get_mut(key) {
-            request.state = State::Claiming(ticket);
+        let row = Claims::row(target, idempotency);
+        request.state = State::Claiming;
+        request.claim = Some(row.clone());
+        if let Err(verdict) = self.claims.begin(&row, key) {
+            self.take_verdict(now, key, verdict);
         }
     }
 
-    /// Takes the outcome of a claim, and returns whether it was one.
-    pub(super) fn take_claim(&mut self, now: Instant, ticket: Ticket, outcome: &Outcome) -> bool {
-        let Some(key) = self.requests.claiming(ticket) else { return false };
-        match outcome {
-            Outcome::Written => {
+    /// Takes the outcome of an operation on claims, and returns whether it was one.
+    pub(super) fn take_claims(&mut self, now: Instant, ticket: Ticket, outcome: &Outcome) -> bool {
+        self.claims.note_outcome(now, outcome);
+        let Some(settled) = self.claims.take_outcome(now, ticket, outcome) else { return false };
+        for (key, verdict) in settled {
+            self.take_verdict(now, key, verdict);
+        }
+        true
+    }
+
+    fn take_verdict(&mut self, now: Instant, key: key::Request, verdict: Verdict) {
+        match verdict {
+            Verdict::Granted => {
                 if let Some(request) = self.requests.get_mut(key) {
                     request.state = State::Waiting;
-                    request.claimed = true;
                 }
                 self.route(now, key);
             }
-            Outcome::Conflict(_) => {
-                if let Some(request) = self.requests.get_mut(key) {
-                    request.spec.may_have_run = true;
-                }
-                self.refuse(key, Kind::Conflict, None);
-            }
-            // This instance has not sent it, and the key stays barred if the claim was written.
-            _ => self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER)),
+            Verdict::Ran => self.refuse_as(key, Kind::Conflict, Ran::Ran, None),
+            Verdict::MayHaveRun => self.refuse_as(key, Kind::Conflict, Ran::MayHaveRun, None),
+            // This instance has sent nothing of it.
+            Verdict::Unsettled => self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER)),
+        }
+    }
+
+    /// Writes and reads the claims that are due.
+    pub(super) fn flush_claims(&mut self, now: Instant) {
+        if self.claims.is_empty() {
+            return;
+        }
+        let members: usize = self.membership.views().map(|view| view.members.len()).sum();
+        self.claims.flush(now, members.max(1), &mut self.effects);
+    }
+
+    /// Refuses the requests whose deadlines passed before their claims were settled.
+    pub(super) fn refuse_unclaimed(&mut self, now: Instant) {
+        let requests = &self.requests;
+        let is_overdue =
+            |key: &key::Request| requests.get(*key).is_some_and(|request| now >= request.deadline);
+        let overdue: Vec<key::Request> = self.claims.waiting().filter(is_overdue).collect();
+        for key in overdue {
+            self.refuse(key, Kind::Deadline, Some(RETRY_AFTER));
+        }
+    }
+
+    /// Ends the claim of a request that is over.
+    pub(super) fn end_claim(&mut self, key: key::Request, request: &Request, state: claim::State) {
+        if let Some(row) = &request.claim {
+            self.claims.end(row, key, state);
         }
-        true
     }
 }
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -1,6 +1,7 @@
 //! Callers' requests, from arrival to the final answer.
 
 use super::Core;
+use crate::claim;
 use crate::fleet::Fleet;
 use crate::prelude::*;
 use crate::request::{
@@ -37,7 +38,7 @@
             deadline: now + patience,
             state: State::Waiting,
             attempts: 0,
-            claimed: false,
+            claim: None,
             spec,
         };
         let needs_claim = !request.spec.repeatable;
@@ -59,15 +60,25 @@
     pub(super) fn take_progress(&mut self, now: Instant, key: key::Request, progress: Progress) {
         match progress {
             Progress::Begun => {}
-            Progress::Finished | Progress::Gone => {
-                self.release(now, key);
-                self.requests.remove(key);
-                self.place(now);
+            Progress::Finished => self.end(now, key, claim::State::Finished),
+            Progress::Gone => {
+                let is_sent = self.requests.get(key).is_none_or(Request::may_have_run);
+                let state = if is_sent { claim::State::Claimed } else { claim::State::Abandoned };
+                self.end(now, key, state);
             }
             Progress::Failed(failure) => self.take_failure(now, key, failure),
         }
     }
 
+    /// Ends a request that needs no further step.
+    fn end(&mut self, now: Instant, key: key::Request, state: claim::State) {
+        self.release(now, key);
+        if let Some(request) = self.requests.remove(key) {
+            self.end_claim(key, &request, state);
+        }
+        self.place(now);
+    }
+
     fn take_failure(&mut self, now: Instant, key: key::Request, failure: Failure) {
         self.release(now, key);
         let Some(request) = self.requests.get_mut(key) else { return };
@@ -176,10 +187,27 @@
 
     /// Ends a request with a refusal, at once.
     pub(super) fn refuse(&mut self, key: key::Request, kind: Kind, retry_after: Option<Duration>) {
-        self.decide(key, None, Reason::Refused, Vec::new());
-        let request = self.requests.remove(key);
-        let may_have_run = request.is_some_and(|request| request.spec.may_have_run);
+        let may_have_run = self.requests.get(key).is_some_and(Request::may_have_run);
         let ran = if may_have_run { Ran::MayHaveRun } else { Ran::NotRun };
+        self.refuse_as(key, kind, ran, retry_after);
+    }
+
+    /// Ends a request with a refusal that says whether it ran.
+    pub(super) fn refuse_as(
+        &mut self,
+        key: key::Request,
+        kind: Kind,
+        ran: Ran,
+        retry_after: Option<Duration>,
+    ) {
+        self.decide(key, None, Reason::Refused, Vec::new());
+        if let Some(request) = self.requests.remove(key) {
+            let state = match ran {
+                Ran::NotRun => claim::State::Abandoned,
+                Ran::MayHaveRun | Ran::Ran => claim::State::Claimed,
+            };
+            self.end_claim(key, &request, state);
+        }
         let step = Step::Refuse(Refusal { kind, ran, retry_after });
         self.effects.push(Effect::Request { request: key, step });
     }
--- a/crates/orioleroute/src/lib.rs
+++ b/crates/orioleroute/src/lib.rs
@@ -13,7 +13,8 @@
 //!   upstream, and the lease under which orders are given.
 //! * [`fleet`], [`routing`] and [`placement`]: the upstreams, the choice of one for a request, and
 //!   the choice of what to load and unload.
-//! * [`request`]: a caller's request from arrival to its one final answer.
+//! * [`request`] and [`claim`]: a caller's request from arrival to its one final answer, and what
+//!   lets it run at most once.
 //!
 //! # Examples
 //!
@@ -41,6 +42,7 @@
 //! ```
 
 pub mod catalog;
+pub mod claim;
 pub mod config;
 mod core;
 pub mod document;
--- a/crates/orioleroute/src/request.rs
+++ b/crates/orioleroute/src/request.rs
@@ -5,7 +5,6 @@
 use slotmap::SlotMap;
 
 use crate::document::Importance;
-use crate::key::Ticket;
 use crate::prelude::*;
 
 /// What a request is for.
@@ -149,7 +148,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum State {
     /// Its claim is being written to the table.
-    Claiming(Ticket),
+    Claiming,
     /// It waits for its revision to be loaded.
     Waiting,
     /// It runs on an upstream.
@@ -175,8 +174,16 @@
     pub state: State,
     /// The attempts made.
     pub attempts: u32,
-    /// Whether its claim is in the table.
-    pub claimed: bool,
+    /// The key of the row that holds its claim, if it needs one.
+    pub claim: Option<Arc<str>>,
+}
+
+impl Request {
+    /// Returns whether an attempt, here or at another instance, may have run.
+    pub fn may_have_run(&self) -> bool {
+        let is_sent = matches!(self.state, State::Running(_) | State::Forwarded);
+        self.spec.may_have_run || is_sent
+    }
 }
 
 /// All requests that have not had their final answers.
@@ -253,16 +260,6 @@
             .collect()
     }
 
-    /// Returns the request whose claim has this ticket.
-    pub fn claiming(&self, ticket: Ticket) -> Option<key::Request> {
-        self.arena
-            .iter()
-            .find(|(_, slot)| {
-                slot.as_ref().is_some_and(|request| request.state == State::Claiming(ticket))
-            })
-            .map(|(key, _)| key)
-    }
-
     /// Returns the number of requests.
     pub fn len(&self) -> usize {
         self.arena.len()
