Test claims under faults of the table, the service and the claimers

The fake upstream gave the whole answer even when its answers were to be lost, so that the fault tested nothing; seen as a request without a key that was answered in spite of it. It now gives none.

--- /dev/null
+++ b/crates/orioleroute/tests/claims.rs
@@ -0,0 +1,298 @@
+//! Requests that may run only once, under faults of the table, the service and the claimers.
+
+use std::time::Duration;
+
+use orioleroute::operator::Command;
+use orioleroute::request::{Kind, Ran, Refusal, Spec, Target};
+use proptest::prelude::*;
+use rstest::rstest;
+use serde_json::json;
+use standins::world::check::breaches;
+use standins::world::{Engine, Faults, Outcome, Record, World};
+
+const NODES: usize = 3;
+
+/// Longer than a run of the service and every wait for the table.
+const SETTLED: Duration = Duration::from_secs(8);
+
+fn document() -> String {
+    json!({
+        "format": 1,
+        "models": [],
+        "pools": [],
+        "adapters": [],
+        "services": [{ "name": "bookings", "pool": "course" }],
+    })
+    .to_string()
+}
+
+/// Nodes before one plain service, with a document in force.
+fn world(seed: u64) -> World {
+    let mut world = World::new(seed);
+    for _ in 0..NODES {
+        world.add_node("zurich");
+    }
+    world.add_engine(Engine::new(0, "course", "zurich", 0));
+    world.run(SETTLED);
+    // An operator whose submission fails submits again.
+    while world.nodes[0].core.as_ref().is_some_and(|core| core.version() == 0) {
+        world.command(0, Command::Submit { base: 0, document: document().into() });
+        world.run(SETTLED);
+    }
+    world
+}
+
+fn book(world: &mut World, node: usize, key: Option<&str>) -> usize {
+    let spec = Spec {
+        target: Target::Service("bookings".into()),
+        importance: None,
+        patience: Some(Duration::from_secs(5)),
+        repeatable: false,
+        idempotency: key.map(Into::into),
+        hops: 0,
+        may_have_run: false,
+    };
+    world.ask(node, spec)
+}
+
+fn runs(world: &World) -> usize {
+    world.records.iter().filter(|(_, record)| matches!(record, Record::Began { .. })).count()
+}
+
+fn is_whole(outcome: Option<&Outcome>) -> bool {
+    matches!(outcome, Some(Outcome::Whole(_)))
+}
+
+fn refusal(outcome: Option<&Outcome>) -> Option<(Kind, Ran)> {
+    match outcome {
+        Some(Outcome::Refused(Refusal { kind, ran, .. })) => Some((*kind, *ran)),
+        _ => None,
+    }
+}
+
+#[test]
+fn claims_are_written_in_groups() {
+    let mut world = world(1);
+    let before = world.nodes[0].counts.writes;
+
+    let numbers: Vec<usize> =
+        (0..300).map(|index| book(&mut world, 0, Some(&format!("seat-{index}")))).collect();
+    world.run(Duration::from_secs(3));
+
+    assert!(numbers.iter().all(|number| is_whole(world.outcome(*number))));
+    let writes = world.nodes[0].counts.writes - before;
+    // Three hundred claims and as many ends are 600 rows.
+    assert!(writes <= 12, "{writes} writes");
+}
+
+#[test]
+fn a_conflict_refuses_only_its_own_request() {
+    let mut world = world(2);
+    book(&mut world, 1, Some("seat-3"));
+    world.run(SETTLED);
+
+    let numbers: Vec<usize> =
+        (0..10).map(|index| book(&mut world, 0, Some(&format!("seat-{index}")))).collect();
+    world.run(SETTLED);
+
+    for (index, number) in numbers.into_iter().enumerate() {
+        let outcome = world.outcome(number);
+        match index {
+            3 => assert_eq!(refusal(outcome), Some((Kind::Conflict, Ran::Ran))),
+            _ => assert!(is_whole(outcome), "{index}: {outcome:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_claim_outlives_its_claimer() {
+    let mut world = world(3);
+    book(&mut world, 0, Some("seat"));
+    assert!(world.run_until(SETTLED, |world| runs(world) == 1));
+    world.kill(0);
+    world.run(SETTLED);
+
+    let again = book(&mut world, 1, Some("seat"));
+    world.run(SETTLED);
+
+    assert_eq!(refusal(world.outcome(again)), Some((Kind::Conflict, Ran::MayHaveRun)));
+    assert_eq!(runs(&world), 1);
+}
+
+#[rstest]
+#[case::at_the_same_node(0)]
+#[case::at_another_node(1)]
+fn a_key_that_was_not_used_can_be_claimed_again(#[case] node: usize) {
+    let mut world = world(4);
+    world.engines[0].faults.down = true;
+    let first = book(&mut world, 0, Some("seat"));
+    world.run(SETTLED);
+    world.engines[0].faults.down = false;
+
+    let again = book(&mut world, node, Some("seat"));
+    world.run(SETTLED);
+
+    assert_eq!(refusal(world.outcome(first)).map(|(_, ran)| ran), Some(Ran::NotRun));
+    assert!(is_whole(world.outcome(again)), "{:?}", world.outcome(again));
+}
+
+#[rstest]
+#[case::reply_lost(Faults { replies_lost: true, ..Faults::default() })]
+#[case::written_late(Faults { writes_late: Some(Duration::from_secs(6)), ..Faults::default() })]
+#[case::table_down(Faults { table_down: true, ..Faults::default() })]
+fn an_unknown_claim_bars_no_later_try(#[case] faults: Faults) {
+    let mut world = world(5);
+    world.platform.faults = faults;
+    let first = book(&mut world, 0, Some("seat"));
+    world.run(Duration::from_secs(5));
+    world.heal();
+    world.run(SETTLED);
+
+    let again = book(&mut world, 1, Some("seat"));
+    world.run(SETTLED);
+
+    assert_eq!(refusal(world.outcome(first)).map(|(_, ran)| ran), Some(Ran::NotRun));
+    assert!(is_whole(world.outcome(again)), "{:?}", world.outcome(again));
+    assert_eq!(runs(&world), 1);
+}
+
+#[test]
+fn an_outage_of_the_table_refuses_at_once() {
+    let mut world = world(6);
+    world.platform.faults.table_down = true;
+    world.run(SETTLED);
+
+    let number = book(&mut world, 0, Some("seat"));
+
+    assert_eq!(refusal(world.outcome(number)), Some((Kind::Unavailable, Ran::NotRun)));
+}
+
+#[test]
+fn without_a_key_one_attempt_is_made() {
+    let mut world = world(7);
+    world.engines[0].faults.answers_lost = true;
+
+    let number = book(&mut world, 0, None);
+    world.run(SETTLED);
+
+    assert_eq!(refusal(world.outcome(number)).map(|(_, ran)| ran), Some(Ran::MayHaveRun));
+    assert_eq!(runs(&world), 1);
+}
+
+/// One thing that happens between two bookings.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Book { node: usize, key: usize },
+    Kill(usize),
+    Start(usize),
+    Freeze(usize),
+    Wake(usize),
+    TableDown,
+    RepliesLost,
+    WritesLate(u64),
+    ServiceDown(bool),
+    AnswersLost(bool),
+    Heal,
+    Wait(u64),
+}
+
+/// The keys that bookings use.
+const KEYS: usize = 4;
+
+fn step() -> impl Strategy<Value = Step> {
+    let node = 0..NODES;
+    prop_oneof![
+        12 => (node.clone(), 0..KEYS).prop_map(|(node, key)| Step::Book { node, key }),
+        1 => node.clone().prop_map(Step::Kill),
+        1 => node.clone().prop_map(Step::Start),
+        1 => node.clone().prop_map(Step::Freeze),
+        1 => node.prop_map(Step::Wake),
+        1 => Just(Step::TableDown),
+        1 => Just(Step::RepliesLost),
+        1 => (1..5_000_u64).prop_map(Step::WritesLate),
+        2 => any::<bool>().prop_map(Step::ServiceDown),
+        2 => any::<bool>().prop_map(Step::AnswersLost),
+        3 => Just(Step::Heal),
+        8 => (1..2_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+fn apply(world: &mut World, step: Step) {
+    match step {
+        Step::Book { node, key } => {
+            book(world, node, Some(&format!("seat-{key}")));
+        }
+        Step::Kill(node) => world.kill(node),
+        Step::Start(node) if world.nodes[node].core.is_none() => world.start(node),
+        Step::Start(_) => {}
+        Step::Freeze(node) => world.freeze(node),
+        Step::Wake(node) => world.wake(node),
+        Step::TableDown => world.platform.faults.table_down = true,
+        Step::RepliesLost => world.platform.faults.replies_lost = true,
+        Step::WritesLate(millis) => {
+            world.platform.faults.writes_late = Some(Duration::from_millis(millis));
+        }
+        Step::ServiceDown(down) => world.engines[0].faults.down = down,
+        Step::AnswersLost(lost) => world.engines[0].faults.answers_lost = lost,
+        Step::Heal => world.heal(),
+        Step::Wait(millis) => world.run(Duration::from_millis(millis)),
+    }
+}
+
+/// Ends all faults and lets the nodes settle.
+fn settle(world: &mut World) {
+    world.heal();
+    world.engines[0].faults = Default::default();
+    for node in 0..NODES {
+        world.wake(node);
+        if world.nodes[node].core.is_none() {
+            world.start(node);
+        }
+    }
+    world.run(Duration::from_secs(30));
+}
+
+/// Returns whether every booking of a key was refused as not run by a node that then lived on.
+fn is_unused(world: &World, key: &str) -> bool {
+    let mut asked = world.records.iter().filter_map(|(_, record)| match record {
+        Record::Asked(number, asked) if asked.idempotency.as_deref() == Some(key) => Some(*number),
+        _ => None,
+    });
+    asked.all(|number| refusal(world.outcome(number)).is_some_and(|(_, ran)| ran == Ran::NotRun))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: std::env::var("ORIOLEROUTE_HISTORIES")
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(500),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// No key runs twice, whatever fails; and while no node was killed, a key whose every try was
+    /// refused as not run can still be used.
+    #[test]
+    fn a_key_runs_once_and_is_not_lost(
+        seed in any::<u64>(),
+        steps in prop::collection::vec(step(), 1..40),
+    ) {
+        let mut world = world(seed);
+        for step in &steps {
+            apply(&mut world, *step);
+        }
+        settle(&mut world);
+        let killed = steps.iter().any(|step| matches!(step, Step::Kill(_)));
+        for key in (0..KEYS).map(|key| format!("seat-{key}")) {
+            let is_free = !killed && is_unused(&world, &key);
+            let number = book(&mut world, 0, Some(&key));
+            world.run(SETTLED);
+            let outcome = world.outcome(number);
+            prop_assert!(!is_free || is_whole(outcome), "{key} was lost: {outcome:?}");
+            prop_assert!(outcome.is_some(), "{key} has no answer");
+        }
+        let breaches = breaches(&world.records);
+        prop_assert!(breaches.is_empty(), "{breaches:?}");
+    }
+}
--- a/crates/standins/src/world/engine.rs
+++ b/crates/standins/src/world/engine.rs
@@ -232,7 +232,9 @@
             true => Progress::Failed(Failure::Broken),
             false => Progress::Finished,
         };
-        self.answered_by(run.node, run.request, run.name);
+        if !lost {
+            self.answered_by(run.node, run.request, run.name);
+        }
         self.tell_progress(run.node, run.request, progress);
     }
 
