Bound what a peer can make a listener hold, and tell it what was wrong

Cause: the HTTP library's decoder buffers a head, or one chunk of a body, until it is whole, and its timeout starts anew with each read. A head of any size was taken, a dribbled one never ended, strangers could make the operator and peer listeners hold 64 MiB each, a wrong importance or deadline on a call to a plain service was dropped, 'connection: close' was not followed, and answers to oversize requests were lost when the connection was reset.

The bytes of a message are now counted where they come in. The wait for a caller to go away no longer goes through the decoder, which lost half a pipelined request when the wait was given up.

Ruled out: cancelling the library's read and taking its buffer back, since its decoder owns it.

--- a/crates/orioleroute-node/src/callers.rs
+++ b/crates/orioleroute-node/src/callers.rs
@@ -26,6 +26,9 @@
 /// The header field by which an instance says that an attempt of its own may have run.
 pub const MAY_HAVE_RUN: &str = "x-orioleroute-may-have-run";
 
+/// When a caller that found no free connection is told to come back, in seconds.
+const BUSY_RETRY_S: &str = "1";
+
 /// The prefix of the paths of plain services.
 const SERVICES: &str = "/services/";
 
@@ -40,8 +43,12 @@
     let settings = &shell.settings;
     let limits = Limits {
         body_bytes: settings.body_bytes,
+        head_bytes: settings.head_bytes,
         idle: settings.idle,
+        head_time: settings.head_time,
         body_time: settings.body_time,
+        write_time: settings.write_time,
+        token: None,
     };
     let connections = settings.connections;
     let served = serve(listener, limits, connections, explain, async move |connection, request| {
@@ -65,9 +72,10 @@
             Ok(job) => relay::run(shell, connection, job).await,
             Err(message) => connection.respond(invalid(&message)).await,
         },
-        (_, path) if path.starts_with(SERVICES) => {
-            relay::run(shell, connection, service_call(request)).await
-        }
+        (_, path) if path.starts_with(SERVICES) => match service_call(request) {
+            Ok(job) => relay::run(shell, connection, job).await,
+            Err(message) => connection.respond(invalid(&message)).await,
+        },
         _ => {
             let response = problem(StatusCode::NOT_FOUND, "not_found", "no such path", Ran::NotRun);
             connection.respond(response).await
@@ -125,23 +133,15 @@
     Ok(Job { request, spec, stream: head.stream })
 }
 
-fn service_call(mut request: Request) -> Job {
+fn service_call(mut request: Request) -> Result<Job, String> {
     let rest = request.path.trim_start_matches(SERVICES);
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let (name, path): (Arc<str>, String) = (name.into(), format!("/{path}"));
     request.path = path;
     let repeatable = matches!(request.method, Method::GET | Method::HEAD);
-    let mut spec = spec_of(&request, Target::Service(name.clone())).unwrap_or(Spec {
-        target: Target::Service(name),
-        importance: None,
-        patience: None,
-        repeatable,
-        idempotency: None,
-        hops: 0,
-        may_have_run: false,
-    });
+    let mut spec = spec_of(&request, Target::Service(name))?;
     spec.repeatable = repeatable;
-    Job { request, spec, stream: false }
+    Ok(Job { request, spec, stream: false })
 }
 
 fn spec_of(request: &Request, target: Target) -> Result<Spec, String> {
@@ -166,7 +166,15 @@
 
 /// Answers a fault in the API's form.
 fn explain(fault: &Fault) -> Response {
-    problem(fault.status(), "invalid_request_error", &fault.to_string(), Ran::NotRun)
+    let kind = match fault {
+        Fault::Busy => "overloaded",
+        _ => "invalid_request_error",
+    };
+    let response = problem(fault.status(), kind, &fault.to_string(), Ran::NotRun);
+    match fault {
+        Fault::Busy => response.with("retry-after", BUSY_RETRY_S),
+        _ => response,
+    }
 }
 
 fn invalid(message: &str) -> Response {
--- a/crates/orioleroute-node/src/operators.rs
+++ b/crates/orioleroute-node/src/operators.rs
@@ -10,7 +10,6 @@
 use serde_json::json;
 use slog::error;
 
-use crate::peers::shows_token;
 use crate::settings::Settings;
 use crate::shell::Shell;
 
@@ -34,7 +33,8 @@
 /// Takes commands of operators.
 pub async fn run(shell: Rc<Shell>, listener: TcpListener, metrics: PrometheusHandle) {
     let log = shell.log.clone();
-    let limits = Limits { body_bytes: 64 << 20, ..Limits::default() };
+    let token = Some(shell.settings.operator_token.as_str().into());
+    let limits = Limits { body_bytes: 64 << 20, token, ..Limits::default() };
     let served = serve(listener, limits, CONNECTIONS, explain, async move |connection, request| {
         let response = answer(&shell, &metrics, &request).await;
         connection.respond(response).await
@@ -55,7 +55,7 @@
         (&Method::GET, "/readyz") => readiness(shell),
         (&Method::GET, "/metrics") => Response::text(StatusCode::OK, metrics.render()),
         (&Method::POST, "/command") => command(shell, request).await,
-        _ => Response::empty(StatusCode::NOT_FOUND),
+        _ => Response::json(StatusCode::NOT_FOUND, &json!({ "error": "no such path" })),
     }
 }
 
@@ -68,7 +68,7 @@
 }
 
 async fn command(shell: &Rc<Shell>, request: &Request) -> Response {
-    if !shows_token(request, &shell.settings.operator_token) {
+    if !request.shows(&shell.settings.operator_token) {
         let body = json!({ "error": "the operator token is missing or wrong" });
         return Response::json(StatusCode::UNAUTHORIZED, &body);
     }
--- a/crates/orioleroute-node/src/peers.rs
+++ b/crates/orioleroute-node/src/peers.rs
@@ -8,8 +8,8 @@
 use orioleroute::prelude::*;
 use orioleroute_wire::rpc;
 use orioleroute_wire::server::{Limits, Request, Response, serve};
+use serde_json::json;
 use slog::error;
-use subtle::ConstantTimeEq;
 
 use crate::settings::Settings;
 use crate::shell::Shell;
@@ -25,7 +25,8 @@
 /// Takes messages of peers.
 pub async fn run(shell: Rc<Shell>, listener: TcpListener) {
     let log = shell.log.clone();
-    let limits = Limits { body_bytes: 64 << 20, ..Limits::default() };
+    let token = Some(shell.settings.peer_token.as_str().into());
+    let limits = Limits { body_bytes: 64 << 20, token, ..Limits::default() };
     let served = serve(listener, limits, CONNECTIONS, crate::operators::explain, {
         async move |connection, request| connection.respond(take(&shell, &request)).await
     });
@@ -38,7 +39,7 @@
     if request.method != Method::POST || request.path != rpc::PATH {
         return Response::empty(StatusCode::NOT_FOUND);
     }
-    if !shows_token(request, &shell.settings.peer_token) {
+    if !request.shows(&shell.settings.peer_token) {
         return Response::empty(StatusCode::UNAUTHORIZED);
     }
     let sender = request.header(rpc::SENDER);
@@ -47,12 +48,11 @@
             shell.feed(Event::Message { from: from.into(), message });
             Response::empty(StatusCode::NO_CONTENT)
         }
-        _ => Response::empty(StatusCode::BAD_REQUEST),
+        (None, _) => unreadable(&format!("the header field {} is missing", rpc::SENDER)),
+        (_, Err(error)) => unreadable(&error.to_string()),
     }
 }
 
-/// Returns whether a request shows a token, in a time that does not depend on how much of it fits.
-pub fn shows_token(request: &Request, token: &str) -> bool {
-    let shown = request.header("authorization").and_then(|text| text.strip_prefix("Bearer "));
-    shown.is_some_and(|shown| bool::from(shown.as_bytes().ct_eq(token.as_bytes())))
+fn unreadable(message: &str) -> Response {
+    Response::json(StatusCode::BAD_REQUEST, &json!({ "error": message }))
 }
--- a/crates/orioleroute-node/src/settings.rs
+++ b/crates/orioleroute-node/src/settings.rs
@@ -53,12 +53,18 @@
     pub peer_token: String,
     /// The token that operators show.
     pub operator_token: String,
+    /// The largest request head, in bytes.
+    pub head_bytes: usize,
     /// The largest request body, in bytes.
     pub body_bytes: usize,
-    /// The longest wait for a request head on an open connection.
+    /// The longest wait for a request on an open connection.
     pub idle: Duration,
+    /// The longest time from the first byte of a head to its end.
+    pub head_time: Duration,
     /// The longest wait for a whole request body.
     pub body_time: Duration,
+    /// The longest wait for a caller to take one part of an answer.
+    pub write_time: Duration,
     /// The connections of callers that are open at a time.
     pub connections: usize,
     /// How long a caller keeps the answer which instance to use.
@@ -98,9 +104,12 @@
     setting("list-address", "IP:PORT", "the platform's instance list", None),
     setting("peer-token", "TEXT", "token that peers show", None),
     setting("operator-token", "TEXT", "token that operators show", None),
+    setting("head-bytes", "COUNT", "largest request head", Some("32768")),
     setting("body-bytes", "COUNT", "largest request body", Some("4194304")),
-    setting("idle-ms", "MILLISECONDS", "longest wait for a request head", Some("120000")),
+    setting("idle-ms", "MILLISECONDS", "longest wait for the next request", Some("120000")),
+    setting("head-ms", "MILLISECONDS", "longest time of a request head", Some("10000")),
     setting("body-ms", "MILLISECONDS", "longest wait for a request body", Some("10000")),
+    setting("write-ms", "MILLISECONDS", "longest wait for a slow reader", Some("30000")),
     setting("connections", "COUNT", "open connections of callers", Some("10000")),
     setting("route-life-ms", "MILLISECONDS", "how long callers keep a route", Some("5000")),
     setting("log-format", "json|text", "form of log lines", Some("json")),
@@ -177,9 +186,12 @@
         let list_address = self.value("list-address");
         let peer_token = self.value("peer-token");
         let operator_token = self.value("operator-token");
+        let head_bytes = self.value("head-bytes");
         let body_bytes = self.value("body-bytes");
         let idle = self.millis("idle-ms");
+        let head_time = self.millis("head-ms");
         let body_time = self.millis("body-ms");
+        let write_time = self.millis("write-ms");
         let connections = self.value("connections");
         let route_life = self.millis("route-life-ms");
         let log_format = self.value("log-format");
@@ -197,9 +209,12 @@
             list_address: list_address?,
             peer_token: peer_token?,
             operator_token: operator_token?,
+            head_bytes: head_bytes?,
             body_bytes: body_bytes?,
             idle: idle?,
+            head_time: head_time?,
             body_time: body_time?,
+            write_time: write_time?,
             connections: connections?,
             route_life: route_life?,
             log_format: log_format?,
--- a/crates/orioleroute-wire/src/lib.rs
+++ b/crates/orioleroute-wire/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod client;
 mod error;
+mod intake;
 pub mod rpc;
 pub mod runtime;
 pub mod server;
--- a/crates/orioleroute-wire/src/server.rs
+++ b/crates/orioleroute-wire/src/server.rs
@@ -1,6 +1,7 @@
 //! The server side of HTTP/1.1.
 
 use std::cell::Cell;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,32 +10,50 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use monoio::io::sink::Sink;
 use monoio::io::stream::Stream;
-use monoio::io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
+use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 use monoio_http::common::body::{Body, HttpBody};
-use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
+use monoio_http::common::error::HttpError;
+use monoio_http::h1::codec::decoder::{DecodeError, FillPayload, RequestDecoder};
 use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::Payload;
+use subtle::ConstantTimeEq;
 
+use crate::intake::Intake;
 use crate::{Error, Step};
 
 /// The bounds that a connection keeps its peer to.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Limits {
+    /// The largest head accepted, in bytes, to within one read.
+    pub head_bytes: usize,
     /// The largest body accepted, in bytes.
     pub body_bytes: usize,
-    /// The longest wait for a request head on an open connection.
+    /// The longest wait for the first byte of a request on an open connection.
     pub idle: Duration,
+    /// The longest time from the first byte of a head to its end.
+    pub head_time: Duration,
     /// The longest wait for a whole body.
     pub body_time: Duration,
+    /// The longest wait for the peer to take one part of an answer.
+    pub write_time: Duration,
+    /// The bearer token without which only requests without a body are taken.
+    ///
+    /// It is checked before the body is read, so that a stranger cannot make a process hold large
+    /// bodies in memory.
+    pub token: Option<Rc<str>>,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            head_bytes: 32 << 10,
             body_bytes: 4 << 20,
             idle: Duration::from_secs(120),
+            head_time: Duration::from_secs(10),
             body_time: Duration::from_secs(10),
+            write_time: Duration::from_secs(30),
+            token: None,
         }
     }
 }
@@ -68,6 +87,11 @@
             .find(|(key, _)| *key == name)
             .map(|(_, value)| value)
     }
+
+    /// Returns whether the request shows a bearer token.
+    pub fn shows(&self, token: &str) -> bool {
+        shows_token(&self.headers, token)
+    }
 }
 
 /// A whole answer.
@@ -124,9 +148,15 @@
     /// The body is larger than the limit, in bytes.
     #[error("the body is larger than {0} bytes")]
     TooLarge(usize),
+    /// The head is larger than the limit, in bytes.
+    #[error("the head is larger than {0} bytes")]
+    HeadTooLarge(usize),
     /// The request did not arrive in time.
     #[error("the request did not arrive in time")]
     Slow,
+    /// The token is missing or wrong.
+    #[error("the token is missing or wrong")]
+    Unauthorized,
     /// Too many connections are open.
     #[error("too many connections are open")]
     Busy,
@@ -138,6 +168,8 @@
         match self {
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::HeadTooLarge(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
             Self::Busy => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -148,9 +180,11 @@
 pub struct Connection {
     peer: SocketAddr,
     limits: Limits,
-    reader: RequestDecoder<OwnedReadHalf<TcpStream>>,
+    intake: Intake,
+    reader: RequestDecoder<Intake>,
     writer: OwnedWriteHalf<TcpStream>,
-    pipelined: Option<http::Request<Payload>>,
+    frame: Vec<u8>,
+    closing: bool,
 }
 
 impl Connection {
@@ -159,9 +193,9 @@
         // Tokens are single small writes, which Nagle's algorithm would hold back.
         let _ = stream.set_nodelay(true);
         let (read, writer) = stream.into_split();
-        let mut reader = RequestDecoder::new(read);
-        reader.set_timeout(Some(limits.idle));
-        Self { peer, limits, reader, writer, pipelined: None }
+        let intake = Intake::new(read);
+        let reader = RequestDecoder::new(intake.clone());
+        Self { peer, limits, intake, reader, writer, frame: Vec::new(), closing: false }
     }
 
     /// Returns the address of the other end.
@@ -169,28 +203,56 @@
         self.peer
     }
 
-    /// Reads the next whole request, or `None` once the peer has closed the connection.
+    /// Reads the next whole request, or `None` once the peer has closed the connection or sent
+    /// nothing for too long.
     ///
     /// # Errors
     ///
     /// A fault leaves the connection unusable after its answer is written.
     pub async fn next(&mut self) -> Option<Result<Request, Fault>> {
-        let request = match self.pipelined.take() {
-            Some(request) => request,
-            None => match self.reader.next().await? {
-                Ok(request) => request,
-                Err(error) => return fault_of(error),
-            },
+        match self.read_head().await? {
+            Ok(request) => Some(self.read_body(request).await),
+            Err(fault) => Some(Err(fault)),
+        }
+    }
+
+    async fn read_head(&mut self) -> Option<Result<http::Request<Payload>, Fault>> {
+        let limits = &self.limits;
+        self.intake.expect(limits.head_bytes);
+        let late = async {
+            if monoio::time::timeout(limits.idle, self.intake.begun()).await.is_err() {
+                return None;
+            }
+            monoio::time::sleep(limits.head_time).await;
+            Some(Err(Fault::Slow))
+        };
+        let next = monoio::select! {
+            next = self.reader.next() => next?,
+            late = late => return late,
         };
-        Some(self.read_body(request).await)
+        match next {
+            Ok(request) => Some(Ok(request)),
+            Err(_) if self.intake.is_exceeded() => {
+                Some(Err(Fault::HeadTooLarge(limits.head_bytes)))
+            }
+            Err(error) => fault_of(error).map(Err),
+        }
     }
 
     async fn read_body(&mut self, request: http::Request<Payload>) -> Result<Request, Fault> {
         let (head, payload) = request.into_parts();
         let limit = self.limits.body_bytes;
-        if declared_length(&head.headers) > limit {
+        self.closing = asks_to_close(&head);
+        if let Some(token) = &self.limits.token
+            && head.method != Method::GET
+            && !shows_token(&head.headers, token)
+        {
+            return Err(Fault::Unauthorized);
+        }
+        if declared_length(&head.headers)? > limit {
             return Err(Fault::TooLarge(limit));
         }
+        self.intake.expect(limit.saturating_mul(2).saturating_add(FRAMING_BYTES));
         let read = collect(payload, limit);
         let fill = self.reader.fill_payload();
         let both = async {
@@ -199,8 +261,11 @@
             filled.map_err(|error| Fault::Malformed(error.to_string()))?;
             Ok(body)
         };
-        let body =
-            monoio::time::timeout(self.limits.body_time, both).await.map_err(|_| Fault::Slow)??;
+        let body = match monoio::time::timeout(self.limits.body_time, both).await {
+            Err(_) => return Err(Fault::Slow),
+            Ok(Err(_)) if self.intake.is_exceeded() => return Err(Fault::TooLarge(limit)),
+            Ok(body) => body?,
+        };
         Ok(Request {
             method: head.method,
             path: head.uri.path().to_owned(),
@@ -219,14 +284,18 @@
         let mut message = http::Response::new(HttpBody::Ready(Some(response.body)));
         *message.status_mut() = response.status;
         *message.headers_mut() = response.headers;
+        if self.closing {
+            message.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         let mut encoder = GenericEncoder::new(&mut self.writer);
         let sent = async {
             encoder.send(message).await?;
             Sink::<http::Response<HttpBody>>::flush(&mut encoder).await
         };
-        sent.await.map_err(|error: monoio_http::common::error::HttpError| {
-            Error::new(Step::Send, self.peer, error)
-        })
+        match monoio::time::timeout(self.limits.write_time, sent).await {
+            Ok(sent) => sent.map_err(|error: HttpError| Error::new(Step::Send, self.peer, error)),
+            Err(_) => Err(Error::new(Step::Send, self.peer, "the peer does not read")),
+        }
     }
 
     /// Writes the head of a streamed answer; [`Connection::chunk`] and [`Connection::finish`] follow.
@@ -243,8 +312,11 @@
             head.extend_from_slice(value.as_bytes());
             head.extend_from_slice(b"\r\n");
         }
+        if self.closing {
+            head.extend_from_slice(b"connection: close\r\n");
+        }
         head.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
-        self.write(head).await
+        self.write(head).await.map(|_| ())
     }
 
     /// Writes one chunk of a streamed answer at once.
@@ -256,11 +328,14 @@
         if data.is_empty() {
             return Ok(());
         }
-        let mut frame = Vec::with_capacity(data.len() + CHUNK_FRAME_BYTES);
-        frame.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        let mut frame = std::mem::take(&mut self.frame);
+        frame.clear();
+        // Writing to a vector cannot fail.
+        let _ = write!(frame, "{:x}\r\n", data.len());
         frame.extend_from_slice(data);
         frame.extend_from_slice(b"\r\n");
-        self.write(frame).await
+        self.frame = self.write(frame).await?;
+        Ok(())
     }
 
     /// Ends a streamed answer.
@@ -269,29 +344,35 @@
     ///
     /// Fails if the peer is gone.
     pub async fn finish(&mut self) -> Result<(), Error> {
-        self.write(b"0\r\n\r\n".to_vec()).await
+        self.write(b"0\r\n\r\n".to_vec()).await.map(|_| ())
     }
 
-    /// Completes once the peer has closed its side or sent what cannot be a request.
+    /// Completes once the peer has closed its side.
     ///
-    /// A request that was pipelined meanwhile is kept for [`Connection::next`], and the future then
-    /// stays pending, since the peer is still there.
+    /// What it sends meanwhile is kept for [`Connection::next`].
     pub async fn closed(&mut self) {
-        if self.pipelined.is_some() {
-            return std::future::pending().await;
+        self.intake.ended(self.limits.head_bytes).await;
+    }
+
+    /// Answers what could not be read, and ends the connection so that the answer arrives.
+    async fn reject(&mut self, response: Response) {
+        self.closing = true;
+        if self.respond(response).await.is_err() {
+            return;
         }
-        self.reader.set_timeout(None);
-        let next = self.reader.next().await;
-        self.reader.set_timeout(Some(self.limits.idle));
-        if let Some(Ok(request)) = next {
-            self.pipelined = Some(request);
-            std::future::pending().await
+        if self.writer.shutdown().await.is_ok() {
+            self.intake.discard(DISCARD_TIME).await;
         }
     }
 
-    async fn write(&mut self, bytes: Vec<u8>) -> Result<(), Error> {
-        let (written, _) = self.writer.write_all(bytes).await;
-        written.map(|_| ()).map_err(|error| Error::new(Step::Send, self.peer, error))
+    /// Writes `bytes` and returns their buffer for the next ones.
+    async fn write(&mut self, bytes: Vec<u8>) -> Result<Vec<u8>, Error> {
+        let written = self.writer.write_all(bytes);
+        match monoio::time::timeout(self.limits.write_time, written).await {
+            Ok((Ok(_), buffer)) => Ok(buffer),
+            Ok((Err(error), _)) => Err(Error::new(Step::Send, self.peer, error)),
+            Err(_) => Err(Error::new(Step::Send, self.peer, "the peer does not read")),
+        }
     }
 }
 
@@ -315,13 +396,19 @@
 {
     let handler = Rc::new(handler);
     let open = Rc::new(Cell::new(0_usize));
+    let rejecting = Rc::new(Cell::new(0_usize));
     loop {
         let (stream, peer) = listener.accept().await?;
-        let mut connection = Connection::new(stream, peer, limits);
+        let mut connection = Connection::new(stream, peer, limits.clone());
         if open.get() >= connections {
-            monoio::spawn(async move {
-                let _ = connection.respond(explain(&Fault::Busy)).await;
-            });
+            if rejecting.get() < REJECTIONS {
+                rejecting.set(rejecting.get() + 1);
+                let rejecting = rejecting.clone();
+                monoio::spawn(async move {
+                    connection.reject(explain(&Fault::Busy)).await;
+                    rejecting.set(rejecting.get() - 1);
+                });
+            }
             continue;
         }
         open.set(open.get() + 1);
@@ -340,27 +427,49 @@
     while let Some(request) = connection.next().await {
         match request {
             Ok(request) => {
-                if handler(connection, request).await.is_err() {
+                if handler(connection, request).await.is_err() || connection.closing {
                     return;
                 }
             }
             Err(fault) => {
-                let _ = connection.respond(explain(&fault).with("connection", "close")).await;
-                return;
+                return connection.reject(explain(&fault)).await;
             }
         }
     }
 }
 
-/// Room for a chunk's length and line ends, in bytes.
-const CHUNK_FRAME_BYTES: usize = 20;
+/// Connections beyond the limit that are told so at a time; more are just closed.
+const REJECTIONS: usize = 256;
+
+/// How long a rejected peer may go on sending before its connection is cut, in which case it may
+/// not see the answer.
+const DISCARD_TIME: Duration = Duration::from_millis(1_000);
+
+/// Room for the framing of a chunked body, in bytes, beside as much again as the body.
+const FRAMING_BYTES: usize = 64 << 10;
+
+/// Returns whether the header fields show a bearer token, in a time that does not depend on how
+/// much of it fits.
+fn shows_token(headers: &HeaderMap, token: &str) -> bool {
+    let shown = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let shown = shown.and_then(|text| text.strip_prefix("Bearer "));
+    shown.is_some_and(|shown| bool::from(shown.as_bytes().ct_eq(token.as_bytes())))
+}
+
+/// Returns whether the peer wants the connection closed after the answer.
+fn asks_to_close(head: &http::request::Parts) -> bool {
+    let wish = head.headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
+    let asks = |word: &str| {
+        let mut words = wish.unwrap_or_default().split(',');
+        words.any(|part| part.trim().eq_ignore_ascii_case(word))
+    };
+    asks("close") || (head.version == http::Version::HTTP_10 && !asks("keep-alive"))
+}
 
-fn declared_length(headers: &HeaderMap) -> usize {
-    headers
-        .get(header::CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0)
+fn declared_length(headers: &HeaderMap) -> Result<usize, Fault> {
+    let Some(value) = headers.get(header::CONTENT_LENGTH) else { return Ok(0) };
+    let length = value.to_str().ok().and_then(|text| text.parse().ok());
+    length.ok_or_else(|| Fault::Malformed("the content length is not a number".to_owned()))
 }
 
 async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes, Fault> {
@@ -375,13 +484,11 @@
     Ok(Bytes::from(whole))
 }
 
-fn fault_of(error: monoio_http::common::error::HttpError) -> Option<Result<Request, Fault>> {
-    use monoio_http::common::error::HttpError;
-    use monoio_http::h1::codec::decoder::DecodeError;
+/// Returns what to tell the peer, or `None` if it is gone.
+fn fault_of(error: HttpError) -> Option<Fault> {
     match error {
-        HttpError::H1DecodeError(DecodeError::TimedOut) => Some(Err(Fault::Slow)),
         HttpError::H1DecodeError(DecodeError::Io(_) | DecodeError::UnexpectedEof) => None,
         HttpError::IOError(_) => None,
-        other => Some(Err(Fault::Malformed(other.to_string()))),
+        other => Some(Fault::Malformed(other.to_string())),
     }
 }
