--- a/crates/standins/src/world/engine.rs
+++ b/crates/standins/src/world/engine.rs
@@ -236,7 +236,7 @@
             return self.take_run_answer(place, End::Failed(Failure::Unsent));
         }
         if engine.faults.draining {
-            return self.tell_progress(node, request, Progress::Failed(Failure::Declined));
+            return self.take_run_answer(place, End::Failed(Failure::Declined));
         }
         let name = dispatch.name.as_deref().unwrap_or_default().to_owned();
         if engine.slots > 0 && !engine.loaded.contains_key(&name) {
