Keep a revision whose request was given up until the engine shows it idle

Cause: when a request was given up, because its caller went or its deadline passed, the instance counted it as ended at once, and could unload the revision while the engine still ran it. Now such a revision counts as in use until a report that was sampled half a second later shows otherwise.

Readiness now includes the list, and the demonstration publishes the list first and waits until all nodes are ready, as a deployment would.

--- a/crates/orioleroute-node/src/operators.rs
+++ b/crates/orioleroute-node/src/operators.rs
@@ -60,8 +60,7 @@
 }
 
 fn readiness(shell: &Rc<Shell>) -> Response {
-    let ready = shell.read(|core| core.membership().is_member() && core.version() > 0);
-    match ready {
+    match shell.read(orioleroute::Core::is_ready) {
         true => Response::text(StatusCode::OK, "ready"),
         false => Response::text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
     }
--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -59,6 +59,7 @@
     orders: Orders,
     ownership: Ownership,
     indexed: u64,
+    listed: bool,
     effects: Effects,
 }
 
@@ -75,6 +76,7 @@
             orders: Orders::default(),
             ownership: Ownership::default(),
             indexed: 0,
+            listed: false,
             effects: Effects::default(),
         }
     }
@@ -99,6 +101,7 @@
             }
             Event::Message { from, message } => self.take_message(now, &from, &message),
             Event::Listed(listings) => {
+                self.listed = true;
                 self.fleet.list(&listings);
                 self.index(now);
             }
@@ -143,6 +146,12 @@
         &self.requests
     }
 
+    /// Returns whether the instance can answer requests: it is a member, acts by a configuration
+    /// and knows the list of upstreams.
+    pub fn is_ready(&self) -> bool {
+        self.listed && self.membership.is_member() && self.version() > 0
+    }
+
     /// Returns whether the instance has left, every request has had its final answer, and every
     /// claim is settled or cannot be.
     pub fn is_done(&self) -> bool {
--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -2,7 +2,7 @@
 
 use super::Core;
 use crate::engine::{self, Report};
-use crate::fleet::Residency;
+use crate::fleet::{IN_FLIGHT, Residency};
 use crate::key::Ticket;
 use crate::orders::Order;
 use crate::prelude::*;
@@ -11,9 +11,6 @@
 /// Between two reports asked of an engine.
 const PROBE: Duration = Duration::from_millis(1_000);
 
-/// How long a request may take from a former owner to the engine.
-const IN_FLIGHT: Duration = Duration::from_millis(500);
-
 impl Core {
     /// Asks the owned engines for reports that are due.
     pub(super) fn probe(&mut self, now: Instant) {
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -62,6 +62,7 @@
             Progress::Begun => {}
             Progress::Finished => self.end(now, key, claim::State::Finished),
             Progress::Gone => {
+                self.give_up(now, key);
                 let is_sent = self.requests.get(key).is_none_or(Request::may_have_run);
                 let state = if is_sent { claim::State::Claimed } else { claim::State::Abandoned };
                 self.end(now, key, state);
@@ -80,6 +81,9 @@
     }
 
     fn take_failure(&mut self, now: Instant, key: key::Request, failure: Failure) {
+        if failure.may_have_run() {
+            self.give_up(now, key);
+        }
         self.release(now, key);
         let Some(request) = self.requests.get_mut(key) else { return };
         if let (State::Running(upstream), Some(revision)) = (&request.state, request.revision) {
@@ -152,6 +156,17 @@
         self.effects.push(Effect::Request { request: key, step });
     }
 
+    /// Notes that the upstream of a request may still run it.
+    fn give_up(&mut self, now: Instant, key: key::Request) {
+        let Some(request) = self.requests.get(key) else { return };
+        let (State::Running(upstream), Some(revision)) = (&request.state, request.revision) else {
+            return;
+        };
+        if let Some(upstream) = self.fleet.get_mut(*upstream) {
+            upstream.give_up(now, revision);
+        }
+    }
+
     /// Takes a request off the upstream that it ran on.
     fn release(&mut self, now: Instant, key: key::Request) {
         let Some(request) = self.requests.get(key) else { return };
--- a/crates/orioleroute/src/fleet.rs
+++ b/crates/orioleroute/src/fleet.rs
@@ -13,6 +13,9 @@
 pub use order::LATE_ORDER;
 use order::Order;
 
+/// How long a request may take from an instance to the engine.
+pub const IN_FLIGHT: Duration = Duration::from_millis(500);
+
 /// How long a report is believed.
 pub const REPORT_LIFE: Duration = Duration::from_millis(3_000);
 
@@ -38,6 +41,16 @@
     pub reported: u32,
     /// When it last had a request.
     pub used: Instant,
+    /// Until when a report may be too old to show a request that was given up.
+    pub unsure_until: Instant,
+}
+
+impl Resident {
+    /// Returns a revision with `reported` requests on the engine and none of this instance's.
+    fn new(residency: Residency, reported: u32, now: Instant) -> Self {
+        let unsure_until = Instant::ZERO;
+        Self { residency, running: 0, reported, used: now, unsure_until }
+    }
 }
 
 /// An upstream.
@@ -91,8 +104,7 @@
 
     /// Notes that a load was ordered; the revision takes a slot from now on.
     pub fn begin_load(&mut self, now: Instant, ticket: Ticket, revision: key::Revision) {
-        let resident =
-            Resident { residency: Residency::Loading, running: 0, reported: 0, used: now };
+        let resident = Resident::new(Residency::Loading, 0, now);
         self.residents.insert(revision, resident);
         self.orders.insert(revision, Order::UnderWay(ticket, now));
     }
@@ -154,6 +166,17 @@
         }
     }
 
+    /// Notes that a request on a revision was given up while the engine may still run it.
+    ///
+    /// The revision counts as in use until a report that was sampled after the request must have
+    /// reached the engine shows otherwise.
+    pub fn give_up(&mut self, now: Instant, revision: key::Revision) {
+        if let Some(resident) = self.residents.get_mut(&revision) {
+            resident.unsure_until = now + IN_FLIGHT;
+            resident.reported = resident.reported.max(1);
+        }
+    }
+
     /// Compares a revision that the engine holds with the orders given, and returns the ticket of a
     /// load that is thereby known to be done.
     fn take_seen(&mut self, now: Instant, revision: key::Revision, running: u32) -> Option<Ticket> {
@@ -163,12 +186,12 @@
             let stale = order.is_some_and(|order| !order.is_disproved_at(sampled));
             if !stale {
                 let residency = Residency::Loaded;
-                let resident = Resident { residency, running: 0, reported: running, used: now };
-                self.residents.insert(revision, resident);
+                self.residents.insert(revision, Resident::new(residency, running, now));
             }
             return None;
         };
-        resident.reported = running;
+        let least = u32::from(sampled < resident.unsure_until);
+        resident.reported = running.max(least);
         let settled = order.is_none_or(|order| match resident.residency {
             Residency::Loading | Residency::Loaded => order.is_proved_at(sampled),
             Residency::Unloading => order.is_disproved_at(sampled),
--- a/crates/standins/examples/demo.rs
+++ b/crates/standins/examples/demo.rs
@@ -22,12 +22,6 @@
     let engines = [start("engine", &["--listen"])?, start("engine", &["--listen"])?];
     let service = start("service", &[])?;
     let platform_address = only_address(&platform)?;
-    let program = binary("orioleroute-node")?;
-    let mut nodes = ["a", "b", "c"]
-        .iter()
-        .map(|name| node(&program, name, REGION, platform_address, &[]))
-        .collect::<Result<Vec<Process>>>()?;
-    println!("started a platform, two engines, a plain service and three nodes");
     publish(
         platform_address,
         &[
@@ -36,6 +30,12 @@
             listing("course", "course", REGION, only_address(&service)?),
         ],
     );
+    let program = binary("orioleroute-node")?;
+    let mut nodes = ["a", "b", "c"]
+        .iter()
+        .map(|name| node(&program, name, REGION, platform_address, &[]))
+        .collect::<Result<Vec<Process>>>()?;
+    println!("started a platform, two engines, a plain service and three nodes");
     until("three members", || {
         nodes.iter().all(|node| status(node).is_some_and(|status| status.instances.len() == 3))
     });
@@ -44,6 +44,7 @@
         nodes.iter().all(|node| status(node).is_some_and(|status| status.version == 1))
     });
     println!("in force on all nodes {spread:?} after the operator was told");
+    until("ready everywhere", || nodes.iter().all(is_ready));
     run_tool("status", &nodes[1])?;
     let home = ask_route(&nodes[2])?;
     println!("a caller was told to use {home} for the adapter milk-texturing");
@@ -60,6 +61,13 @@
     Ok(())
 }
 
+fn is_ready(node: &Process) -> bool {
+    let answer = node
+        .address("operators")
+        .and_then(|address| system::call(address, Call::new(Method::GET, "/readyz")).ok());
+    answer.is_some_and(|answer| answer.status.is_success())
+}
+
 fn start(example: &str, arguments: &[&str]) -> Result<Process> {
     let mut arguments: Vec<String> = arguments.iter().map(|text| (*text).to_owned()).collect();
     if !arguments.is_empty() {
