--- /dev/null
+++ b/crates/orioleroute/src/membership/poll.rs
@@ -0,0 +1,122 @@
+//! Reads and writes of the rows that hold the views.
+
+use super::{Membership, POLL, REGIONS, TABLE_TIMEOUT, WIDE_POLL};
+use crate::effect::Effects;
+use crate::instance::Instance as Identity;
+use crate::prelude::*;
+use crate::table::{Expect, Operation, Row, Write};
+use crate::view::View;
+
+impl Membership {
+    pub(super) fn expire_operations(&mut self, now: Instant) {
+        self.reading.take_if(|(_, sent)| now >= *sent + TABLE_TIMEOUT);
+        self.writing.take_if(|(_, sent)| now >= *sent + TABLE_TIMEOUT);
+    }
+
+    pub(super) fn poll(&mut self, now: Instant, effects: &mut Effects) {
+        if self.reading.is_some() || now < self.next_poll {
+            return;
+        }
+        self.next_poll = now + POLL;
+        let mut keys = vec![View::row(&self.identity.region)];
+        if now >= self.next_wide_poll {
+            self.next_wide_poll = now + WIDE_POLL;
+            let others = self.views.keys().filter(|region| **region != self.identity.region);
+            keys.extend(others.map(|region| View::row(region)));
+            keys.push(REGIONS.into());
+        }
+        let ticket = effects.table(Operation::Read(keys));
+        self.reading = Some((ticket, now));
+    }
+
+    pub(super) fn take_rows(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        rows: &[Row],
+        effects: &mut Effects,
+    ) {
+        let own = View::row(&self.identity.region);
+        self.reached = Some(sent);
+        self.paused &= sent < self.paused_at;
+        if let Some(row) = rows.iter().find(|row| &*row.key == REGIONS) {
+            self.take_regions(row);
+        }
+        for row in rows {
+            if let Ok(mut view) = serde_json::from_str::<View>(&row.value) {
+                view.version = row.version;
+                self.take_view(now, &view, effects);
+            }
+        }
+        let shown = rows.iter().find(|row| row.key == own).map_or(0, |row| row.version);
+        if shown == self.view().version {
+            self.confirmed = Some(sent);
+        }
+        self.join_or_leave(now, effects);
+    }
+
+    /// Learns of regions, whose views are read next.
+    fn take_regions(&mut self, row: &Row) {
+        self.regions = row.version;
+        let names: Vec<Arc<str>> = serde_json::from_str(&row.value).unwrap_or_default();
+        for region in names {
+            let known = self.views.len();
+            let view = View { region: region.clone(), ..View::default() };
+            self.views.entry(region).or_insert(view);
+            if self.views.len() > known {
+                self.refresh();
+            }
+        }
+    }
+
+    fn join_or_leave(&mut self, now: Instant, effects: &mut Effects) {
+        let mut members = self.view().members.clone();
+        let mut unclean = self.view().unclean.clone();
+        match (self.is_member(), self.leaving) {
+            (false, false) => {
+                members.retain(|member| member.name != self.identity.name);
+                members.push(self.identity.clone());
+                // A process that starts again under a name proves that the former one has ended.
+                unclean.retain(|name| *name != self.identity.name);
+            }
+            (true, true) => members.retain(|member| member.name != self.identity.name),
+            _ => return,
+        }
+        self.write_view(now, members, unclean, effects);
+    }
+
+    pub(super) fn write_view(
+        &mut self,
+        now: Instant,
+        members: Vec<Identity>,
+        unclean: Vec<Arc<str>>,
+        effects: &mut Effects,
+    ) {
+        if self.writing.is_some() {
+            return;
+        }
+        self.token = self.token.wrapping_add(1);
+        let current = self.view();
+        let expect = Expect::unchanged(current.version);
+        let next = View {
+            region: current.region.clone(),
+            version: expect.next_version(),
+            token: self.token,
+            members,
+            unclean,
+        };
+        let mut writes = vec![Write::put(View::row(&next.region), expect, &next)];
+        if expect == Expect::Absent {
+            writes.push(self.region_row());
+        }
+        let ticket = effects.table(Operation::Write(writes));
+        self.writing = Some((ticket, now));
+    }
+
+    /// Returns the write that adds the own region to the list of regions.
+    fn region_row(&self) -> Write {
+        let mut names: Vec<&Arc<str>> = self.views.keys().collect();
+        names.sort();
+        Write::put(REGIONS, Expect::unchanged(self.regions), &names)
+    }
+}
