--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -14,6 +14,9 @@
 /// How long an upstream gets no new work after an exchange with it failed.
 const EJECTION: Duration = Duration::from_millis(1_000);
 
+/// How long an upstream gets no new work after it declined a request; its report comes sooner.
+const DECLINED: Duration = Duration::from_millis(250);
+
 /// When a caller is told to come back after a passing failure.
 pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -225,7 +228,7 @@
         }
         // One that declines may be leaving, which its report says sooner than the list.
         Failure::Declined => {
-            upstream.ejected_until = now + EJECTION;
+            upstream.ejected_until = upstream.ejected_until.max(now + DECLINED);
             upstream.next_probe = now;
         }
     }
