--- a/crates/orioleroute/tests/membership.rs
+++ b/crates/orioleroute/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{ONE_REGION, Shape, owner, request, time_to_answer, world};
+use common::{ONE_REGION, Shape, is_whole, owner, request, time_to_answer, world};
 use rstest::rstest;
 use standins::world::check::breaches;
 
@@ -66,3 +66,33 @@
         assert_eq!(breaches(&world.records), [], "seed {seed}");
     }
 }
+
+#[test]
+fn an_owner_that_leaves_ends_its_streams_and_then_itself_while_others_take_its_upstream_over() {
+    for seed in 0..20 {
+        let mut world = world(seed, Shape { engines: 1, slots: 1, ..ONE_REGION });
+        let former = owner(&world, 0);
+        time_to_answer(&mut world, former, 0, Duration::from_secs(5)).expect("an answer");
+        world.engines[0].run_time = Duration::from_secs(8);
+        let mut asked = Vec::new();
+        for _ in 0..3 {
+            asked.push(world.ask(former, request(0, Duration::from_secs(20))));
+        }
+        world.run(Duration::from_millis(20));
+
+        world.stop(former);
+        world.run(Duration::from_secs(2));
+        asked.push(world.ask(former, request(1, Duration::from_secs(30))));
+        asked.push(world.ask((former + 1) % 3, request(1, Duration::from_secs(30))));
+        world.run(Duration::from_secs(40));
+
+        let missed: Vec<_> = asked
+            .iter()
+            .filter(|number| !is_whole(&world, **number))
+            .map(|number| world.outcome(*number))
+            .collect();
+        assert!(missed.is_empty(), "seed {seed}: {missed:?}");
+        assert_eq!(breaches(&world.records), [], "seed {seed}");
+        assert!(world.nodes[former].core.is_none(), "seed {seed}");
+    }
+}
