Use what a gained upstream holds only once no former owner can unload it

Cause: a new owner sent requests to what its upstream had loaded as soon as it had applied its view. A member that had not heard of that view still held its lease, and evicted for its own requests. The fencing number does not help before the engine has taken a newer one.

What a gained upstream holds now is used once the leases of former owners have lapsed, or once an engine that checks fencing numbers has done an order of the new owner. Ruled out: use after every member has applied the view, which says nothing of a removed one. Loads elsewhere go on meanwhile.

--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -150,7 +150,10 @@
             self.membership.refresh();
         }
         self.config.tick(now, &self.membership, &mut self.effects);
-        self.ownership.mature(now, &self.membership);
+        if self.ownership.mature(now, &self.membership) {
+            self.mark_safe();
+            self.serve_waiting(now);
+        }
         self.probe(now);
         self.reconcile(now);
         self.refuse_overdue(now);
@@ -181,6 +184,7 @@
     fn index(&mut self, now: Instant) {
         self.indexed = self.membership.changes();
         self.ownership.rebuild(now, &self.membership, &self.fleet, &self.catalog);
+        self.mark_safe();
         self.reroute_waiting(now);
     }
 
--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -1,6 +1,7 @@
 //! Orders to the engines that this instance owns, and what they report.
 
 use super::Core;
+use crate::document::Fencing;
 use crate::engine::{self, Report};
 use crate::fleet::Residency;
 use crate::key::Ticket;
@@ -60,6 +61,21 @@
         }
     }
 
+    /// Notes that an engine took an order, and so refuses those of former owners if it checks.
+    fn fence(&mut self, key: key::Upstream) {
+        if self.is_fenced(key) {
+            self.ownership.fence(key);
+            self.mark_safe();
+        }
+    }
+
+    /// Brings the marks of the upstreams whose contents may be used to the rights of this instance.
+    pub(super) fn mark_safe(&mut self) {
+        for (key, upstream) in self.fleet.iter_mut() {
+            upstream.safe = self.ownership.is_safe(key);
+        }
+    }
+
     /// Takes the outcome of an order.
     pub(super) fn take_ordered(
         &mut self,
@@ -74,8 +90,10 @@
             engine::Outcome::Done => {}
             _ => self.orders.fail(now, key, revision),
         }
-        if outcome == engine::Outcome::Fenced {
-            self.membership.refresh();
+        match outcome {
+            engine::Outcome::Done => self.fence(key),
+            engine::Outcome::Fenced => self.membership.refresh(),
+            _ => {}
         }
         let Some(upstream) = self.fleet.get_mut(key) else { return };
         upstream.end_order(now, ticket, revision, outcome);
@@ -176,11 +194,13 @@
 
     /// Returns whether this instance may give an engine orders at `now`.
     pub(super) fn may_order(&self, now: Instant, key: key::Upstream) -> bool {
-        let Some(upstream) = self.fleet.get(key) else { return false };
-        let fenced = self
-            .catalog
-            .pool(&upstream.listing.pool)
-            .is_some_and(|pool| pool.fencing == crate::document::Fencing::Checked);
+        let fenced = self.is_fenced(key);
         self.membership.holds_lease(now) && self.ownership.is_settled(key, fenced)
     }
+
+    /// Returns whether an engine checks fencing numbers.
+    fn is_fenced(&self, key: key::Upstream) -> bool {
+        let pool = self.fleet.get(key).and_then(|engine| self.catalog.pool(&engine.listing.pool));
+        pool.is_some_and(|pool| pool.fencing == Fencing::Checked)
+    }
 }
--- a/crates/orioleroute/src/fleet.rs
+++ b/crates/orioleroute/src/fleet.rs
@@ -66,6 +66,8 @@
     pub ejected_until: Instant,
     /// Whether its last report said that it is leaving, which the list shows later.
     pub draining: bool,
+    /// Whether this instance owns it and no former owner can unload what it holds.
+    pub safe: bool,
     /// Whether a report is under way; a second one could be taken for the first.
     pub probing: bool,
     orders: Map<key::Revision, Order>,
@@ -77,11 +79,15 @@
         self.listing.phase == Phase::Live && !self.draining && now >= self.ejected_until
     }
 
-    /// Returns whether a revision is loaded on it.
+    /// Returns whether a revision that is loaded on it may be used.
     pub fn has_loaded(&self, revision: key::Revision) -> bool {
-        self.residents
-            .get(&revision)
-            .is_some_and(|resident| resident.residency == Residency::Loaded)
+        self.safe && self.holds(revision)
+    }
+
+    /// Returns whether a revision is loaded on it, as far as is known.
+    fn holds(&self, revision: key::Revision) -> bool {
+        let resident = self.residents.get(&revision);
+        resident.is_some_and(|resident| resident.residency == Residency::Loaded)
     }
 
     /// Returns whether the last report is still believed at `now`.
@@ -134,8 +140,7 @@
 
     /// Notes that the engine denied holding a revision that counts as loaded.
     pub fn deny(&mut self, now: Instant, revision: key::Revision) {
-        let loaded = self.has_loaded(revision);
-        if loaded {
+        if self.holds(revision) {
             self.orders.insert(revision, Order::Ended(now));
             self.lose(revision);
         }
@@ -240,6 +245,7 @@
             next_probe: Instant::ZERO,
             ejected_until: Instant::ZERO,
             draining: false,
+            safe: false,
             probing: false,
             orders: Map::default(),
         });
--- a/crates/orioleroute/src/ownership.rs
+++ b/crates/orioleroute/src/ownership.rs
@@ -36,6 +36,8 @@
     settled: Option<Instant>,
     /// When the leases of all former owners had lapsed.
     lapsed: Option<Instant>,
+    /// Whether the upstream is known to refuse the orders of all former owners.
+    fenced: bool,
 }
 
 /// The index of one instance.
@@ -74,7 +76,7 @@
             let Some(owner) = view.owner(upstream.digest) else { continue };
             let mine = owner.name == own.name;
             if mine {
-                let fresh = Tenure { gained: now, settled: None, lapsed: None };
+                let fresh = Tenure { gained: now, settled: None, lapsed: None, fenced: false };
                 self.mine.insert(key, former.get(key).copied().unwrap_or(fresh));
             }
             let Some(pool) = catalog.pool(&listing.pool) else { continue };
@@ -91,14 +93,18 @@
         self.mine.contains_key(key)
     }
 
-    /// Notes how far the rights to the owned upstreams have come at `now`.
-    pub fn mature(&mut self, now: Instant, membership: &Membership) {
+    /// Notes how far the rights to the owned upstreams have come at `now`, and returns whether there
+    /// are upstreams on which the leases of all former owners have now lapsed.
+    pub fn mature(&mut self, now: Instant, membership: &Membership) -> bool {
         let settled = membership.settled_at();
         let lapsed = membership.lapsed_at().filter(|lapsed| now >= *lapsed);
+        let mut any = false;
         for tenure in self.mine.values_mut() {
             tenure.settled = tenure.settled.or(settled);
+            any |= tenure.lapsed.is_none() && lapsed.is_some();
             tenure.lapsed = tenure.lapsed.or(lapsed);
         }
+        any
     }
 
     /// Returns whether former owners of an upstream can give no orders that it would take.
@@ -111,6 +117,19 @@
         })
     }
 
+    /// Notes that an upstream that checks fencing numbers has done an order of this instance's.
+    pub fn fence(&mut self, key: key::Upstream) {
+        if let Some(tenure) = self.mine.get_mut(key) {
+            tenure.fenced = true;
+        }
+    }
+
+    /// Returns whether no former owner can unload anything from an owned upstream any more, so that
+    /// what it holds can be used.
+    pub fn is_safe(&self, key: key::Upstream) -> bool {
+        self.mine.get(key).is_some_and(|tenure| tenure.fenced || tenure.lapsed.is_some())
+    }
+
     /// Returns since when no other instance sends requests to an owned upstream.
     ///
     /// Fencing numbers are on orders only, so that a former owner's lease counts for all engines.
--- a/crates/orioleroute/tests/membership.rs
+++ b/crates/orioleroute/tests/membership.rs
@@ -96,3 +96,34 @@
         assert!(world.nodes[former].core.is_none(), "seed {seed}");
     }
 }
+
+/// A member that has not heard of a view goes on evicting for its own requests.
+#[rstest]
+#[case::engines_that_check_fencing(true)]
+#[case::engines_that_ignore_fencing(false)]
+fn a_new_owner_uses_nothing_that_a_former_owner_may_still_evict(#[case] checks_fencing: bool) {
+    for seed in 0..20 {
+        let shape = Shape { nodes: 2, engines: 6, slots: 1, checks_fencing, ..ONE_REGION };
+        let mut world = world(seed, shape);
+        for adapter in 0..common::ADAPTERS {
+            time_to_answer(&mut world, 0, adapter, Duration::from_secs(9)).expect("an answer");
+        }
+        for engine in &mut world.engines {
+            engine.run_time = Duration::from_millis(60);
+        }
+        world.severed.extend([0, 1]);
+        let joiner = world.add_node("zurich");
+        world.cut(0, joiner);
+        world.cut(1, joiner);
+
+        for round in 0..200 {
+            for node in 0..3 {
+                let adapter = (round + 5 * node) % common::ADAPTERS;
+                world.ask(node, request(adapter, Duration::from_secs(2)));
+            }
+            world.run(Duration::from_millis(50));
+        }
+
+        assert_eq!(breaches(&world.records), [], "seed {seed}");
+    }
+}
