Give no answer to a process of the world that was started after the one that asked

A fault of the fake, not of the core: a new process gives out the same keys, so that an answer to a request that its predecessor had passed on reached a caller of the new one. A real connection has ended with the process.

--- a/crates/orioleroute/tests/reconcile.rs
+++ b/crates/orioleroute/tests/reconcile.rs
@@ -97,3 +97,22 @@
         assert!(is_whole(&world, first) && is_whole(&world, second), "seed {seed}");
     }
 }
+
+#[test]
+fn an_answer_to_a_process_that_ended_does_not_reach_the_one_started_after_it() {
+    for seed in 0..40 {
+        let mut world = world(seed, ONE_REGION);
+        for (first, second) in [(6, 0), (1, 2), (3, 4)] {
+            world.ask(0, request(first, Duration::from_secs(5)));
+            world.run(Duration::from_millis(seed * 10));
+            world.kill(0);
+            world.start(0);
+            world.freeze(0);
+            world.ask(0, request(second, Duration::from_secs(5)));
+            world.run(Duration::from_secs(3));
+            world.wake(0);
+        }
+
+        assert_eq!(breaches(&world.records), [], "seed {seed}");
+    }
+}
--- a/crates/standins/src/world/caller.rs
+++ b/crates/standins/src/world/caller.rs
@@ -116,7 +116,7 @@
                     let progress = Progress::Failed(orioleroute::request::Failure::Unsent);
                     return self.tell_progress(node, request, progress);
                 }
-                self.queue.push(at, Delivery::Arrive { node: to, from, spec });
+                self.queue.push(at, Delivery::Arrive { node: to, from, incarnation, spec });
             }
             Step::Refuse(refusal) => self.finish(node, request, Outcome::Refused(refusal)),
         }
@@ -143,6 +143,9 @@
     /// Passes the end of a request back to where it came from.
     fn finish(&mut self, node: usize, request: key::Request, outcome: Outcome) {
         let Some(number) = self.places.remove(&(node, request)) else { return };
+        if self.orphans.remove(&(node, request)) {
+            return;
+        }
         match self.parents.remove(&(node, request)) {
             Some((parent, above)) => {
                 self.finish(parent, above, outcome);
@@ -152,11 +155,19 @@
         }
     }
 
-    /// Breaks the connections of the callers and forwarding nodes of a dead node.
+    /// Breaks the connections of the callers and forwarding nodes of a dead node, and those on which
+    /// it waited for answers of other nodes.
     pub(super) fn lose_callers_of(&mut self, node: usize) {
+        let waits = |parent: &(usize, key::Request)| parent.0 == node;
+        let passed_on = self.parents.iter().filter(|(_, parent)| waits(parent)).map(|(at, _)| *at);
+        self.orphans.extend(passed_on);
+        self.parents.retain(|_, parent| !waits(parent));
         let lost: Vec<_> = self.places.keys().filter(|(at, _)| *at == node).copied().collect();
         for place in lost {
             let Some(number) = self.places.remove(&place) else { continue };
+            if self.orphans.remove(&place) {
+                continue;
+            }
             match self.parents.remove(&place) {
                 Some((parent, above)) => {
                     let failure = orioleroute::request::Failure::Broken;
--- a/crates/standins/src/world/mod.rs
+++ b/crates/standins/src/world/mod.rs
@@ -143,6 +143,8 @@
     asked: Vec<Asked>,
     places: BTreeMap<(usize, key::Request), usize>,
     parents: BTreeMap<(usize, key::Request), (usize, key::Request)>,
+    /// Requests that were passed on by a process that has ended.
+    orphans: BTreeSet<(usize, key::Request)>,
     queue: Queue,
     rng: StdRng,
     next_ticket: u64,
@@ -176,6 +178,7 @@
             asked: Vec::new(),
             places: BTreeMap::new(),
             parents: BTreeMap::new(),
+            orphans: BTreeSet::new(),
             queue: Queue::default(),
             rng: StdRng::seed_from_u64(seed),
             next_ticket: 0,
@@ -451,7 +454,12 @@
                 }
             }
             Delivery::RunEnd { upstream, run } => self.end_run(upstream, run),
-            Delivery::Arrive { node, from, spec } => self.arrive_forwarded(node, from, spec),
+            Delivery::Arrive { node, from, incarnation, spec } => {
+                // What a process sent before it ended is answered to nobody.
+                if self.nodes[from.0].identity.incarnation == incarnation {
+                    self.arrive_forwarded(node, from, spec);
+                }
+            }
         }
     }
 }
--- a/crates/standins/src/world/queue.rs
+++ b/crates/standins/src/world/queue.rs
@@ -34,7 +34,7 @@
     /// The end of a run on an upstream.
     RunEnd { upstream: usize, run: u64 },
     /// A request that another node passed on.
-    Arrive { node: usize, from: (usize, key::Request), spec: Spec },
+    Arrive { node: usize, from: (usize, key::Request), incarnation: u64, spec: Spec },
 }
 
 /// All that is under way.
