--- a/crates/orioleroute/tests/membership.rs
+++ b/crates/orioleroute/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{ONE_REGION, Shape, owner, request, time_to_answer, world};
+use common::{ONE_REGION, Shape, is_whole, owner, request, time_to_answer, world};
 use rstest::rstest;
 use standins::world::World;
 use standins::world::check::{Breach, Promise};
@@ -68,6 +68,67 @@
     }
 }
 
+#[test]
+fn an_owner_that_leaves_ends_its_streams_and_then_itself_while_others_take_its_upstream_over() {
+    for seed in 0..20 {
+        let mut world = world(seed, Shape { engines: 1, slots: 1, ..ONE_REGION });
+        let former = owner(&world, 0);
+        time_to_answer(&mut world, former, 0, Duration::from_secs(5)).expect("an answer");
+        world.engines[0].run_time = Duration::from_secs(8);
+        let mut asked = Vec::new();
+        for _ in 0..3 {
+            asked.push(world.ask(former, request(0, Duration::from_secs(20))));
+        }
+        world.run(Duration::from_millis(20));
+
+        world.stop(former);
+        world.run(Duration::from_secs(2));
+        asked.push(world.ask(former, request(1, Duration::from_secs(30))));
+        asked.push(world.ask((former + 1) % 3, request(1, Duration::from_secs(30))));
+        world.run(Duration::from_secs(40));
+
+        let missed: Vec<_> = asked
+            .iter()
+            .filter(|number| !is_whole(&world, **number))
+            .map(|number| world.outcome(*number))
+            .collect();
+        assert!(missed.is_empty(), "seed {seed}: {missed:?}");
+        assert_eq!(breaches(&world), [], "seed {seed}");
+        assert!(world.nodes[former].core.is_none(), "seed {seed}");
+    }
+}
+
+/// A member that has not heard of a view goes on evicting for its own requests.
+#[rstest]
+#[case::engines_that_check_fencing(true)]
+#[case::engines_that_ignore_fencing(false)]
+fn a_new_owner_uses_nothing_that_a_former_owner_may_still_evict(#[case] checks_fencing: bool) {
+    for seed in 0..20 {
+        let shape = Shape { nodes: 2, engines: 6, slots: 1, checks_fencing, ..ONE_REGION };
+        let mut world = world(seed, shape);
+        for adapter in 0..common::ADAPTERS {
+            time_to_answer(&mut world, 0, adapter, Duration::from_secs(9)).expect("an answer");
+        }
+        for engine in &mut world.engines {
+            engine.run_time = Duration::from_millis(60);
+        }
+        world.severed.extend([0, 1]);
+        let joiner = world.add_node("zurich");
+        world.cut(0, joiner);
+        world.cut(1, joiner);
+
+        for round in 0..200 {
+            for node in 0..3 {
+                let adapter = (round + 5 * node) % common::ADAPTERS;
+                world.ask(node, request(adapter, Duration::from_secs(2)));
+            }
+            world.run(Duration::from_millis(50));
+        }
+
+        assert_eq!(breaches(&world), [], "seed {seed}");
+    }
+}
+
 /// Returns the breaches but those of promptness, which tests/promises.rs checks.
 fn breaches(world: &World) -> Vec<Breach> {
     let breaches = world.checker.breaches().iter();
--- a/crates/standins/src/world/caller.rs
+++ b/crates/standins/src/world/caller.rs
@@ -185,7 +185,8 @@
                     return self.tell_progress(node, request, progress);
                 }
                 self.attempt(node, request, left);
-                self.queue.push(at, Delivery::Arrive { node: to, from, spec });
+                let incarnation = self.nodes[node].identity.incarnation;
+                self.queue.push(at, Delivery::Arrive { node: to, from, incarnation, spec });
             }
             Step::Refuse(refusal) => self.finish(node, request, Outcome::Refused(refusal)),
         }
@@ -205,6 +206,9 @@
     /// Passes the end of a request back to where it came from.
     fn finish(&mut self, node: usize, request: key::Request, outcome: Outcome) {
         let Some(number) = self.places.remove(&(node, request)) else { return };
+        if self.orphans.remove(&(node, request)) {
+            return;
+        }
         match self.parents.remove(&(node, request)) {
             Some((parent, above)) if self.cuts.contains(&(node, parent)) => {
                 self.attempts.remove(&(parent, above));
@@ -219,11 +223,19 @@
         }
     }
 
-    /// Breaks the connections of the callers and forwarding nodes of a dead node.
+    /// Breaks the connections of the callers and forwarding nodes of a dead node, and those on which
+    /// it waited for answers of other nodes.
     pub(super) fn lose_callers_of(&mut self, node: usize) {
+        let waits = |parent: &(usize, key::Request)| parent.0 == node;
+        let passed_on = self.parents.iter().filter(|(_, parent)| waits(parent)).map(|(at, _)| *at);
+        self.orphans.extend(passed_on);
+        self.parents.retain(|_, parent| !waits(parent));
         let lost: Vec<_> = self.places.keys().filter(|(at, _)| *at == node).copied().collect();
         for place in lost {
             let Some(number) = self.places.remove(&place) else { continue };
+            if self.orphans.remove(&place) {
+                continue;
+            }
             match self.parents.remove(&place) {
                 Some((parent, above)) => {
                     self.attempts.remove(&(parent, above));
--- a/crates/standins/src/world/mod.rs
+++ b/crates/standins/src/world/mod.rs
@@ -104,6 +104,8 @@
     attempts: BTreeMap<(usize, key::Request), u64>,
     next_attempt: u64,
     commanding: Option<Ticket>,
+    /// Requests that were passed on by a process that has ended.
+    orphans: BTreeSet<(usize, key::Request)>,
     queue: Queue,
     rng: StdRng,
     next_ticket: u64,
@@ -142,6 +144,7 @@
             attempts: BTreeMap::new(),
             next_attempt: 0,
             commanding: None,
+            orphans: BTreeSet::new(),
             queue: Queue::default(),
             rng: StdRng::seed_from_u64(seed),
             next_ticket: 0,
@@ -428,7 +431,12 @@
             Delivery::RunEnd { upstream, run } => self.end_run(upstream, run),
             Delivery::RunAnswer { place, end } => self.take_run_answer(place, end),
             Delivery::Timeout(place) => self.time_out(place),
-            Delivery::Arrive { node, from, spec } => self.arrive_forwarded(node, from, spec),
+            Delivery::Arrive { node, from, incarnation, spec } => {
+                // What a process sent before it ended is answered to nobody.
+                if self.nodes[from.0].identity.incarnation == incarnation {
+                    self.arrive_forwarded(node, from, spec);
+                }
+            }
         }
     }
 }
