Count what control costs a node, and walk only the owned upstreams

A tick and each report walked all upstreams of all regions to find what the document dropped; so did the list of owned ones, a secondary map. Only the owner acts on either, so both now cost what a node owns.

A second refusal of the same request is seen too.

--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -85,7 +85,9 @@
     /// Unloads what the configuration in force does not have.
     pub(super) fn reconcile(&mut self, now: Instant) {
         let mut dropped = Vec::new();
-        for (key, upstream) in self.fleet.iter() {
+        // Only the owner gives orders, and a node owns few of thousands of upstreams.
+        for key in self.ownership.mine() {
+            let Some(upstream) = self.fleet.get(key) else { continue };
             for (revision, resident) in &upstream.residents {
                 let idle = resident.running == 0 && resident.reported == 0;
                 let loaded = resident.residency == Residency::Loaded;
--- a/crates/orioleroute/src/ownership.rs
+++ b/crates/orioleroute/src/ownership.rs
@@ -3,8 +3,6 @@
 //! The index is rebuilt when a view, the list or the pools change, so that a routing decision costs
 //! the same however many upstreams there are; see `docs/DESIGN.md`, section "Ownership".
 
-use slotmap::SecondaryMap;
-
 use crate::catalog::Catalog;
 use crate::fleet::Fleet;
 use crate::hash::{digest, weight};
@@ -28,8 +26,9 @@
 pub struct Ownership {
     homes: Map<Arc<str>, Map<Arc<str>, Vec<Home>>>,
     owned: Map<Arc<str>, Vec<key::Upstream>>,
-    /// The upstreams that this instance owns, with when it gained them.
-    mine: SecondaryMap<key::Upstream, Instant>,
+    /// The upstreams that this instance owns, with when it gained them; a map, since walking a
+    /// secondary map costs as much as there are upstreams.
+    mine: Map<key::Upstream, Instant>,
 }
 
 impl Ownership {
@@ -51,7 +50,7 @@
             let Some(owner) = view.owner(upstream.digest) else { continue };
             let mine = owner.name == own.name;
             if mine {
-                self.mine.insert(key, former.get(key).copied().unwrap_or(now));
+                self.mine.insert(key, former.get(&key).copied().unwrap_or(now));
             }
             let Some(pool) = catalog.pool(&listing.pool) else { continue };
             let models = self.homes.entry(listing.region.clone()).or_default();
@@ -64,17 +63,17 @@
 
     /// Returns whether this instance owns an upstream.
     pub fn is_mine(&self, key: key::Upstream) -> bool {
-        self.mine.contains_key(key)
+        self.mine.contains_key(&key)
     }
 
     /// Returns when this instance gained an upstream that it owns.
     pub fn gained(&self, key: key::Upstream) -> Option<Instant> {
-        self.mine.get(key).copied()
+        self.mine.get(&key).copied()
     }
 
     /// Returns the upstreams that this instance owns.
     pub fn mine(&self) -> impl Iterator<Item = key::Upstream> {
-        self.mine.keys()
+        self.mine.keys().copied()
     }
 
     /// Returns the owned upstreams that run a base model.
--- a/crates/orioleroute/tests/promises.rs
+++ b/crates/orioleroute/tests/promises.rs
@@ -20,6 +20,7 @@
     Ask {
         node: usize,
         adapter: usize,
+        exact: bool,
     },
     Book {
         node: usize,
@@ -95,7 +96,8 @@
 fn step() -> impl Strategy<Value = Step> {
     let node = 0..REGIONS.len() * NODES_PER_REGION;
     prop_oneof![
-        12 => (node.clone(), 0..ADAPTERS).prop_map(|(node, adapter)| Step::Ask { node, adapter }),
+        12 => (node.clone(), 0..ADAPTERS, any::<bool>())
+            .prop_map(|(node, adapter, exact)| Step::Ask { node, adapter, exact }),
         3 => (node.clone(), 0..4_usize).prop_map(|(node, key)| Step::Book { node, key }),
         2 => node.clone().prop_map(Step::Start),
         3 => node.clone().prop_map(Step::Wake),
@@ -108,15 +110,17 @@
     ]
 }
 
+/// Returns a document in which every other adapter has so many versions, the last one its default.
 fn document(versions: usize) -> String {
-    let versions: Vec<String> = (1..=versions).map(|version| format!("v{version}")).collect();
     let adapters: Vec<_> = (0..ADAPTERS)
         .map(|adapter| {
+            let versions = if adapter % 2 == 0 { versions } else { 1 };
+            let names: Vec<String> = (1..=versions).map(|version| format!("v{version}")).collect();
             json!({
                 "name": format!("adapter-{adapter}"),
                 "model": "base",
-                "versions": versions,
-                "default": versions[0],
+                "versions": names,
+                "default": names[versions - 1],
             })
         })
         .collect();
@@ -171,8 +175,9 @@
         may_have_run: false,
     };
     match step {
-        Step::Ask { node, adapter } => {
-            let target = Target::Model(format!("adapter-{adapter}").into());
+        Step::Ask { node, adapter, exact } => {
+            let version = if *exact { "@v1" } else { "" };
+            let target = Target::Model(format!("adapter-{adapter}{version}").into());
             world.ask(*node, spec(target, true, None));
         }
         Step::Book { node, key } => {
@@ -298,7 +303,7 @@
 fn a_quiet_system_answers_every_request() {
     let mut world = world(1);
     for node in 0..6 {
-        apply(&mut world, &Step::Ask { node, adapter: node });
+        apply(&mut world, &Step::Ask { node, adapter: node, exact: false });
     }
     world.run(Duration::from_secs(5));
     for number in 0..6 {
--- a/crates/standins/src/world/caller.rs
+++ b/crates/standins/src/world/caller.rs
@@ -159,7 +159,9 @@
     }
 
     pub(super) fn take_step(&mut self, node: usize, request: key::Request, step: Step) {
-        let Some(number) = self.places.get(&(node, request)).copied() else { return };
+        let Some(number) = self.places.get(&(node, request)).copied() else {
+            return self.take_late_step(node, request, step);
+        };
         match step {
             Step::Dispatch(dispatch) => {
                 let at = self.now + self.delay(LOCAL_DELAY_US);
@@ -191,6 +193,14 @@
         }
     }
 
+    /// Notes a second answer to a request that has had its final one.
+    fn take_late_step(&mut self, node: usize, request: key::Request, step: Step) {
+        let finished = self.finished.get(&(node, request)).copied();
+        if let (Some(number), Step::Refuse(refusal)) = (finished, step) {
+            self.record(Record::Answered(number, Outcome::Refused(refusal)));
+        }
+    }
+
     /// Tells a node, and a caller whose answer is complete, how a request goes on.
     pub(super) fn tell_progress(&mut self, node: usize, request: key::Request, progress: Progress) {
         let known = self.nodes[node]
@@ -205,6 +215,7 @@
     /// Passes the end of a request back to where it came from.
     fn finish(&mut self, node: usize, request: key::Request, outcome: Outcome) {
         let Some(number) = self.places.remove(&(node, request)) else { return };
+        self.finished.insert((node, request), number);
         match self.parents.remove(&(node, request)) {
             Some((parent, above)) if self.cuts.contains(&(node, parent)) => {
                 self.attempts.remove(&(parent, above));
@@ -221,6 +232,8 @@
 
     /// Breaks the connections of the callers and forwarding nodes of a dead node.
     pub(super) fn lose_callers_of(&mut self, node: usize) {
+        // The next process may give its requests the same keys.
+        self.finished.retain(|(at, _), _| *at != node);
         let lost: Vec<_> = self.places.keys().filter(|(at, _)| *at == node).copied().collect();
         for place in lost {
             let Some(number) = self.places.remove(&place) else { continue };
--- a/crates/standins/src/world/check.rs
+++ b/crates/standins/src/world/check.rs
@@ -118,7 +118,9 @@
             Record::Leaving(upstream) => {
                 self.leaving.entry(*upstream).or_insert(at);
             }
-            Record::Submitted { ticket, object } => self.config.submit(*ticket, object),
+            Record::Submitted { ticket, object, document } => {
+                self.config.submit(*ticket, object, document);
+            }
             Record::Head { version, object } => {
                 let breaches = self.config.take_head(at, *version, object);
                 self.breaches.extend(breaches);
@@ -253,10 +255,8 @@
             let what = format!("request {number} on leaving upstream {upstream}");
             self.breach(Promise::Leaving, at, what);
         }
-        let newest = self.config.due(at);
-        if newest > version {
-            let what = format!("{name} run by node {node} at version {version}, not {newest}");
-            self.breach(Promise::InForce, at, what);
+        if let Some(what) = self.check_version(at, number, name, version) {
+            self.breach(Promise::InForce, at, format!("{what}, by node {node}"));
         }
         let asked = self.asked.get(&number).map(|(_, asked)| asked);
         let Some(asked) = asked.filter(|asked| !asked.repeatable) else { return };
@@ -268,6 +268,26 @@
         }
     }
 
+    /// Returns what is wrong if no configuration that was due lets a name answer a request.
+    ///
+    /// A request keeps the revision that it named when it arrived, while a later version comes into
+    /// force; a node that is behind may still answer what the later version does not change.
+    fn check_version(
+        &self,
+        at: Instant,
+        number: usize,
+        name: &str,
+        version: u64,
+    ) -> Option<String> {
+        let (since, asked) = self.asked.get(&number)?;
+        let due = self.config.due(at);
+        let (oldest, newest) = (self.config.due(*since), self.config.newest());
+        let resolved = (oldest..=newest).any(|held| self.config.allows(held, &asked.target, name));
+        let behind = version < due && !self.config.allows(due, &asked.target, name);
+        let what = format!("{name} run for {:?} at version {version}", asked.target);
+        (!resolved || behind).then(|| format!("{what}, due was {oldest} and then {due}"))
+    }
+
     fn breach(&mut self, promise: Promise, at: Instant, what: String) {
         self.breaches.push(Breach { promise, at, what });
     }
--- a/crates/standins/src/world/check/config.rs
+++ b/crates/standins/src/world/check/config.rs
@@ -4,6 +4,8 @@
 
 use orioleroute::operator::Answer;
 use orioleroute::prelude::Instant;
+use orioleroute::request::Target;
+use serde_json::Value;
 
 use super::{Breach, IN_FORCE, Promise};
 
@@ -12,13 +14,16 @@
 pub struct Accepted {
     heads: Vec<(Instant, u64, String)>,
     submitted: BTreeMap<u64, String>,
+    /// The default version and all versions of each adapter, by the object of the document.
+    documents: BTreeMap<String, BTreeMap<String, (String, Vec<String>)>>,
     /// Objects of submissions whose operators were told that nothing was accepted.
     denied: BTreeSet<String>,
 }
 
 impl Accepted {
     /// Takes a submission that was stored as an object.
-    pub fn submit(&mut self, ticket: u64, object: &str) {
+    pub fn submit(&mut self, ticket: u64, object: &str, document: &str) {
+        self.documents.insert(object.to_owned(), adapters(document));
         self.submitted.insert(ticket, object.to_owned());
     }
 
@@ -33,6 +38,23 @@
         due.map(|(_, version, _)| *version).max().unwrap_or_default()
     }
 
+    /// Returns whether a version lets an upstream answer for a target under a served name.
+    pub fn allows(&self, version: u64, target: &Target, name: &str) -> bool {
+        let Target::Model(model) = target else { return true };
+        let head = self.heads.iter().find(|(_, head, _)| *head == version);
+        let Some(adapters) = head.and_then(|(.., object)| self.documents.get(object)) else {
+            return true;
+        };
+        let (adapter, named) = match model.split_once('@') {
+            Some((adapter, version)) => (adapter, Some(version)),
+            None => (&**model, None),
+        };
+        adapters.get(adapter).is_some_and(|(default, versions)| {
+            let version = named.unwrap_or(default);
+            versions.iter().any(|known| known == version) && name == format!("{adapter}@{version}")
+        })
+    }
+
     /// Takes an acceptance, and returns what is wrong with it.
     pub fn take_head(&mut self, at: Instant, version: u64, object: &str) -> Vec<Breach> {
         let mut breaches = Vec::new();
@@ -67,3 +89,16 @@
         }
     }
 }
+
+/// Returns the default version and all versions of each adapter of a document.
+fn adapters(document: &str) -> BTreeMap<String, (String, Vec<String>)> {
+    let document: Value = serde_json::from_str(document).unwrap_or_default();
+    let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+    let adapters = document["adapters"].as_array().into_iter().flatten();
+    adapters
+        .map(|adapter| {
+            let versions = adapter["versions"].as_array().into_iter().flatten().map(text).collect();
+            (text(&adapter["name"]), (text(&adapter["default"]), versions))
+        })
+        .collect()
+}
--- a/crates/standins/src/world/mod.rs
+++ b/crates/standins/src/world/mod.rs
@@ -23,7 +23,7 @@
 use orioleroute::key;
 use orioleroute::key::Ticket;
 use orioleroute::operator::{Answer, Command};
-use orioleroute::prelude::{Effect, Event, Instant};
+use orioleroute::prelude::{Arc, Effect, Event, Instant};
 use orioleroute::{Core, event::TICK};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -55,6 +55,13 @@
     pub counts: Counts,
 }
 
+impl Node {
+    /// Returns how far its clock is ahead of the world's.
+    pub fn skew(&self) -> Duration {
+        self.skew
+    }
+}
+
 /// What a node sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -101,9 +108,10 @@
     asked: Vec<Asked>,
     places: BTreeMap<(usize, key::Request), usize>,
     parents: BTreeMap<(usize, key::Request), (usize, key::Request)>,
+    finished: BTreeMap<(usize, key::Request), usize>,
     attempts: BTreeMap<(usize, key::Request), u64>,
     next_attempt: u64,
-    commanding: Option<Ticket>,
+    commanding: Option<(Ticket, Arc<str>)>,
     queue: Queue,
     rng: StdRng,
     next_ticket: u64,
@@ -139,6 +147,7 @@
             asked: Vec::new(),
             places: BTreeMap::new(),
             parents: BTreeMap::new(),
+            finished: BTreeMap::new(),
             attempts: BTreeMap::new(),
             next_attempt: 0,
             commanding: None,
@@ -325,7 +334,9 @@
         }
         let Some(core) = &mut node.core else { return };
         let command = match &event {
-            Event::Command { ticket, .. } => Some(*ticket),
+            Event::Command { ticket, command: Command::Submit { document, .. } } => {
+                Some((*ticket, document.clone()))
+            }
             _ => None,
         };
         let began = std::time::Instant::now();
@@ -360,8 +371,9 @@
             Effect::Send { address, message, .. } => self.send(number, address, message),
             Effect::Table { ticket, operation } => self.ask_table(number, ticket, operation),
             Effect::Put { ticket, key, value } => {
-                if let Some(Ticket(ticket)) = self.commanding {
-                    self.record(Record::Submitted { ticket, object: key.to_string() });
+                if let Some((Ticket(ticket), document)) = self.commanding.clone() {
+                    let object = key.to_string();
+                    self.record(Record::Submitted { ticket, object, document });
                 }
                 self.put_object(number, ticket, &key, &value);
             }
--- a/crates/standins/src/world/record.rs
+++ b/crates/standins/src/world/record.rs
@@ -1,6 +1,7 @@
 //! What really happened, as the checker sees it.
 
 use orioleroute::operator::Answer;
+use orioleroute::prelude::Arc;
 
 use super::{Asked, Outcome};
 
@@ -52,6 +53,8 @@
         ticket: u64,
         /// The object's key.
         object: String,
+        /// The document, as the operator gave it.
+        document: Arc<str>,
     },
     /// An operator was told something.
     Told {
