Sort the ring of watchers once a tick

Each tick asked of every member whether this instance watches it, and each answer sorted the members anew. The members watched are now found by one sort.

--- a/crates/orioleroute/src/membership.rs
+++ b/crates/orioleroute/src/membership.rs
@@ -580,8 +580,10 @@
             return;
         }
         let view = self.view();
-        let lapsed: Vec<&Identity> =
-            view.members.iter().filter(|member| self.has_lapsed(now, member)).collect();
+        let lapsed: Vec<&Identity> = view
+            .watched(&self.identity.name)
+            .filter(|member| self.has_lapsed(now, member))
+            .collect();
         if lapsed.is_empty() {
             return;
         }
--- a/crates/orioleroute/src/view.rs
+++ b/crates/orioleroute/src/view.rs
@@ -45,14 +45,30 @@
 
     /// Returns the watchers of `name`: the members that follow it in a fixed order of hashes.
     pub fn watchers(&self, name: &str) -> impl Iterator<Item = &Instance> {
-        let mut ring: Vec<&Instance> = self.members.iter().collect();
-        ring.sort_by_key(|member| (digest(&*member.name), member.name.clone()));
+        let ring = self.ring();
         let start = ring.iter().position(|member| &*member.name == name);
         let count = if start.is_some() { WATCHERS.min(ring.len() - 1) } else { 0 };
         let start = start.unwrap_or(0);
         (1..=count).map(move |step| ring[(start + step) % ring.len()])
     }
 
+    /// Returns the members that `name` watches: those that precede it in the order of hashes.
+    ///
+    /// This sorts the members once, where asking [`Self::is_watcher`] of each sorts them each time.
+    pub fn watched(&self, name: &str) -> impl Iterator<Item = &Instance> {
+        let ring = self.ring();
+        let end = ring.iter().position(|member| &*member.name == name);
+        let count = if end.is_some() { WATCHERS.min(ring.len() - 1) } else { 0 };
+        let end = end.unwrap_or(0);
+        (1..=count).map(move |step| ring[(end + ring.len() - step) % ring.len()])
+    }
+
+    fn ring(&self) -> Vec<&Instance> {
+        let mut ring: Vec<&Instance> = self.members.iter().collect();
+        ring.sort_by_cached_key(|member| (digest(&*member.name), member.name.clone()));
+        ring
+    }
+
     /// Returns whether `watcher` watches `name`.
     pub fn is_watcher(&self, watcher: &str, name: &str) -> bool {
         self.watchers(name).any(|member| &*member.name == watcher)
