--- a/crates/orioleroute/src/ownership.rs
+++ b/crates/orioleroute/src/ownership.rs
@@ -5,7 +5,7 @@
 
 use crate::catalog::Catalog;
 use crate::fleet::Fleet;
-use crate::hash::{digest, weight};
+use crate::hash::{digest, weight, winner};
 use crate::instance::Instance as Identity;
 use crate::membership::Membership;
 use crate::prelude::*;
@@ -44,10 +44,13 @@
         self.owned.clear();
         let former = std::mem::take(&mut self.mine);
         let own = membership.identity();
+        // The names of members are digested once, not once for each upstream.
+        let regions: Map<&str, Vec<(u64, &Identity)>> =
+            membership.views().map(|view| (&*view.region, view.digests().collect())).collect();
         for (key, upstream) in fleet.iter() {
             let listing = &upstream.listing;
-            let Some(view) = membership.view_of(&listing.region) else { continue };
-            let Some(owner) = view.owner(upstream.digest) else { continue };
+            let Some(members) = regions.get(&*listing.region) else { continue };
+            let Some(owner) = winner(upstream.digest, members.iter().copied()) else { continue };
             let mine = owner.name == own.name;
             if mine {
                 self.mine.insert(key, former.get(&key).copied().unwrap_or(now));
--- a/crates/orioleroute/src/view.rs
+++ b/crates/orioleroute/src/view.rs
@@ -40,7 +40,12 @@
 
     /// Returns the owner of the upstream whose name has this digest, by rendezvous hashing.
     pub fn owner(&self, upstream: u64) -> Option<&Instance> {
-        winner(upstream, self.members.iter().map(|member| (digest(&*member.name), member)))
+        winner(upstream, self.digests())
+    }
+
+    /// Returns the members with the digests of their names, for rendezvous hashing.
+    pub fn digests(&self) -> impl Iterator<Item = (u64, &Instance)> {
+        self.members.iter().map(|member| (digest(&*member.name), member))
     }
 
     /// Returns the watchers of `name`: the members that follow it in a fixed order of hashes.
