--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -107,6 +107,7 @@
             return;
         }
         let mut dropped = Vec::new();
+        // Only the owner gives orders, and a node owns few of thousands of upstreams.
         for key in self.ownership.mine() {
             let Some(upstream) = self.fleet.get(key) else { continue };
             for (revision, resident) in &upstream.residents {
--- a/crates/orioleroute/src/membership/lease.rs
+++ b/crates/orioleroute/src/membership/lease.rs
@@ -80,8 +80,10 @@
             return;
         }
         let view = self.view();
-        let lapsed: Vec<&Identity> =
-            view.members.iter().filter(|member| self.has_lapsed(now, member)).collect();
+        let lapsed: Vec<&Identity> = view
+            .watched(&self.identity.name)
+            .filter(|member| self.has_lapsed(now, member))
+            .collect();
         if lapsed.is_empty() {
             return;
         }
@@ -95,16 +97,14 @@
         self.write_view(now, members, unclean, effects);
     }
 
-    /// Returns whether a member is silent and this watcher has granted it nothing for a lease.
+    /// Returns whether a watched member is silent and was granted nothing for a lease.
     fn has_lapsed(&self, now: Instant, member: &Identity) -> bool {
         let Some(peer) = self.peers.get(&member.name) else { return false };
         let wait = match self.is_clean(member) {
             true => LEASE + LEASE_MARGIN,
             false => LEASE + LEASE_MARGIN + UNCLEAN_WAIT,
         };
-        self.view().is_watcher(&self.identity.name, &member.name)
-            && now >= peer.heard + SUSPICION
-            && now >= peer.granted + wait
+        now >= peer.heard + SUSPICION && now >= peer.granted + wait
     }
 
     /// Returns whether a member cannot hold a lease that watchers unknown here still extend.
--- a/crates/orioleroute/src/ownership.rs
+++ b/crates/orioleroute/src/ownership.rs
@@ -3,11 +3,9 @@
 //! The index is rebuilt when a view, the list or the pools change, so that a routing decision costs
 //! the same however many upstreams there are; see `docs/DESIGN.md`, section "Ownership".
 
-use slotmap::SecondaryMap;
-
 use crate::catalog::Catalog;
 use crate::fleet::Fleet;
-use crate::hash::{digest, weight};
+use crate::hash::{digest, weight, winner};
 use crate::instance::Instance as Identity;
 use crate::membership::Membership;
 use crate::prelude::*;
@@ -45,8 +43,9 @@
 pub struct Ownership {
     homes: Map<Arc<str>, Map<Arc<str>, Vec<Home>>>,
     owned: Map<Arc<str>, Vec<key::Upstream>>,
-    /// The upstreams that this instance owns.
-    mine: SecondaryMap<key::Upstream, Tenure>,
+    /// The upstreams that this instance owns; a map, since walking a secondary map costs as much
+    /// as there are upstreams.
+    mine: Map<key::Upstream, Tenure>,
     /// The version of the view of the own region that the index was built from.
     version: u64,
 }
@@ -70,14 +69,17 @@
         }
         self.version = version;
         let own = membership.identity();
+        // The names of members are digested once, not once for each upstream.
+        let regions: Map<&str, Vec<(u64, &Identity)>> =
+            membership.views().map(|view| (&*view.region, view.digests().collect())).collect();
         for (key, upstream) in fleet.iter() {
             let listing = &upstream.listing;
-            let Some(view) = membership.view_of(&listing.region) else { continue };
-            let Some(owner) = view.owner(upstream.digest) else { continue };
+            let Some(members) = regions.get(&*listing.region) else { continue };
+            let Some(owner) = winner(upstream.digest, members.iter().copied()) else { continue };
             let mine = owner.name == own.name;
             if mine {
                 let fresh = Tenure { gained: now, settled: None, lapsed: None, fenced: false };
-                self.mine.insert(key, former.get(key).copied().unwrap_or(fresh));
+                self.mine.insert(key, former.get(&key).copied().unwrap_or(fresh));
             }
             let Some(pool) = catalog.pool(&listing.pool) else { continue };
             let models = self.homes.entry(listing.region.clone()).or_default();
@@ -90,7 +92,7 @@
 
     /// Returns whether this instance owns an upstream.
     pub fn is_mine(&self, key: key::Upstream) -> bool {
-        self.mine.contains_key(key)
+        self.mine.contains_key(&key)
     }
 
     /// Notes how far the rights to the owned upstreams have come at `now`, and returns whether there
@@ -111,7 +113,7 @@
     ///
     /// Engines that check fencing numbers refuse them, so there is no wait for their leases.
     pub fn is_settled(&self, key: key::Upstream, fenced: bool) -> bool {
-        self.mine.get(key).is_some_and(|tenure| match fenced {
+        self.mine.get(&key).is_some_and(|tenure| match fenced {
             true => tenure.settled.is_some(),
             false => tenure.lapsed.is_some(),
         })
@@ -119,7 +121,7 @@
 
     /// Notes that an upstream that checks fencing numbers has done an order of this instance's.
     pub fn fence(&mut self, key: key::Upstream) {
-        if let Some(tenure) = self.mine.get_mut(key) {
+        if let Some(tenure) = self.mine.get_mut(&key) {
             tenure.fenced = true;
         }
     }
@@ -127,20 +129,20 @@
     /// Returns whether no former owner can unload anything from an owned upstream any more, so that
     /// what it holds can be used.
     pub fn is_safe(&self, key: key::Upstream) -> bool {
-        self.mine.get(key).is_some_and(|tenure| tenure.fenced || tenure.lapsed.is_some())
+        self.mine.get(&key).is_some_and(|tenure| tenure.fenced || tenure.lapsed.is_some())
     }
 
     /// Returns since when no other instance sends requests to an owned upstream.
     ///
     /// Fencing numbers are on orders only, so that a former owner's lease counts for all engines.
     pub fn alone_since(&self, key: key::Upstream) -> Option<Instant> {
-        let tenure = self.mine.get(key)?;
+        let tenure = self.mine.get(&key)?;
         tenure.lapsed.map(|lapsed| lapsed.max(tenure.gained))
     }
 
     /// Returns the upstreams that this instance owns.
     pub fn mine(&self) -> impl Iterator<Item = key::Upstream> {
-        self.mine.keys()
+        self.mine.keys().copied()
     }
 
     /// Returns the owned upstreams that run a base model.
