Bound retries by a budget, end a request that has begun at its first failure, and try the next home

Cause: after a stream broke off the core, which did not know that it had begun, gave the request another step that nobody took: it counted as running for good, and a shutdown would wait for it. A forward that failed went three times to the same dead home. A forward passed the caller's whole deadline on. Nothing bounded retries in a brown-out.

--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -73,9 +73,9 @@
                 let address = dispatch.address;
                 attempt(&guard, connection, address, call, patience, expected, stream).await?
             }
-            Some(Step::Forward { address, may_have_run, .. }) => {
-                let call = call_instance(&request, hops + 1, may_have_run);
-                let patience = FORWARD_PATIENCE;
+            Some(Step::Forward { address, patience, may_have_run, .. }) => {
+                let call = call_instance(&request, hops + 1, patience, may_have_run);
+                let patience = patience + FORWARD_MARGIN;
                 attempt(&guard, connection, address, call, patience, None, stream).await?
             }
         };
@@ -95,8 +95,8 @@
     }
 }
 
-/// The longest wait for another instance to begin its answer.
-const FORWARD_PATIENCE: Duration = Duration::from_secs(60);
+/// How much longer than the time left the refusal of another instance is waited for.
+const FORWARD_MARGIN: Duration = Duration::from_millis(500);
 
 /// Tells the core how a request ended, whatever way its task ends.
 struct Guard {
@@ -136,16 +136,9 @@
     call.header("content-type", media).payload(body)
 }
 
-fn call_instance(request: &Request, hops: u8, may_have_run: bool) -> Call {
+fn call_instance(request: &Request, hops: u8, patience: Duration, may_have_run: bool) -> Call {
     let mut call = Call::new(request.method.clone(), path_of(request));
-    for name in [
-        "idempotency-key",
-        "x-request-id",
-        "accept",
-        "x-importance",
-        "x-deadline-ms",
-        "content-type",
-    ] {
+    for name in ["idempotency-key", "x-request-id", "accept", "x-importance", "content-type"] {
         if let Some(value) = request.header(name) {
             call = call.header(name, value);
         }
@@ -153,7 +146,9 @@
     if may_have_run {
         call = call.header(callers::MAY_HAVE_RUN, "1");
     }
-    call.header(callers::HOPS, hops.to_string()).payload(request.body.clone())
+    call.header(callers::HOPS, hops.to_string())
+        .header("x-deadline-ms", patience.as_millis().to_string())
+        .payload(request.body.clone())
 }
 
 fn path_of(request: &Request) -> String {
--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -13,6 +13,7 @@
 use crate::ownership::Ownership;
 use crate::prelude::*;
 use crate::request::Requests;
+use crate::retry::Budget;
 
 mod claims;
 mod engines;
@@ -56,6 +57,7 @@
     fleet: Fleet,
     requests: Requests,
     claims: Claims,
+    retries: Budget,
     orders: Orders,
     ownership: Ownership,
     indexed: u64,
@@ -72,6 +74,7 @@
             catalog: Catalog::default(),
             fleet: Fleet::default(),
             requests: Requests::default(),
+            retries: Budget::default(),
             orders: Orders::default(),
             ownership: Ownership::default(),
             indexed: 0,
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -38,10 +38,13 @@
             deadline: now + patience,
             state: State::Waiting,
             attempts: 0,
+            begun: false,
+            passed_to: Vec::new(),
             claim: None,
             spec,
         };
         let needs_claim = !request.spec.repeatable;
+        self.retries.earn();
         self.requests.fill(key, request);
         if !known {
             return match self.config.version() {
@@ -59,7 +62,11 @@
     /// Takes the progress of a request that was given a step.
     pub(super) fn take_progress(&mut self, now: Instant, key: key::Request, progress: Progress) {
         match progress {
-            Progress::Begun => {}
+            Progress::Begun => {
+                if let Some(request) = self.requests.get_mut(key) {
+                    request.begun = true;
+                }
+            }
             Progress::Finished => self.end(now, key, claim::State::Finished),
             Progress::Gone => {
                 let is_sent = self.requests.get(key).is_none_or(Request::may_have_run);
@@ -91,7 +98,9 @@
         request.spec.may_have_run |= failure.may_have_run();
         let again = request.spec.repeatable || !failure.may_have_run();
         let in_time = now < request.deadline && request.attempts < ATTEMPTS;
-        if again && in_time {
+        // Waiting for a load anew puts no load on an upstream that fails.
+        let is_free = failure == Failure::NotLoaded;
+        if again && !request.begun && in_time && (is_free || self.retries.spend(now)) {
             return self.route(now, key);
         }
         let retry_after = again.then_some(RETRY_AFTER);
@@ -105,7 +114,7 @@
             return self.refuse(key, Kind::Deadline, Some(RETRY_AFTER));
         }
         if self.passes_on(key) {
-            return self.forward(key);
+            return self.forward(now, key);
         }
         // One that may be cut off cannot know whether its configuration still is in force.
         if !self.membership.may_serve(now) {
@@ -166,13 +175,15 @@
         }
     }
 
-    fn forward(&mut self, key: key::Request) {
+    fn forward(&mut self, now: Instant, key: key::Request) {
         let Some(home) = self.next_home(key) else { return };
         let (instance, address) = (home.name.clone(), home.caller_address);
         let name = self.name_of(key);
         let Some(request) = self.requests.get_mut(key) else { return };
         request.state = State::Forwarded;
         request.attempts += 1;
+        request.passed_to.push(instance.clone());
+        let patience = request.deadline.since(now);
         let may_have_run = request.spec.may_have_run;
         self.effects.push(Effect::Decide(Decision {
             request: Some(key),
@@ -181,7 +192,7 @@
             reason: Reason::OtherHome,
             runners_up: Vec::new(),
         }));
-        let step = Step::Forward { instance, address, may_have_run };
+        let step = Step::Forward { instance, address, patience, may_have_run };
         self.effects.push(Effect::Request { request: key, step });
     }
 
--- a/crates/orioleroute/src/core/routes.rs
+++ b/crates/orioleroute/src/core/routes.rs
@@ -2,6 +2,7 @@
 
 use super::Core;
 use super::requests::RETRY_AFTER;
+use crate::catalog::Revision;
 use crate::hash::digest;
 use crate::instance::Instance as Identity;
 use crate::prelude::*;
@@ -129,11 +130,28 @@
             std::iter::once(&own.region).chain(others.filter(|name| **name != own.region));
         regions
             .filter(|region| revision.may_run_in(region))
-            .find_map(|region| self.ownership.home(region, &revision.model, revision.digest))
-            .map(|home| &home.instance)
+            .find_map(|region| self.untried_home(region, revision, &request.passed_to))
             .filter(|home| home.name != own.name)
     }
 
+    /// Returns the first home of a revision in a region among those that a request was not passed to.
+    fn untried_home(
+        &self,
+        region: &str,
+        revision: &Revision,
+        tried: &[Arc<str>],
+    ) -> Option<&Identity> {
+        let (model, digest) = (&revision.model, revision.digest);
+        let home = match tried {
+            [] => self.ownership.home(region, model, digest),
+            _ => {
+                let mut homes = self.ownership.homes(region, model, digest).into_iter();
+                homes.find(|home| !tried.contains(&home.instance.name))
+            }
+        };
+        home.map(|home| &home.instance)
+    }
+
     /// Returns whether a staged document of unknown fate would answer a request differently.
     pub(super) fn is_in_doubt(&self, now: Instant, key: key::Request) -> bool {
         let revision = self.requests.get(key).and_then(|request| request.revision);
--- a/crates/orioleroute/src/lib.rs
+++ b/crates/orioleroute/src/lib.rs
@@ -13,8 +13,8 @@
 //!   upstream, and the lease under which orders are given.
 //! * [`fleet`], [`routing`] and [`placement`]: the upstreams, the choice of one for a request, and
 //!   the choice of what to load and unload.
-//! * [`request`] and [`claim`]: a caller's request from arrival to its one final answer, and what
-//!   lets it run at most once.
+//! * [`request`], [`retry`] and [`claim`]: a caller's request from arrival to its one final answer,
+//!   how often attempts are repeated, and what lets it run at most once.
 //!
 //! # Examples
 //!
@@ -61,6 +61,7 @@
 pub mod placement;
 pub mod prelude;
 pub mod request;
+pub mod retry;
 pub mod routing;
 pub mod table;
 pub mod time;
--- a/crates/orioleroute/src/request.rs
+++ b/crates/orioleroute/src/request.rs
@@ -46,6 +46,8 @@
         instance: Arc<str>,
         /// Where it takes callers.
         address: SocketAddr,
+        /// The time that is left.
+        patience: Duration,
         /// Whether an attempt may have run, which the other instance has to know.
         may_have_run: bool,
     },
@@ -174,6 +176,10 @@
     pub state: State,
     /// The attempts made.
     pub attempts: u32,
+    /// Whether the caller has a part of the answer, after which there can be no other attempt.
+    pub begun: bool,
+    /// The instances that it was passed on to.
+    pub passed_to: Vec<Arc<str>>,
     /// The key of the row that holds its claim, if it needs one.
     pub claim: Option<Arc<str>>,
 }
--- /dev/null
+++ b/crates/orioleroute/tests/retries.rs
@@ -0,0 +1,151 @@
+//! Attempts at requests: how often, where and for how long.
+
+use std::time::Duration;
+
+use orioleroute::operator::Command;
+use orioleroute::prelude::{Effect, Event, Instant};
+use orioleroute::request::{Failure, Progress, Ran, Refusal, Spec, Step, Target};
+use orioleroute::retry::{BURST, Budget, TIME_PER_RETRY};
+use serde_json::json;
+use standins::world::{Engine, Outcome, Record, World};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+const SETTLED: Duration = Duration::from_secs(8);
+
+/// Nodes before engines and a service, with a document in force.
+fn world(engines: usize) -> World {
+    let mut world = World::new(11);
+    for _ in 0..3 {
+        world.add_node("zurich");
+    }
+    for number in 0..engines {
+        world.add_engine(Engine::new(number, "coaching", "zurich", 2));
+    }
+    world.add_engine(Engine::new(engines, "course", "zurich", 0));
+    world.run(SETTLED);
+    let document = json!({
+        "format": 1,
+        "models": [{ "name": "base" }],
+        "pools": [{ "name": "coaching", "model": "base", "slots": 2, "fencing": "checked" }],
+        "adapters": [{ "name": "milk", "model": "base", "versions": ["v1"], "default": "v1" }],
+        "services": [{ "name": "bookings", "pool": "course" }],
+    });
+    let document = document.to_string().into();
+    let ticket = world.command(0, Command::Submit { base: 0, document });
+    world.run(SETTLED);
+    assert_eq!(world.nodes[0].core.as_ref().map(|core| core.version()), Some(1), "{ticket}");
+    world
+}
+
+fn spec(target: Target) -> Spec {
+    Spec {
+        target,
+        importance: None,
+        patience: Some(PATIENCE),
+        repeatable: true,
+        idempotency: None,
+        hops: 0,
+        may_have_run: false,
+    }
+}
+
+fn runs(world: &World) -> usize {
+    world.records.iter().filter(|(_, record)| matches!(record, Record::Began { .. })).count()
+}
+
+#[test]
+fn a_brown_out_is_not_amplified() {
+    let mut world = world(0);
+    world.engines[0].faults.answers_lost = true;
+    const REQUESTS: usize = 400;
+
+    let numbers: Vec<usize> = (0..REQUESTS)
+        .map(|_| {
+            let number = world.ask(0, spec(Target::Service("bookings".into())));
+            world.run(Duration::from_millis(5));
+            number
+        })
+        .collect();
+    world.run(SETTLED);
+
+    // A tenth more, what was saved, and one for each of the two seconds and the run after them.
+    assert!(runs(&world) <= REQUESTS + REQUESTS / 10 + BURST as usize + 4, "{}", runs(&world));
+    for number in numbers {
+        let outcome = world.outcome(number);
+        let Some(Outcome::Refused(refusal)) = outcome else { panic!("{outcome:?}") };
+        assert_eq!(refusal.ran, Ran::MayHaveRun);
+    }
+}
+
+#[test]
+fn time_and_requests_earn_retries() {
+    let mut budget = Budget::default();
+    let start = Instant::from_millis(0);
+    assert!((0..BURST).all(|_| budget.spend(start)));
+    assert!(!budget.spend(start));
+
+    assert!(budget.spend(start + TIME_PER_RETRY));
+    assert!(!budget.spend(start + TIME_PER_RETRY));
+    (0..10).for_each(|_| budget.earn());
+    assert!(budget.spend(start + TIME_PER_RETRY));
+}
+
+#[test]
+fn nothing_is_tried_again_after_the_answer_has_begun() {
+    let mut world = world(0);
+    // Later than the node's clock, by less than what it takes for a pause.
+    let now = world.now + Duration::from_secs(1);
+    let core = world.nodes[0].core.as_mut().expect("it runs");
+    let request = core.admit();
+    let spec = spec(Target::Service("bookings".into()));
+    core.handle(now, Event::Arrived { request, spec });
+    core.handle(now, Event::Progress { request, progress: Progress::Begun });
+
+    let progress = Progress::Failed(Failure::Broken);
+    let effects = core.handle(now, Event::Progress { request, progress });
+
+    let steps: Vec<&Step> = effects.iter().filter_map(step_of).collect();
+    assert!(matches!(steps[..], [Step::Refuse(Refusal { ran: Ran::MayHaveRun, .. })]), "{steps:?}");
+    assert!(core.requests().is_empty());
+}
+
+#[test]
+fn the_next_home_gets_what_is_left_of_the_time() {
+    let mut world = world(8);
+    let now = Instant::from_millis(60_000);
+    let model = Target::Model("milk".into());
+    let homes: Vec<usize> = {
+        let core = world.nodes[0].core.as_ref().expect("it runs");
+        core.homes("zurich", &model).iter().map(|home| number_of(&home.name)).collect()
+    };
+    let core = world.nodes[homes[2]].core.as_mut().expect("it runs");
+    let request = core.admit();
+    let first = core.handle(now, Event::Arrived { request, spec: spec(model) });
+
+    let progress = Progress::Failed(Failure::Unsent);
+    let later = now + Duration::from_secs(2);
+    let second = core.handle(later, Event::Progress { request, progress });
+
+    assert_eq!(first.iter().find_map(forward_of), Some((homes[0], PATIENCE)));
+    let left = PATIENCE - Duration::from_secs(2);
+    assert_eq!(second.iter().find_map(forward_of), Some((homes[1], left)));
+}
+
+fn step_of(effect: &Effect) -> Option<&Step> {
+    match effect {
+        Effect::Request { step, .. } => Some(step),
+        _ => None,
+    }
+}
+
+fn forward_of(effect: &Effect) -> Option<(usize, Duration)> {
+    match step_of(effect)? {
+        Step::Forward { instance, patience, .. } => Some((number_of(instance), *patience)),
+        _ => None,
+    }
+}
+
+fn number_of(name: &str) -> usize {
+    name.trim_start_matches("node-").parse().expect("names are numbered")
+}
--- a/crates/standins/src/world/caller.rs
+++ b/crates/standins/src/world/caller.rs
@@ -101,13 +101,14 @@
                     Delivery::Dispatch { node, incarnation, version, request, dispatch, asked };
                 self.queue.push(at, delivery);
             }
-            Step::Forward { address, may_have_run, .. } => {
+            Step::Forward { address, patience, may_have_run, .. } => {
                 let to = node_of(address);
                 let Some(core) = &self.nodes[node].core else { return };
                 let Some(held) = core.requests().get(request) else { return };
                 let mut spec = held.spec.clone();
                 spec.hops += 1;
                 spec.may_have_run = may_have_run;
+                spec.patience = Some(patience);
                 let local = self.nodes[node].identity.region == self.nodes[to].identity.region;
                 let at =
                     self.now + self.delay(if local { LOCAL_DELAY_US } else { REMOTE_DELAY_US });
--- a/crates/standins/src/world/engine.rs
+++ b/crates/standins/src/world/engine.rs
@@ -221,7 +221,10 @@
         engine.runs.insert(run, Run { node, request, name: name.clone() });
         let end = self.now + engine.run_time;
         self.record(Record::Began { asked, upstream, name, node, version });
-        self.tell_progress(node, request, Progress::Begun);
+        // Every other answer is streamed; of the rest, the caller has nothing before the end.
+        if run.is_multiple_of(2) {
+            self.tell_progress(node, request, Progress::Begun);
+        }
         self.queue.push(end, Delivery::RunEnd { upstream, run });
     }
 
