Resume streams that break off or fall silent, and pass on whole events only

Cause: a stream that broke off for a moment, as by a cut connection, was lost to its caller, and a silent one was held for ever. The node now asks the engine to go on after the last whole event, at most three times, and takes the answer only if the engine confirms where it goes on; else the stream ends with the error event. A silence of 10 s counts as broken. Whole answers now notice that the caller is gone or that the engine is silent.

--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod engines;
+mod events;
 mod log;
 mod operators;
 mod peers;
--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 
 use crate::callers;
+use crate::events::{Events, first_data};
 use crate::shell::Shell;
 
 /// The header field that names the adapter that answered.
@@ -22,6 +23,27 @@
 /// The header field that names the version that answered.
 const SERVED_VERSION: &str = "x-served-version";
 
+/// The header field by which an engine names a stream, so that it can be resumed.
+const STREAM_ID: &str = "x-stream-id";
+
+/// The header field that asks an engine to resume a stream.
+const RESUME_STREAM: &str = "x-resume-stream";
+
+/// The header field that counts the events of it that have arrived.
+const RESUME_EVENTS: &str = "x-resume-events";
+
+/// The header field by which an engine confirms after how many events it goes on.
+const RESUMED_AFTER: &str = "x-resumed-after";
+
+/// How often one stream is resumed, at most.
+const RESUMES: u32 = 3;
+
+/// The longest wait for an engine to resume a stream.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The longest silence within an answer, after which it counts as broken off.
+const STALL: Duration = Duration::from_secs(10);
+
 /// A request with what routing needs of it.
 pub struct Job {
     /// The request.
@@ -60,7 +82,7 @@
         };
         let attempt = match step {
             None => {
-                return Err(Error::new(WireStep::Send, connection.peer(), "the caller is gone"));
+                return Err(gone(connection));
             }
             Some(Step::Refuse(refusal)) => {
                 guard.disarm();
@@ -71,12 +93,14 @@
                 let expected = dispatch.name.as_deref();
                 let patience = dispatch.patience;
                 let address = dispatch.address;
-                attempt(&guard, connection, address, call, patience, expected, stream).await?
+                let source = Source { address, call, expected };
+                attempt(&guard, connection, source, patience, stream).await?
             }
             Some(Step::Forward { address, patience, may_have_run, .. }) => {
                 let call = call_instance(&request, hops + 1, patience, may_have_run);
                 let patience = patience + FORWARD_MARGIN;
-                attempt(&guard, connection, address, call, patience, None, stream).await?
+                let source = Source { address, call, expected: None };
+                attempt(&guard, connection, source, patience, stream).await?
             }
         };
         match attempt {
@@ -167,28 +191,32 @@
     }
 }
 
+/// Where an answer comes from.
+struct Source<'a> {
+    address: SocketAddr,
+    call: Call,
+    /// The served name that must answer; `None` for a plain service or another instance.
+    expected: Option<&'a str>,
+}
+
 async fn attempt(
     guard: &Guard,
     connection: &mut Connection,
-    address: SocketAddr,
-    call: Call,
+    source: Source<'_>,
     patience: Duration,
-    expected: Option<&str>,
     stream: bool,
 ) -> Result<Attempt, Error> {
-    let pool = guard.shell.pool.clone();
+    let pool = &guard.shell.pool;
     let opened = monoio::select! {
-        opened = monoio::time::timeout(patience, pool.open(address, call)) => opened,
-        _ = connection.closed() => {
-            return Err(Error::new(WireStep::Head, connection.peer(), "the caller is gone"));
-        }
+        opened = monoio::time::timeout(patience, pool.open(source.address, source.call.clone())) => opened,
+        _ = connection.closed() => return Err(gone(connection)),
     };
     let incoming = match opened {
         Ok(Ok(incoming)) => incoming,
         Ok(Err(error)) if error.is_unsent() => return Ok(Attempt::Failed(Failure::Unsent)),
         Ok(Err(_)) | Err(_) => return Ok(Attempt::Failed(Failure::Broken)),
     };
-    if expected.is_some() {
+    if source.expected.is_some() {
         match incoming.status {
             StatusCode::NOT_FOUND => return Ok(Attempt::Failed(Failure::NotLoaded)),
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
@@ -199,8 +227,27 @@
         }
     }
     match stream && incoming.status.is_success() {
-        true => relay_stream(guard, connection, incoming, expected).await,
-        false => relay_whole(connection, incoming, expected).await,
+        true => relay_stream(guard, connection, incoming, source).await,
+        false => relay_whole(connection, incoming, source.expected).await,
+    }
+}
+
+fn gone(connection: &Connection) -> Error {
+    Error::new(WireStep::Send, connection.peer(), "the caller is gone")
+}
+
+/// Returns the next part of an answer, or `None` at its end; a silence counts as an error.
+async fn next_part(
+    connection: &mut Connection,
+    incoming: &mut Incoming,
+) -> Result<Option<Result<Bytes, Error>>, Error> {
+    let peer = incoming.peer;
+    monoio::select! {
+        part = monoio::time::timeout(STALL, incoming.next()) => match part {
+            Ok(part) => Ok(part),
+            Err(_) => Ok(Some(Err(Error::new(WireStep::Body, peer, "silent for too long")))),
+        },
+        _ = connection.closed() => Err(gone(connection)),
     }
 }
 
@@ -211,7 +258,7 @@
     expected: Option<&str>,
 ) -> Result<Attempt, Error> {
     let mut body = Vec::new();
-    while let Some(part) = incoming.next().await {
+    while let Some(part) = next_part(connection, &mut incoming).await? {
         match part {
             Ok(part) => body.extend_from_slice(&part),
             Err(_) => return Ok(Attempt::Failed(Failure::Broken)),
@@ -230,49 +277,112 @@
     Ok(Attempt::Finished)
 }
 
-/// Passes a streamed answer on, each part as it arrives.
+/// Passes a streamed answer on, each event as it arrives, and resumes it if it breaks off.
 async fn relay_stream(
     guard: &Guard,
     connection: &mut Connection,
     mut incoming: Incoming,
-    expected: Option<&str>,
+    source: Source<'_>,
 ) -> Result<Attempt, Error> {
-    let first = match incoming.next().await {
-        Some(Ok(first)) => first,
-        Some(Err(_)) | None => return Ok(Attempt::Failed(Failure::Broken)),
-    };
-    if let Some(expected) = expected
-        && served_by(event_data(&first)).as_deref() != Some(expected)
-    {
-        return Ok(Attempt::Failed(Failure::Broken));
-    }
-    let headers = headers_of(&incoming, expected);
-    connection.begin(incoming.status, &headers).await?;
-    connection.chunk(&first).await?;
-    let begun = Event::Progress { request: guard.key, progress: Progress::Begun };
-    guard.shell.feed(begun);
+    let mut events = Events::default();
+    let headers = headers_of(&incoming, source.expected);
+    let mut resumes = 0;
+    // Whether the first event since the last opening has been seen, which names who answers.
+    let mut checked = false;
+    let mut begun = false;
     loop {
-        let part = monoio::select! {
-            part = incoming.next() => part,
-            _ = connection.closed() => {
-                return Err(Error::new(WireStep::Send, connection.peer(), "the caller is gone"));
-            }
-        };
-        match part {
-            Some(Ok(part)) => connection.chunk(&part).await?,
+        let part = match next_part(connection, &mut incoming).await? {
+            Some(Ok(part)) => part,
+            Some(Err(_)) if !begun => return Ok(Attempt::Failed(Failure::Broken)),
             Some(Err(_)) => {
-                connection.chunk(&callers::broken_off()).await?;
-                connection.finish().await?;
-                return Ok(Attempt::BrokenOff);
+                events.discard();
+                resumes += 1;
+                match resume(guard, connection, &incoming, &source, &events, resumes).await? {
+                    Some(resumed) => incoming = resumed,
+                    None => return break_off(connection).await,
+                }
+                checked = false;
+                continue;
             }
+            None if !begun => return Ok(Attempt::Failed(Failure::Broken)),
             None => {
+                connection.chunk(&events.finish()).await?;
                 connection.finish().await?;
                 return Ok(Attempt::Finished);
             }
+        };
+        let whole = events.push(part);
+        if whole.is_empty() {
+            continue;
+        }
+        if !checked && !is_by(&whole, source.expected) {
+            return match begun {
+                true => break_off(connection).await,
+                false => Ok(Attempt::Failed(Failure::Broken)),
+            };
+        }
+        checked = true;
+        if !begun {
+            connection.begin(incoming.status, &headers).await?;
+        }
+        connection.chunk(&whole).await?;
+        if !begun {
+            begun = true;
+            guard.shell.feed(Event::Progress { request: guard.key, progress: Progress::Begun });
+        }
+    }
+}
+
+/// Ends a stream with the word that it broke off.
+async fn break_off(connection: &mut Connection) -> Result<Attempt, Error> {
+    connection.chunk(&callers::broken_off()).await?;
+    connection.finish().await?;
+    Ok(Attempt::BrokenOff)
+}
+
+/// Asks the engine to go on with a stream, and returns it if the engine confirms that it does.
+///
+/// Without its word that it goes on after the last event that arrived, the caller could get a
+/// second beginning.
+async fn resume(
+    guard: &Guard,
+    connection: &mut Connection,
+    broken: &Incoming,
+    source: &Source<'_>,
+    events: &Events,
+    resumes: u32,
+) -> Result<Option<Incoming>, Error> {
+    let id = broken.headers.get(STREAM_ID).and_then(|value| value.to_str().ok());
+    let (Some(id), true, true) = (id, source.expected.is_some(), resumes <= RESUMES) else {
+        return Ok(None);
+    };
+    let count = events.count().to_string();
+    let call = source.call.clone().header(RESUME_STREAM, id).header(RESUME_EVENTS, &count);
+    let pool = &guard.shell.pool;
+    let opened = monoio::select! {
+        opened = monoio::time::timeout(RESUME_TIMEOUT, pool.open(source.address, call)) => opened,
+        _ = connection.closed() => return Err(gone(connection)),
+    };
+    let Ok(Ok(incoming)) = opened else { return Ok(None) };
+    let after = incoming.headers.get(RESUMED_AFTER).and_then(|value| value.to_str().ok());
+    let confirmed = incoming.status.is_success() && after == Some(count.as_str());
+    Ok(confirmed.then_some(incoming))
+}
+
+/// Returns whether the first of some events is by the revision that must answer.
+fn is_by(events: &[u8], expected: Option<&str>) -> bool {
+    match expected {
+        Some(expected) => {
+            let data = first_data(events);
+            data == DONE || served_by(data).as_deref() == Some(expected)
         }
+        None => true,
     }
 }
 
+/// The data of the event that ends a stream, which names nobody.
+const DONE: &[u8] = b"[DONE]";
+
 /// The field of an answer that names who answered.
 #[derive(Deserialize)]
 struct Served {
@@ -284,13 +394,6 @@
     serde_json::from_slice::<Served>(body).ok().map(|served| served.model)
 }
 
-/// Returns the data of the first event of a stream.
-fn event_data(part: &[u8]) -> &[u8] {
-    let data = part.strip_prefix(b"data: ").unwrap_or(part);
-    let end = data.iter().position(|byte| *byte == b'\n').unwrap_or(data.len());
-    &data[..end]
-}
-
 fn headers_of(incoming: &Incoming, served: Option<&str>) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for name in [
