Let late writes of the fake table take effect after their writer has given up

The fake told of an unknown outcome only after the late write had taken effect, so that reading always settled it: a trial without the tombstone for late claims passed all tests. Now the writer gives up first, as the fault says.

--- a/crates/standins/src/world/platform.rs
+++ b/crates/standins/src/world/platform.rs
@@ -83,17 +83,21 @@
         }
         let incarnation = self.nodes[node].identity.incarnation;
         let faults = self.platform.faults;
-        if faults.table_down || self.severed.contains(&node) {
+        let is_silent = faults.table_down || self.severed.contains(&node);
+        let late = match operation {
+            Operation::Write(_) if !is_silent => faults.writes_late,
+            _ => None,
+        };
+        if is_silent || late.is_some() {
             let outcome = Outcome::Unknown;
             let event = Event::Table { ticket, outcome };
             self.queue.push(self.now + GIVE_UP, Delivery::Event { node, incarnation, event });
+        }
+        if is_silent {
             return;
         }
-        let late = match operation {
-            Operation::Write(_) => faults.writes_late.unwrap_or_default(),
-            Operation::Read(_) => Duration::ZERO,
-        };
-        let at = self.now + self.delay(DELAY_US) + late;
+        let at = self.now + self.delay(DELAY_US) + late.unwrap_or_default();
+        let ticket = late.is_none().then_some(ticket);
         let delivery = Delivery::Operation { node, incarnation, ticket, operation };
         self.queue.push(at, delivery);
     }
@@ -102,14 +106,14 @@
         &mut self,
         node: usize,
         incarnation: u64,
-        ticket: Ticket,
+        ticket: Option<Ticket>,
         operation: &Operation,
     ) {
         let outcome = self.platform.carry_out(operation);
+        let Some(ticket) = ticket else { return };
         let faults = self.platform.faults;
         let lost = faults.replies_lost || self.severed.contains(&node);
-        let late = matches!(operation, Operation::Write(_)) && faults.writes_late.is_some();
-        let (outcome, delay) = match lost || late {
+        let (outcome, delay) = match lost {
             true => (Outcome::Unknown, GIVE_UP),
             false => (outcome, self.delay(DELAY_US)),
         };
--- a/crates/standins/src/world/queue.rs
+++ b/crates/standins/src/world/queue.rs
@@ -16,8 +16,8 @@
     Tick { node: usize, incarnation: u64 },
     /// An event for a node.
     Event { node: usize, incarnation: u64, event: Event },
-    /// An operation for the table.
-    Operation { node: usize, incarnation: u64, ticket: Ticket, operation: Operation },
+    /// An operation for the table; without a ticket, nobody waits for its reply any more.
+    Operation { node: usize, incarnation: u64, ticket: Option<Ticket>, operation: Operation },
     /// An order for an engine.
     Order(Order),
     /// An order that an engine has been carrying out.
