--- a/crates/standins/src/world/caller.rs
+++ b/crates/standins/src/world/caller.rs
@@ -170,7 +170,7 @@
                 let place = self.attempt(node, request, dispatch.patience);
                 self.queue.push(at, Delivery::Dispatch { place, version, dispatch, asked });
             }
-            Step::Forward { address, may_have_run, .. } => {
+            Step::Forward { address, patience, may_have_run, .. } => {
                 let to = node_of(address);
                 let Some(core) = &self.nodes[node].core else { return };
                 let Some(held) = core.requests().get(request) else { return };
@@ -178,6 +178,7 @@
                 let left = held.deadline.since(self.now + self.nodes[node].skew);
                 spec.hops += 1;
                 spec.may_have_run = may_have_run;
+                spec.patience = Some(patience);
                 let local = self.nodes[node].identity.region == self.nodes[to].identity.region;
                 let at =
                     self.now + self.delay(if local { LOCAL_DELAY_US } else { REMOTE_DELAY_US });
