--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::Catalog;
 use crate::config::Config;
+use crate::demand::Demand;
 use crate::effect::Effects;
 use crate::fleet::Fleet;
 use crate::instance::Instance as Identity;
@@ -56,6 +57,7 @@
     requests: Requests,
     orders: Orders,
     ownership: Ownership,
+    demand: Demand,
     indexed: u64,
     effects: Effects,
 }
@@ -71,6 +73,7 @@
             requests: Requests::default(),
             orders: Orders::default(),
             ownership: Ownership::default(),
+            demand: Demand::default(),
             indexed: 0,
             effects: Effects::default(),
         }
@@ -153,6 +156,7 @@
         self.probe(now);
         self.reconcile(now);
         self.refuse_overdue(now);
+        self.demand.sweep(now);
         self.place(now);
     }
 
--- a/crates/orioleroute/src/core/placing.rs
+++ b/crates/orioleroute/src/core/placing.rs
@@ -2,7 +2,7 @@
 
 use super::Core;
 use crate::fleet::Residency;
-use crate::placement::{self, Plan};
+use crate::placement::{self, Candidate, Plan};
 use crate::prelude::*;
 use crate::routing::Reason;
 
@@ -27,16 +27,17 @@
         if under_way {
             return;
         }
-        let candidates: Vec<(key::Upstream, u32)> = self
+        let candidates: Vec<Candidate> = self
             .candidates(revision)
             .iter()
             .copied()
             .filter(|key| self.may_order(now, *key) && !self.orders.is_barred(now, *key, revision))
-            .map(|key| (key, self.slots(key)))
+            .filter_map(|key| self.candidate(key))
             .collect();
-        let catalog = &self.catalog;
-        let pinned = |key| catalog.revision(key).pinned;
-        match placement::plan(now, &self.fleet, candidates, revision, pinned) {
+        let (catalog, demand) = (&self.catalog, &self.demand);
+        let packing = placement::packing(catalog.policy());
+        let worth = |key| (!catalog.revision(key).pinned).then(|| demand.rate(now, key));
+        match placement::plan(now, &self.fleet, candidates, revision, packing, worth) {
             Some(Plan::Load(key)) => self.load(now, key, revision),
             Some(Plan::Evict(key, victim)) if self.may_unload(now, key) => {
                 self.unload(now, key, victim, Reason::Room)
@@ -56,10 +57,9 @@
         self.ownership.owned(&self.catalog.revision(revision).model)
     }
 
-    fn slots(&self, key: key::Upstream) -> u32 {
-        let upstream = self.fleet.get(key);
-        upstream
-            .and_then(|upstream| self.catalog.pool(&upstream.listing.pool))
-            .map_or(0, |pool| pool.slots)
+    fn candidate(&self, key: key::Upstream) -> Option<Candidate> {
+        let pool = self.catalog.pool(&self.fleet.get(key)?.listing.pool)?;
+        let (slots, concurrency) = (pool.slots, pool.concurrency);
+        Some(Candidate { upstream: key, slots, concurrency })
     }
 }
--- a/crates/orioleroute/src/core/routes.rs
+++ b/crates/orioleroute/src/core/routes.rs
@@ -29,6 +29,7 @@
     }
 
     pub(super) fn route_model(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
+        self.demand.note(now, revision);
         let candidates = self.candidates(revision);
         if candidates.is_empty() {
             return self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER));
--- a/crates/orioleroute/src/hash.rs
+++ b/crates/orioleroute/src/hash.rs
@@ -23,6 +23,17 @@
     mix(item ^ node.rotate_left(32))
 }
 
+/// Returns the rendezvous score of `node` for `item` when it is to win `shares` times as often as a
+/// node with one share; the highest score wins.
+///
+/// The score is `-shares / ln(u)` with *u* drawn uniformly from (0, 1) by [`weight`], as in weighted
+/// rendezvous hashing: a change of one node's shares moves only items to or from that node.
+pub fn score(item: u64, node: u64, shares: u32) -> f64 {
+    // 53 bits fill the mantissa; the half keeps the logarithm finite and below zero.
+    let uniform = ((weight(item, node) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -f64::from(shares) / uniform.ln()
+}
+
 /// Returns the node with the highest weight for `item`.
 pub fn winner<N: Copy>(item: u64, nodes: impl IntoIterator<Item = (u64, N)>) -> Option<N> {
     nodes.into_iter().max_by_key(|(node, _)| weight(item, *node)).map(|(_, node)| node)
--- a/crates/orioleroute/src/lib.rs
+++ b/crates/orioleroute/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod catalog;
 pub mod config;
 mod core;
+pub mod demand;
 pub mod document;
 pub mod effect;
 pub mod engine;
--- a/crates/orioleroute/src/ownership.rs
+++ b/crates/orioleroute/src/ownership.rs
@@ -7,7 +7,7 @@
 
 use crate::catalog::Catalog;
 use crate::fleet::Fleet;
-use crate::hash::{digest, weight};
+use crate::hash::{digest, score};
 use crate::instance::Instance as Identity;
 use crate::membership::Membership;
 use crate::prelude::*;
@@ -23,6 +23,14 @@
     pub upstreams: u32,
 }
 
+impl Home {
+    /// Returns the score of this home for a revision, by which homes share the revisions in
+    /// proportion to their upstreams.
+    fn score(&self, revision: u64) -> f64 {
+        score(revision, self.digest, self.upstreams)
+    }
+}
+
 /// The index of one instance.
 #[derive(Debug, Default)]
 pub struct Ownership {
@@ -85,14 +93,14 @@
     /// Returns the instance of a region that is home to a revision with this digest.
     pub fn home(&self, region: &str, model: &str, revision: u64) -> Option<&Home> {
         let homes = self.homes.get(region)?.get(model)?;
-        homes.iter().max_by_key(|home| weight(revision, home.digest))
+        homes.iter().max_by(|one, other| one.score(revision).total_cmp(&other.score(revision)))
     }
 
     /// Returns the homes of a revision in a region, in order of preference.
     pub fn homes(&self, region: &str, model: &str, revision: u64) -> Vec<&Home> {
         let homes = self.homes.get(region).and_then(|models| models.get(model));
         let mut homes: Vec<&Home> = homes.into_iter().flatten().collect();
-        homes.sort_by_key(|home| std::cmp::Reverse(weight(revision, home.digest)));
+        homes.sort_by(|one, other| other.score(revision).total_cmp(&one.score(revision)));
         homes
     }
 }
--- a/crates/orioleroute/src/placement.rs
+++ b/crates/orioleroute/src/placement.rs
@@ -1,8 +1,37 @@
 //! The choice of what to load and what to unload.
+//!
+//! `docs/POLICY.md`, section "Placement", gives the reasons and the measurements.
 
-use crate::fleet::{Fleet, Residency, Upstream};
+use crate::document::Policy;
+use crate::fleet::{Fleet, Residency, Resident, Upstream};
 use crate::prelude::*;
 
+/// How strongly batches count in evictions when both weights of the policy are the same.
+const PACKING: f64 = 2.0;
+
+/// An upstream that may load a revision.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// The upstream.
+    pub upstream: key::Upstream,
+    /// The revisions that it holds at a time.
+    pub slots: u32,
+    /// The requests that it runs at a time at full speed.
+    pub concurrency: u32,
+}
+
+/// Returns how much fuller batches count against a load, from the weights of the policy.
+///
+/// Zero evicts by demand alone. At 2 the revisions of an upstream at full concurrency are worth
+/// 1/e² of those of an idle one, so that new work joins batches that run.
+pub fn packing(policy: &Policy) -> f64 {
+    if policy.batch_weight == 0.0 {
+        return 0.0;
+    }
+    // Weights may be zero, and more than this would evict in disregard of demand.
+    PACKING * (policy.batch_weight / policy.stall_weight).min(4.0)
+}
+
 /// What to do to make a revision answer requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Plan {
@@ -12,40 +41,73 @@
     Evict(key::Upstream, key::Revision),
 }
 
-/// Returns how to make room for `revision` on one of `candidates`, each with its slots.
+impl Plan {
+    /// Returns the upstream that the plan is for.
+    pub fn upstream(self) -> key::Upstream {
+        match self {
+            Self::Load(upstream) | Self::Evict(upstream, _) => upstream,
+        }
+    }
+}
+
+/// How much a revision at hand is worth keeping, in requests a second; `None` keeps it always.
+pub type Worth = Option<f64>;
+
+/// Returns how to make room for `revision` on one of `candidates`.
 ///
-/// An upstream with a free slot goes first; then the revision that was idle longest is evicted.
-/// One in use, by this instance or by the engine's own report, is never evicted.
+/// An upstream with a free slot goes first; then the revision is evicted whose removal is expected
+/// to cost least, in loads and, by `packing`, in batches that stay small. The one that was idle
+/// longest goes first among equals. One in use, by this instance or by the engine's own report, is
+/// never evicted.
 pub fn plan(
     now: Instant,
     fleet: &Fleet,
-    candidates: impl IntoIterator<Item = (key::Upstream, u32)>,
+    candidates: impl IntoIterator<Item = Candidate>,
     revision: key::Revision,
-    pinned: impl Fn(key::Revision) -> bool,
+    packing: f64,
+    worth: impl Fn(key::Revision) -> Worth,
 ) -> Option<Plan> {
-    let open: Vec<(key::Upstream, &Upstream, u32)> = candidates
+    let open: Vec<(Candidate, &Upstream)> = candidates
         .into_iter()
-        .filter_map(|(key, slots)| Some((key, fleet.get(key)?, slots)))
-        .filter(|(_, upstream, _)| upstream.is_open(now) && upstream.is_known(now))
-        .filter(|(_, upstream, _)| !upstream.residents.contains_key(&revision))
+        .filter_map(|candidate| Some((candidate, fleet.get(candidate.upstream)?)))
+        .filter(|(_, upstream)| upstream.is_open(now) && upstream.is_known(now))
+        .filter(|(_, upstream)| !upstream.residents.contains_key(&revision))
         .collect();
     let free = open
         .iter()
-        .filter(|(_, upstream, slots)| (upstream.residents.len() as u32) < *slots)
-        .min_by_key(|(_, upstream, _)| (upstream.running, upstream.residents.len()));
-    if let Some((key, _, _)) = free {
-        return Some(Plan::Load(*key));
+        .filter(|(candidate, upstream)| (upstream.residents.len() as u32) < candidate.slots)
+        .min_by_key(|(_, upstream)| (upstream.running, upstream.residents.len()));
+    if let Some((candidate, _)) = free {
+        return Some(Plan::Load(candidate.upstream));
+    }
+    let copies = |victim| open.iter().filter(|(_, held)| held.has_loaded(victim)).count();
+    let mut best: Option<(f64, Instant, Plan)> = None;
+    for (candidate, upstream) in &open {
+        let fill = f64::from(upstream.running) / f64::from(candidate.concurrency);
+        let discount = (-packing * fill.min(1.0)).exp();
+        for (victim, used) in idle(upstream) {
+            let Some(worth) = worth(victim) else { continue };
+            // A copy on another upstream answers without a load.
+            let cost = if copies(victim) > 1 { 0.0 } else { worth * discount };
+            let better = best.is_none_or(|(least, oldest, _)| {
+                cost.total_cmp(&least).then(used.cmp(&oldest)).is_lt()
+            });
+            if better {
+                best = Some((cost, used, Plan::Evict(candidate.upstream, victim)));
+            }
+        }
     }
-    open.iter()
-        .flat_map(|(key, upstream, _)| {
-            upstream.residents.iter().map(move |(victim, resident)| (*key, *victim, resident))
-        })
-        .filter(|(_, victim, resident)| {
-            resident.residency == Residency::Loaded
-                && resident.running == 0
-                && resident.reported == 0
-                && !pinned(*victim)
-        })
-        .min_by_key(|(_, _, resident)| resident.used)
-        .map(|(key, victim, _)| Plan::Evict(key, victim))
+    best.map(|(_, _, plan)| plan)
+}
+
+/// Returns the revisions that may be unloaded, with when each was last used.
+fn idle(upstream: &Upstream) -> impl Iterator<Item = (key::Revision, Instant)> {
+    let unused = |resident: &Resident| {
+        resident.residency == Residency::Loaded && resident.running == 0 && resident.reported == 0
+    };
+    upstream
+        .residents
+        .iter()
+        .filter(move |(_, resident)| unused(resident))
+        .map(|(victim, resident)| (*victim, resident.used))
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! They speak the published formats of the systems that they stand for, in memory and without
 //! their guarantees, and can be told over HTTP to fail. They serve demonstrations and tests only.
 
+pub mod bench;
 pub mod engine;
 pub mod platform;
 pub mod process;
