Pass on what a home cannot load, and refuse early by importance

Cause: a request waited for its home's only engine, failing or slow, until its deadline, and loads were ordered in the order of a hash map.

--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -7,6 +7,7 @@
 use crate::fleet::Fleet;
 use crate::instance::Instance as Identity;
 use crate::key::Ticket;
+use crate::limits::LoadTime;
 use crate::membership::Membership;
 use crate::operator::{Answer, Command};
 use crate::orders::Orders;
@@ -20,6 +21,7 @@
 mod placing;
 mod requests;
 mod routes;
+mod spilling;
 
 /// The decisions of one instance, without input or output.
 ///
@@ -58,6 +60,7 @@
     orders: Orders,
     ownership: Ownership,
     demand: Demand,
+    load_time: LoadTime,
     indexed: u64,
     effects: Effects,
 }
@@ -74,6 +77,7 @@
             orders: Orders::default(),
             ownership: Ownership::default(),
             demand: Demand::default(),
+            load_time: LoadTime::default(),
             indexed: 0,
             effects: Effects::default(),
         }
--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -60,6 +60,8 @@
         match (outcome, load) {
             (engine::Outcome::Done, true) => {
                 if let Some(resident) = upstream.residents.get_mut(&revision) {
+                    // A resident was last used when its load was ordered.
+                    self.load_time.note(now.since(resident.used));
                     resident.residency = Residency::Loaded;
                 }
                 self.orders.succeed(key, revision);
--- a/crates/orioleroute/src/core/placing.rs
+++ b/crates/orioleroute/src/core/placing.rs
@@ -1,15 +1,23 @@
 //! What is loaded and unloaded for the requests that wait.
 
+use std::cmp::Reverse;
+
 use super::Core;
-use crate::fleet::Residency;
+use crate::fleet::{Residency, Resident, Upstream};
 use crate::placement::{self, Candidate, Plan};
 use crate::prelude::*;
 use crate::routing::Reason;
 
+/// A load that takes this many times the mean no longer keeps others from being tried.
+const SLOW_LOAD: u32 = 4;
+
+/// The shortest time that a load is waited for before another upstream is tried.
+const SLOW_LOAD_MIN: Duration = Duration::from_secs(1);
+
 impl Core {
     /// Loads what requests wait for, within the budget.
     pub(super) fn place(&mut self, now: Instant) {
-        for revision in self.requests.wanted() {
+        for revision in self.wanted() {
             if self.orders.loads() >= self.load_budget() {
                 return;
             }
@@ -17,14 +25,22 @@
         }
     }
 
-    fn place_one(&mut self, now: Instant, revision: key::Revision) {
-        let under_way = self.fleet.iter().any(|(_, upstream)| {
-            upstream
-                .residents
-                .get(&revision)
-                .is_some_and(|resident| resident.residency == Residency::Loading)
+    /// Returns the revisions that requests wait for: the most important, then those waited
+    /// for longest.
+    fn wanted(&self) -> Vec<key::Revision> {
+        let mut wanted = self.requests.wanted();
+        wanted.sort_by_cached_key(|revision| {
+            let waiting = self.requests.waiting(*revision);
+            let requests = || waiting.iter().filter_map(|key| self.requests.get(*key));
+            let importance = requests().map(|request| request.importance).max();
+            let first = requests().map(|request| request.arrived).min();
+            (Reverse(importance), first)
         });
-        if under_way {
+        wanted
+    }
+
+    fn place_one(&mut self, now: Instant, revision: key::Revision) {
+        if self.is_loading(now, revision) {
             return;
         }
         let candidates: Vec<Candidate> = self
@@ -42,12 +58,45 @@
             Some(Plan::Evict(key, victim)) if self.may_unload(now, key) => {
                 self.unload(now, key, victim, Reason::Room)
             }
-            Some(Plan::Evict(..)) | None => {}
+            Some(Plan::Evict(..)) => {}
+            // Room may come soon where a load or an unload is under way.
+            None if self.is_ordered(now, revision) => {}
+            None => self.spill(revision),
+        }
+    }
+
+    /// Returns whether a load is under way that is not much slower than others were.
+    fn is_loading(&self, now: Instant, revision: key::Revision) -> bool {
+        self.upstreams(revision).any(|upstream| {
+            let resident = upstream.residents.get(&revision);
+            resident.is_some_and(|resident| {
+                resident.residency == Residency::Loading && self.is_pending(now, resident)
+            })
+        })
+    }
+
+    /// Returns whether an order is under way on an upstream that may run a revision.
+    fn is_ordered(&self, now: Instant, revision: key::Revision) -> bool {
+        self.upstreams(revision)
+            .any(|upstream| upstream.residents.values().any(|held| self.is_pending(now, held)))
+    }
+
+    /// Returns whether an order for a resident is under way and may be expected to end soon.
+    fn is_pending(&self, now: Instant, resident: &Resident) -> bool {
+        let patience = (self.load_time.mean() * SLOW_LOAD).max(SLOW_LOAD_MIN);
+        match resident.residency {
+            Residency::Loaded => false,
+            Residency::Loading => now < resident.used + patience,
+            Residency::Unloading => true,
         }
     }
 
+    fn upstreams(&self, revision: key::Revision) -> impl Iterator<Item = &Upstream> {
+        self.candidates(revision).iter().filter_map(|key| self.fleet.get(*key))
+    }
+
     /// Returns the loads that this instance may have in transit: its even share, at least one.
-    fn load_budget(&self) -> u32 {
+    pub(super) fn load_budget(&self) -> u32 {
         let members: usize = self.membership.views().map(|view| view.members.len()).sum();
         (self.catalog.policy().loads_in_transit / members.max(1) as u32).max(1)
     }
@@ -57,7 +106,7 @@
         self.ownership.owned(&self.catalog.revision(revision).model)
     }
 
-    fn candidate(&self, key: key::Upstream) -> Option<Candidate> {
+    pub(super) fn candidate(&self, key: key::Upstream) -> Option<Candidate> {
         let pool = self.catalog.pool(&self.fleet.get(key)?.listing.pool)?;
         let (slots, concurrency) = (pool.slots, pool.concurrency);
         Some(Candidate { upstream: key, slots, concurrency })
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -158,6 +158,16 @@
     fn forward(&mut self, key: key::Request) {
         let Some(home) = self.next_home(key) else { return };
         let (instance, address) = (home.name.clone(), home.caller_address);
+        self.forward_to(key, instance, address);
+    }
+
+    /// Passes a request on to another instance.
+    pub(super) fn forward_to(
+        &mut self,
+        key: key::Request,
+        instance: Arc<str>,
+        address: std::net::SocketAddr,
+    ) {
         let name = self.name_of(key);
         let Some(request) = self.requests.get_mut(key) else { return };
         request.state = State::Forwarded;
--- a/crates/orioleroute/src/core/routes.rs
+++ b/crates/orioleroute/src/core/routes.rs
@@ -4,12 +4,13 @@
 use super::requests::RETRY_AFTER;
 use crate::hash::digest;
 use crate::instance::Instance as Identity;
+use crate::limits;
 use crate::prelude::*;
 use crate::request::{Kind, Request, Target};
 use crate::routing::{self, Reason};
 
 /// Instances that may pass a request on, at most.
-const HOPS: u8 = 2;
+pub(super) const HOPS: u8 = 2;
 
 impl Core {
     /// Returns the instances that serve a model or service in a region, in order of preference.
@@ -35,6 +36,9 @@
             return self.refuse(key, Kind::Unavailable, Some(RETRY_AFTER));
         }
         match routing::choose(now, &self.fleet, candidates.iter().copied(), revision) {
+            Some((upstream, _)) if !self.has_room(key, upstream) => {
+                self.refuse(key, Kind::Overloaded, Some(RETRY_AFTER));
+            }
             Some((upstream, runners_up)) => {
                 self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
                 self.dispatch(now, key, upstream);
@@ -65,17 +69,37 @@
         }
     }
 
-    /// Lets a request wait for a load, unless too many already do.
+    /// Lets a request wait for a load, unless too many already do or it cannot be in time.
     pub(super) fn wait(&mut self, now: Instant, key: key::Request, revision: key::Revision) {
-        let limit = self.catalog.revision(revision).queue as usize;
-        if self.requests.waiting(revision).len() >= limit {
+        let Some(request) = self.requests.get(key) else { return };
+        let (importance, left) = (request.importance, request.deadline.since(now));
+        let room = self.catalog.revision(revision).queue;
+        if !limits::admits(importance, self.requests.waiting(revision).len(), room) {
             return self.refuse(key, Kind::Overloaded, Some(RETRY_AFTER));
         }
+        let wait = self.load_wait(revision);
+        if wait > left {
+            return self.refuse(key, Kind::Deadline, Some(wait - left));
+        }
         self.requests.queue(key, revision);
         self.decide(key, None, Reason::WaitsForLoad, Vec::new());
         self.place(now);
     }
 
+    /// Returns how long a request is expected to wait for a revision that is not loaded.
+    fn load_wait(&self, revision: key::Revision) -> Duration {
+        let others = self.requests.wanted().into_iter().filter(|wanted| *wanted != revision);
+        self.load_time.wait(others.count(), self.load_budget())
+    }
+
+    /// Returns whether an upstream takes one more request of this importance.
+    fn has_room(&self, key: key::Request, upstream: key::Upstream) -> bool {
+        let importance = self.requests.get(key).map(|request| request.importance);
+        let running = self.fleet.get(upstream).map_or(0, |upstream| upstream.running);
+        let concurrency = self.candidate(upstream).map_or(u32::MAX, |found| found.concurrency);
+        limits::has_room(importance.unwrap_or_default(), running, concurrency)
+    }
+
     /// Passes on the waiting requests whose home has moved to another instance.
     pub(super) fn reroute_waiting(&mut self, now: Instant) {
         for revision in self.requests.wanted() {
--- a/crates/orioleroute/src/lib.rs
+++ b/crates/orioleroute/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod hash;
 pub mod instance;
 pub mod key;
+pub mod limits;
 pub mod membership;
 pub mod message;
 pub mod operator;
--- /dev/null
+++ b/crates/orioleroute/tests/policy.rs
@@ -0,0 +1,250 @@
+//! Routing and placement: what is evicted, who loads, and that failures are passed by.
+
+use std::time::Duration;
+
+use orioleroute::catalog::Catalog;
+use orioleroute::demand::Demand;
+use orioleroute::document::Document;
+use orioleroute::fleet::{Fleet, Residency, Resident};
+use orioleroute::hash::{digest, score};
+use orioleroute::key;
+use orioleroute::operator::{Answer, Command};
+use orioleroute::placement::{Candidate, Plan, plan};
+use orioleroute::prelude::Instant;
+use orioleroute::request::{Spec, Target};
+use proptest::prelude::*;
+use rstest::rstest;
+use standins::world::{Engine, Outcome, World};
+
+const ADAPTERS: usize = 24;
+
+fn document() -> String {
+    let adapters: Vec<_> = (0..ADAPTERS)
+        .map(|adapter| {
+            serde_json::json!({
+                "name": format!("adapter-{adapter}"), "model": "base",
+                "versions": ["v1"], "default": "v1",
+            })
+        })
+        .collect();
+    serde_json::json!({
+        "format": 1,
+        "models": [{ "name": "base" }],
+        "pools": [{ "name": "pool", "model": "base", "slots": 2, "fencing": "checked" }],
+        "adapters": adapters,
+    })
+    .to_string()
+}
+
+fn catalog() -> (Catalog, Vec<key::Revision>) {
+    let mut catalog = Catalog::default();
+    catalog.apply(&Document::from_json(&document()).expect("it is valid"));
+    let find = |adapter| catalog.resolve(&format!("adapter-{adapter}")).expect("it is there");
+    let revisions = (0..ADAPTERS).map(find).collect();
+    (catalog, revisions)
+}
+
+/// A fleet of engines, each full of revisions of its own, with the requests that run on each.
+fn fleet(running: &[Vec<u32>], revisions: &[key::Revision]) -> (Fleet, Vec<key::Upstream>) {
+    let mut fleet = Fleet::default();
+    let listings: Vec<_> =
+        (0..running.len()).map(|engine| Engine::new(engine, "pool", "zurich", 2).listing).collect();
+    fleet.list(&listings);
+    let mut keys: Vec<key::Upstream> = fleet.iter().map(|(key, _)| key).collect();
+    keys.sort_by_key(|key| fleet.get(*key).map(|upstream| upstream.listing.address));
+    let mut revisions = revisions.iter();
+    for (key, running) in keys.iter().zip(running) {
+        let upstream = fleet.get_mut(*key).expect("it is listed");
+        upstream.reported = Some(Instant::ZERO);
+        for running in running {
+            let resident = Resident {
+                residency: Residency::Loaded,
+                running: *running,
+                reported: 0,
+                used: Instant::ZERO,
+            };
+            upstream.running += running;
+            upstream.residents.insert(*revisions.next().expect("there are enough"), resident);
+        }
+    }
+    (fleet, keys)
+}
+
+proptest! {
+    #[test]
+    fn no_revision_in_use_or_pinned_is_evicted_and_no_slot_is_taken_twice(
+        running in prop::collection::vec(prop::collection::vec(0..3_u32, 0..=2), 1..6),
+        pinned in prop::collection::vec(any::<bool>(), ADAPTERS),
+        packing in 0.0..8.0_f64,
+    ) {
+        let (_, revisions) = catalog();
+        let (fleet, keys) = fleet(&running, &revisions[1..]);
+        let candidates = keys.iter().map(|key| Candidate { upstream: *key, slots: 2, concurrency: 4 });
+        let pinned = |key| pinned[revisions.iter().position(|revision| *revision == key).unwrap()];
+
+        let plan = plan(Instant::ZERO, &fleet, candidates, revisions[0], packing, |key| {
+            (!pinned(key)).then_some(1.0)
+        });
+
+        match plan {
+            Some(Plan::Load(key)) => prop_assert!(fleet.get(key).unwrap().residents.len() < 2),
+            Some(Plan::Evict(key, victim)) => {
+                prop_assert_eq!(fleet.get(key).unwrap().residents[&victim].running, 0);
+                prop_assert!(!pinned(victim));
+                prop_assert!(running.iter().all(|engine| engine.len() == 2));
+            }
+            None => {
+                for key in &keys {
+                    let residents = &fleet.get(*key).unwrap().residents;
+                    prop_assert_eq!(residents.len(), 2);
+                    prop_assert!(residents.iter().all(|(key, held)| held.running > 0 || pinned(*key)));
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn a_home_wins_in_proportion_to_its_shares(first in 1..6_u32, second in 1..6_u32) {
+        let nodes = [(digest("node-a"), first), (digest("node-b"), second)];
+
+        let won = (0..4_000_u32)
+            .map(|item| digest(&item))
+            .filter(|item| score(*item, nodes[0].0, first) > score(*item, nodes[1].0, second))
+            .count();
+
+        let expected = f64::from(first) / f64::from(first + second);
+        prop_assert!((won as f64 / 4_000.0 - expected).abs() < 0.04);
+    }
+}
+
+#[test]
+fn the_revision_least_in_demand_is_evicted() {
+    let (_, revisions) = catalog();
+    let (fleet, keys) = fleet(&[vec![0, 0], vec![0, 0]], &revisions[1..]);
+    let candidates = keys.iter().map(|key| Candidate { upstream: *key, slots: 2, concurrency: 4 });
+    let worth = |key| Some(if key == revisions[3] { 0.1 } else { 0.2 });
+
+    let plan = plan(Instant::ZERO, &fleet, candidates, revisions[0], 0.0, worth);
+
+    assert_eq!(plan, Some(Plan::Evict(keys[1], revisions[3])));
+}
+
+#[test]
+fn packing_evicts_where_a_batch_runs() {
+    let (_, revisions) = catalog();
+    let (fleet, keys) = fleet(&[vec![0, 0], vec![4, 0]], &revisions[1..]);
+    let candidates = keys.iter().map(|key| Candidate { upstream: *key, slots: 2, concurrency: 4 });
+
+    let plan = plan(Instant::ZERO, &fleet, candidates, revisions[0], 2.0, |_| Some(1.0));
+
+    assert_eq!(plan, Some(Plan::Evict(keys[1], revisions[4])));
+}
+
+#[test]
+fn demand_follows_a_shift_within_seconds() {
+    let (_, revisions) = catalog();
+    let (old, new) = (revisions[0], revisions[1]);
+    let mut demand = Demand::default();
+    let second = |number: u64| Instant::from_millis(number * 1_000);
+    for number in 0..300 {
+        demand.sweep(second(number));
+        demand.note(second(number), old);
+    }
+
+    for number in 300..330 {
+        demand.sweep(second(number));
+        demand.note(second(number), new);
+    }
+
+    assert!(demand.rate(second(330), new) > demand.rate(second(330), old));
+}
+
+/// A region with two nodes that own an engine each, and the document in force.
+fn world(seed: u64) -> World {
+    let mut world = World::new(seed);
+    for _ in 0..2 {
+        world.add_node("zurich");
+    }
+    for engine in 0..4 {
+        world.add_engine(Engine::new(engine, "pool", "zurich", 2));
+    }
+    world.run(Duration::from_secs(8));
+    let ticket = world.command(0, Command::Submit { base: 0, document: document().into() });
+    world.run(Duration::from_secs(8));
+    assert_eq!(world.answers.get(&ticket), Some(&Answer::Accepted { version: 1 }));
+    world
+}
+
+fn spec(adapter: usize) -> Spec {
+    Spec {
+        target: Target::Model(format!("adapter-{adapter}").into()),
+        importance: None,
+        patience: Some(Duration::from_secs(20)),
+        repeatable: true,
+        idempotency: None,
+        hops: 0,
+        may_have_run: false,
+    }
+}
+
+/// Returns the engines that each of the two nodes owns, by what the view says.
+fn owned(world: &World) -> [Vec<usize>; 2] {
+    let core = world.nodes[0].core.as_ref().expect("it runs");
+    let view = core.membership().view_of("zurich").expect("it is known");
+    let mut owned = [Vec::new(), Vec::new()];
+    for (number, engine) in world.engines.iter().enumerate() {
+        let owner = view.owner(digest(&*engine.listing.name)).expect("it has one");
+        let node = world.nodes.iter().position(|node| node.identity.name == owner.name);
+        owned[node.expect("it is a node")].push(number);
+    }
+    owned
+}
+
+#[rstest]
+#[case::first_home_fails(0)]
+#[case::second_home_fails(1)]
+fn a_request_does_not_wait_for_a_home_whose_engines_all_fail_to_load(#[case] failing: usize) {
+    let mut world = world(8);
+    let owned = owned(&world);
+    assert!(owned.iter().all(|engines| !engines.is_empty()), "{owned:?}");
+    for engine in &owned[failing] {
+        world.engines[*engine].faults.loads_fail = true;
+    }
+
+    // Few enough for the slots of the home that works, whatever it owns.
+    let requests: Vec<usize> = (0..2).map(|adapter| world.ask(failing, spec(adapter))).collect();
+    world.run(Duration::from_secs(3));
+
+    for request in requests {
+        let outcome = world.outcome(request);
+        assert!(matches!(outcome, Some(Outcome::Whole(_))), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_slow_load_on_one_engine_does_not_hold_others_up() {
+    let mut world = world(8);
+    for engine in 0..3 {
+        world.engines[engine].load_time = Duration::from_secs(60);
+    }
+
+    let request = world.ask(0, spec(0));
+    world.run(Duration::from_secs(8));
+
+    let outcome = world.outcome(request);
+    assert!(matches!(outcome, Some(Outcome::Whole(_))), "{outcome:?}");
+}
+
+#[test]
+fn a_request_that_cannot_be_in_time_is_refused_at_once() {
+    let mut world = world(8);
+    let hopeless = Spec { patience: Some(Duration::from_millis(20)), ..spec(0) };
+
+    let request = world.ask(0, hopeless);
+    world.run(Duration::from_millis(100));
+
+    let Some(Outcome::Refused(refusal)) = world.outcome(request) else {
+        panic!("{:?}", world.outcome(request));
+    };
+    assert!(refusal.retry_after.is_some());
+}
--- a/crates/standins/src/bench/overload.rs
+++ b/crates/standins/src/bench/overload.rs
@@ -7,7 +7,7 @@
 use super::{Deployment, Ideas, Policy, report::REPORTED_SEEDS};
 
 /// Multiples of the usual rate; the engines and the weight store are full near the middle.
-const SCALES: [f64; 7] = [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 40.0];
+const SCALES: [f64; 6] = [1.0, 2.0, 5.0, 10.0, 20.0, 40.0];
 
 /// Returns the requests a second that are answered within their deadlines, by offered rate.
 pub fn table() -> String {
--- a/crates/standins/src/bench/sim.rs
+++ b/crates/standins/src/bench/sim.rs
@@ -2,13 +2,15 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::time::Duration;
 
 use orioleroute::catalog::Catalog;
 use orioleroute::demand::Demand;
-use orioleroute::document::{self, Document};
+use orioleroute::document::{self, Document, Importance};
 use orioleroute::fleet::{Fleet, Residency, Resident};
 use orioleroute::hash::{digest, weight};
 use orioleroute::key;
+use orioleroute::limits::{self, LoadTime};
 use orioleroute::placement::{self, Candidate, Plan};
 use orioleroute::prelude::Instant;
 use orioleroute::routing;
@@ -98,7 +100,7 @@
     waiting: BTreeMap<(usize, usize), VecDeque<usize>>,
     loads: BTreeMap<(usize, usize), Load>,
     store_free: f64,
-    load_time: f64,
+    load_time: LoadTime,
     demand: Vec<Demand>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     next: u64,
@@ -168,7 +170,7 @@
             waiting: BTreeMap::new(),
             loads: BTreeMap::new(),
             store_free: 0.0,
-            load_time: LOAD_S,
+            load_time: LoadTime::default(),
             events: BinaryHeap::new(),
             next: 0,
             engine_of: vec![0; requests.len()],
@@ -220,9 +222,13 @@
         let now = self.instant();
         self.demand[group].note(now, self.revisions[request.adapter]);
         if let Some(engine) = self.holder(group, request.adapter) {
+            if self.is_ours() && self.ideas.refuse && !self.has_room(engine) {
+                return self.refuse(number);
+            }
             return self.dispatch(number, engine);
         }
-        if let Some((group, engine)) = self.remote_holder(&request) {
+        let remote = self.remote_holder(&request);
+        if let Some((group, engine)) = remote.filter(|(_, engine)| self.has_room(*engine)) {
             self.demand[group].note(now, self.revisions[request.adapter]);
             return self.dispatch(number, engine);
         }
@@ -297,9 +303,14 @@
             .find_map(|group| Some((group, self.holder(group, request.adapter)?)))
     }
 
+    fn has_room(&self, engine: usize) -> bool {
+        let running = self.fleet.get(self.keys[engine]).map_or(0, |upstream| upstream.running);
+        limits::has_room(Importance::Normal, running, self.deployment.concurrency)
+    }
+
     fn expected_wait(&self, group: usize) -> f64 {
         let ahead = self.waiting.keys().filter(|(queued, _)| *queued == group).count();
-        self.load_time * (1.0 + ahead as f64 / self.share() as f64)
+        self.load_time.wait(ahead, self.share() as u32).as_secs_f64()
     }
 
     /// Returns the loads that one owner may have in transit.
@@ -405,15 +416,14 @@
 
     /// Orders loads for waiting requests within the budget.
     fn place(&mut self) {
-        let mut wanted: Vec<((usize, usize), usize, usize)> = self
+        let mut wanted: Vec<(usize, (usize, usize))> = self
             .waiting
             .iter()
             .filter(|(key, _)| !self.loads.contains_key(*key))
-            .map(|(key, queue)| (*key, queue.len(), queue[0]))
+            .map(|(key, queue)| (queue[0], *key))
             .collect();
-        let crowd = self.is_ours() && self.ideas.crowd;
-        wanted.sort_by_key(|(_, count, first)| (Reverse(if crowd { *count } else { 0 }), *first));
-        for ((group, adapter), _, _) in wanted {
+        wanted.sort_unstable();
+        for (_, (group, adapter)) in wanted {
             if self.in_budget(group) {
                 self.load(group, adapter);
             }
@@ -480,7 +490,7 @@
         });
         let Some((key, load)) = found else { return };
         let key = *key;
-        self.load_time += 0.1 * (self.now - load.ordered - self.load_time);
+        self.load_time.note(Duration::from_secs_f64(self.now - load.ordered));
         self.loads.remove(&key);
         let upstream = self.fleet.get_mut(self.keys[engine]).expect("it is listed");
         if let Some(resident) = upstream.residents.get_mut(&self.revisions[adapter]) {
