Pass requests on to the region that holds their revision, and bench decisions

Cause: each region loaded its own copy, so that a third of the slots answered each caller. Instances now tell the homes of a revision in other regions what they hold; a request goes there if that saves more wait than region_penalty_ms.

--- /dev/null
+++ b/crates/orioleroute/benches/decisions.rs
@@ -0,0 +1,199 @@
+//! The cost of a routing and of a placement decision, today and at the size that is aimed at.
+//!
+//! A decision is made by one instance among the upstreams that it owns; the fleet and the catalog
+//! that it looks them up in are of full size. Results are in `docs/CAPACITY-decisions.md`.
+
+use std::hint::black_box;
+use std::sync::Arc;
+
+use criterion::Criterion;
+use orioleroute::catalog::Catalog;
+use orioleroute::demand::Demand;
+use orioleroute::document::Document;
+use orioleroute::fleet::{Fleet, Residency, Resident};
+use orioleroute::hash::{digest, score};
+use orioleroute::instance::{Listing, Phase};
+use orioleroute::key;
+use orioleroute::placement::{self, Candidate};
+use orioleroute::prelude::Instant;
+use orioleroute::routing;
+use serde_json::json;
+
+const SLOTS: u32 = 8;
+const CONCURRENCY: u32 = 16;
+
+/// A deployment's numbers of instances, of upstreams and of adapters.
+#[derive(Clone, Copy)]
+struct Size {
+    name: &'static str,
+    instances: usize,
+    upstreams: usize,
+    adapters: usize,
+}
+
+const SIZES: [Size; 4] = [
+    Size { name: "today", instances: 9, upstreams: 18, adapters: 3_000 },
+    Size { name: "aim", instances: 360, upstreams: 12_000, adapters: 24_000 },
+    Size { name: "aim, 3,000 adapters", instances: 360, upstreams: 12_000, adapters: 3_000 },
+    Size { name: "aim, 96,000 adapters", instances: 360, upstreams: 12_000, adapters: 96_000 },
+];
+
+/// What one instance decides from.
+struct State {
+    catalog: Catalog,
+    fleet: Fleet,
+    demand: Demand,
+    names: Vec<Arc<str>>,
+    owned: Vec<key::Upstream>,
+    nodes: Vec<u64>,
+}
+
+fn document(size: Size) -> Document {
+    let adapters: Vec<_> = (0..size.adapters)
+        .map(|adapter| {
+            let name = format!("adapter-{adapter}");
+            json!({ "name": name, "model": "base", "versions": ["v1"], "default": "v1" })
+        })
+        .collect();
+    let pool = json!({ "name": "pool", "model": "base", "slots": SLOTS });
+    let document = json!({
+        "format": 1, "models": [{ "name": "base" }], "pools": [pool], "adapters": adapters,
+    });
+    Document::from_json(&document.to_string()).expect("it is valid")
+}
+
+fn catalog(document: &Document) -> Catalog {
+    let mut catalog = Catalog::default();
+    catalog.apply(document);
+    catalog
+}
+
+fn listings(size: Size) -> Vec<Listing> {
+    (0..size.upstreams)
+        .map(|upstream| Listing {
+            name: format!("upstream-{upstream}").into(),
+            pool: "pool".into(),
+            address: ([127, 0, 0, 1], 1_000).into(),
+            region: "zurich".into(),
+            zone: "zurich-1".into(),
+            phase: Phase::Live,
+        })
+        .collect()
+}
+
+fn fleet(listings: &[Listing]) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.list(listings);
+    fleet
+}
+
+fn state(size: Size) -> State {
+    let catalog = catalog(&document(size));
+    let mut fleet = fleet(&listings(size));
+    let names: Vec<Arc<str>> =
+        (0..size.adapters).map(|adapter| format!("adapter-{adapter}").into()).collect();
+    let owned: Vec<key::Upstream> =
+        fleet.iter().map(|(key, _)| key).take(size.upstreams.div_ceil(size.instances)).collect();
+    let mut demand = Demand::default();
+    let mut adapters = (0..size.adapters).cycle();
+    for key in &owned {
+        let upstream = fleet.get_mut(*key).expect("it is listed");
+        upstream.reported = Some(Instant::from_micros(u64::MAX / 2));
+        for _ in 0..SLOTS {
+            let name = &names[adapters.next().expect("it is endless")];
+            let revision = catalog.resolve(name).expect("it is there");
+            demand.note(Instant::ZERO, revision);
+            let resident = Resident {
+                residency: Residency::Loaded,
+                running: 0,
+                reported: 0,
+                used: Instant::ZERO,
+            };
+            upstream.residents.insert(revision, resident);
+        }
+    }
+    let nodes = (0..size.instances).map(|node| digest(&*format!("node-{node}"))).collect();
+    State { catalog, fleet, demand, names, owned, nodes }
+}
+
+/// Resolves the name, finds the home among the instances of a region and chooses an upstream.
+fn route(state: &State, name: &str, region: &[u64]) -> Option<(usize, key::Upstream)> {
+    let revision = state.catalog.resolve(name)?;
+    let item = state.catalog.revision(revision).digest;
+    let scores = region.iter().map(|node| score(item, *node, 34)).enumerate();
+    let home = scores.max_by(|one, other| one.1.total_cmp(&other.1))?.0;
+    let owned = state.owned.iter().copied();
+    let (upstream, _) = routing::choose(Instant::ZERO, &state.fleet, owned, revision)?;
+    Some((home, upstream))
+}
+
+fn decisions(criterion: &mut Criterion) {
+    for size in SIZES {
+        let state = state(size);
+        let regions = if size.instances > 100 { 5 } else { 3 };
+        let region = &state.nodes[..size.instances / regions];
+        let loaded = state.names[0].clone();
+        let id = format!("route, {}", size.name);
+        criterion.bench_function(&id, |bencher| {
+            bencher.iter(|| route(black_box(&state), black_box(&loaded), region));
+        });
+        let cold = state.names[size.adapters - 1].clone();
+        let revision = state.catalog.resolve(&cold).expect("it is there");
+        let id = format!("place, {}", size.name);
+        criterion.bench_function(&id, |bencher| {
+            bencher.iter(|| {
+                let candidates = state.owned.iter().map(|key| Candidate {
+                    upstream: *key,
+                    slots: SLOTS,
+                    concurrency: CONCURRENCY,
+                });
+                let worth = |key| Some(state.demand.rate(Instant::ZERO, key));
+                placement::plan(
+                    Instant::ZERO,
+                    black_box(&state.fleet),
+                    candidates,
+                    revision,
+                    2.0,
+                    worth,
+                )
+            });
+        });
+    }
+}
+
+/// Prints the growth of the resident memory as indexes of different sizes are built.
+///
+/// What they are built from is there before, and nothing is freed in between, so that no freed
+/// memory is used again unseen.
+fn memory() {
+    const COUNTS: [usize; 4] = [12_000, 24_000, 48_000, 96_000];
+    let documents = COUNTS.map(|adapters| document(Size { adapters, ..SIZES[0] }));
+    let lists = COUNTS.map(|upstreams| listings(Size { upstreams, ..SIZES[0] }));
+    let mut catalogs = Vec::new();
+    let mut fleets = Vec::new();
+    for document in &documents {
+        let before = resident();
+        catalogs.push(catalog(document));
+        println!("memory: {} adapters, {} bytes", document.adapters.len(), resident() - before);
+    }
+    for listings in &lists {
+        let before = resident();
+        fleets.push(fleet(listings));
+        println!("memory: {} upstreams, {} bytes", listings.len(), resident() - before);
+    }
+    black_box((catalogs, fleets));
+}
+
+/// Returns the resident memory of this process in bytes, as the kernel counts it.
+fn resident() -> i64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: Option<i64> = text.split(' ').nth(1).and_then(|field| field.parse().ok());
+    pages.unwrap_or(0) * 4_096
+}
+
+fn main() {
+    memory();
+    let mut criterion = Criterion::default().configure_from_args();
+    decisions(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -5,10 +5,12 @@
 use crate::demand::Demand;
 use crate::effect::Effects;
 use crate::fleet::Fleet;
+use crate::holders::Holders;
 use crate::instance::Instance as Identity;
 use crate::key::Ticket;
 use crate::limits::LoadTime;
 use crate::membership::Membership;
+use crate::message::Message;
 use crate::operator::{Answer, Command};
 use crate::orders::Orders;
 use crate::ownership::Ownership;
@@ -17,6 +19,7 @@
 
 mod claims;
 mod engines;
+mod holding;
 mod operators;
 mod placing;
 mod requests;
@@ -61,6 +64,7 @@
     ownership: Ownership,
     demand: Demand,
     load_time: LoadTime,
+    holders: Holders,
     indexed: u64,
     effects: Effects,
 }
@@ -78,6 +82,7 @@
             ownership: Ownership::default(),
             demand: Demand::default(),
             load_time: LoadTime::default(),
+            holders: Holders::default(),
             indexed: 0,
             effects: Effects::default(),
         }
@@ -177,7 +182,10 @@
         }
     }
 
-    fn take_message(&mut self, now: Instant, from: &Arc<str>, message: &crate::message::Message) {
+    fn take_message(&mut self, now: Instant, from: &Arc<str>, message: &Message) {
+        if let Message::Holds { name, held } = message {
+            return self.take_holds(from, name, *held);
+        }
         self.membership.take_message(now, from, message, &mut self.effects);
         if self.config.take_message(from, message, &self.membership, &mut self.effects) {
             self.apply_document(now);
--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -65,9 +65,11 @@
                     resident.residency = Residency::Loaded;
                 }
                 self.orders.succeed(key, revision);
+                self.announce(revision);
             }
             (engine::Outcome::Done, false) => {
                 upstream.residents.remove(&revision);
+                self.announce(revision);
             }
             (_, true) => {
                 upstream.residents.remove(&revision);
--- a/crates/orioleroute/src/core/routes.rs
+++ b/crates/orioleroute/src/core/routes.rs
@@ -43,6 +43,7 @@
                 self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
                 self.dispatch(now, key, upstream);
             }
+            None if self.leave_region(key, revision) => {}
             None => self.wait(now, key, revision),
         }
     }
@@ -87,7 +88,7 @@
     }
 
     /// Returns how long a request is expected to wait for a revision that is not loaded.
-    fn load_wait(&self, revision: key::Revision) -> Duration {
+    pub(super) fn load_wait(&self, revision: key::Revision) -> Duration {
         let others = self.requests.wanted().into_iter().filter(|wanted| *wanted != revision);
         self.load_time.wait(others.count(), self.load_budget())
     }
--- a/crates/orioleroute/src/lib.rs
+++ b/crates/orioleroute/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod event;
 pub mod fleet;
 pub mod hash;
+pub mod holders;
 pub mod instance;
 pub mod key;
 pub mod limits;
--- a/crates/orioleroute/src/message.rs
+++ b/crates/orioleroute/src/message.rs
@@ -47,6 +47,13 @@
     },
     /// Passes the document in force on.
     Document(Proposal),
+    /// Says whether the sender holds a revision, to its homes in other regions.
+    Holds {
+        /// The served name, `adapter@version`.
+        name: Arc<str>,
+        /// Whether it is loaded on an upstream of the sender.
+        held: bool,
+    },
 }
 
 /// A renewal of a lease, as asked and as granted.
--- a/crates/orioleroute/src/routing.rs
+++ b/crates/orioleroute/src/routing.rs
@@ -1,5 +1,6 @@
 //! The choice of an upstream for a request.
 
+use crate::document::Policy;
 use crate::fleet::{Fleet, Upstream};
 use crate::prelude::*;
 
@@ -63,3 +64,11 @@
         .collect();
     Some((chosen, runners_up))
 }
+
+/// Returns whether a request that would wait this long for a load goes to a region that holds its
+/// revision instead.
+///
+/// Traffic between regions is slow and billed; the policy says what wait outweighs it.
+pub fn leaves_region(wait: Duration, policy: &Policy) -> bool {
+    wait > Duration::from_millis(policy.region_penalty_ms.into())
+}
--- a/crates/orioleroute/tests/policy.rs
+++ b/crates/orioleroute/tests/policy.rs
@@ -14,11 +14,15 @@
 use orioleroute::request::{Spec, Target};
 use proptest::prelude::*;
 use rstest::rstest;
-use standins::world::{Engine, Outcome, World};
+use standins::world::{Engine, Outcome, Record, World};
 
 const ADAPTERS: usize = 24;
 
 fn document() -> String {
+    document_with(200)
+}
+
+fn document_with(region_penalty_ms: u32) -> String {
     let adapters: Vec<_> = (0..ADAPTERS)
         .map(|adapter| {
             serde_json::json!({
@@ -32,6 +36,7 @@
         "models": [{ "name": "base" }],
         "pools": [{ "name": "pool", "model": "base", "slots": 2, "fencing": "checked" }],
         "adapters": adapters,
+        "policy": { "region_penalty_ms": region_penalty_ms },
     })
     .to_string()
 }
@@ -248,3 +253,54 @@
     };
     assert!(refusal.retry_after.is_some());
 }
+
+/// Two regions with a node and an engine each.
+fn two_regions(region_penalty_ms: u32) -> World {
+    let mut world = World::new(1);
+    for (number, region) in ["zurich", "geneva"].into_iter().enumerate() {
+        world.add_node(region);
+        world.add_engine(Engine::new(number, "pool", region, 2));
+    }
+    world.run(Duration::from_secs(8));
+    let document = document_with(region_penalty_ms).into();
+    let ticket = world.command(0, Command::Submit { base: 0, document });
+    world.run(Duration::from_secs(8));
+    assert_eq!(world.answers.get(&ticket), Some(&Answer::Accepted { version: 1 }));
+    world
+}
+
+#[rstest]
+#[case::wait_outweighs_the_penalty(200, 1)]
+#[case::penalty_outweighs_the_wait(5_000, 2)]
+fn a_request_goes_to_the_region_that_holds_its_revision(
+    #[case] region_penalty_ms: u32,
+    #[case] loads: usize,
+) {
+    let mut world = two_regions(region_penalty_ms);
+
+    for node in 0..2 {
+        let request = world.ask(node, spec(0));
+        world.run(Duration::from_secs(2));
+        let outcome = world.outcome(request);
+        assert!(matches!(outcome, Some(Outcome::Whole(_))), "{outcome:?}");
+    }
+
+    let ordered = |record: &Record| matches!(record, Record::Ordered { load: true, .. });
+    assert_eq!(world.records.iter().filter(|(_, record)| ordered(record)).count(), loads);
+}
+
+#[test]
+fn a_region_that_no_longer_holds_a_revision_loads_it_for_what_is_passed_on() {
+    let mut world = two_regions(200);
+    let first = world.ask(0, spec(0));
+    world.run(Duration::from_secs(2));
+    world.restart_engine(0);
+
+    let second = world.ask(1, spec(0));
+    world.run(Duration::from_secs(4));
+
+    for request in [first, second] {
+        let outcome = world.outcome(request);
+        assert!(matches!(outcome, Some(Outcome::Whole(_))), "{outcome:?}");
+    }
+}
--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -4,8 +4,10 @@
 //! [`Fleet`](orioleroute::fleet::Fleet), and the policy of this project is asked through the same
 //! functions that the core calls. It knows nothing of networks, failures or processes.
 
+mod batch;
 pub mod overload;
 pub mod report;
+mod setup;
 pub mod sim;
 pub mod trace;
 
--- a/crates/standins/src/bench/sim.rs
+++ b/crates/standins/src/bench/sim.rs
@@ -1,40 +1,34 @@
 //! One policy run over one trace.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
 use orioleroute::catalog::Catalog;
 use orioleroute::demand::Demand;
-use orioleroute::document::{self, Document, Importance};
-use orioleroute::fleet::{Fleet, Residency, Resident};
+use orioleroute::document::{self, Importance};
+use orioleroute::fleet::Fleet;
 use orioleroute::hash::{digest, weight};
 use orioleroute::key;
 use orioleroute::limits::{self, LoadTime};
-use orioleroute::placement::{self, Candidate, Plan};
 use orioleroute::prelude::Instant;
 use orioleroute::routing;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::batch::{Batch, step_s};
+use super::setup::{Group, configuration, groups};
 use super::trace::{CHANGE_S, Family, Request, WARM_UP_S};
 use super::{Deployment, Figures, Ideas, Policy};
 
+mod loads;
+
 /// How long a load takes, in seconds, while at most [`IN_TRANSIT`] are in transit.
 const LOAD_S: f64 = 0.25;
 
 /// The loads in transit at full speed.
 const IN_TRANSIT: usize = 8;
 
-/// The time for one token of a batch of one, in seconds.
-const TOKEN_S: f64 = 0.02;
-
-/// What each further request of a batch adds to that, as a share.
-const BATCH_COST: f64 = 0.03;
-
-/// What each further revision in a batch adds to that, as a share.
-const REVISION_COST: f64 = 0.02;
-
 /// The time from one region to another and back, in seconds.
 const REGION_S: f64 = 0.06;
 
@@ -54,27 +48,6 @@
     Tick,
 }
 
-/// Engines that load for one queue of waiting requests.
-struct Group {
-    region: usize,
-    engines: Vec<usize>,
-}
-
-/// Continuous batching: all requests of a batch advance at one rate.
-#[derive(Default)]
-struct Batch {
-    /// Tokens that each request in the batch has been given since the start.
-    done: f64,
-    at: f64,
-    /// The ends of the requests, in tokens since the start (as bits, which sort alike).
-    running: BTreeSet<(u64, usize)>,
-    queue: VecDeque<usize>,
-    revisions: BTreeMap<usize, u32>,
-    step: u64,
-    busy_s: f64,
-    tokens: f64,
-}
-
 /// A load in transit.
 struct Load {
     group: usize,
@@ -197,7 +170,7 @@
                 }
                 Event::Loaded(engine, adapter) => self.end_load(engine, adapter),
                 Event::Step(engine, step) if self.batches[engine].step == step => {
-                    self.advance(engine);
+                    self.batches[engine].advance(self.now);
                     self.finish(engine);
                 }
                 Event::Step(..) => {}
@@ -227,7 +200,9 @@
             }
             return self.dispatch(number, engine);
         }
-        let remote = self.remote_holder(&request);
+        let wait = Duration::from_secs_f64(self.expected_wait(group));
+        let leaves = routing::leaves_region(wait, &document::Policy::default());
+        let remote = self.remote_holder(&request).filter(|_| leaves);
         if let Some((group, engine)) = remote.filter(|(_, engine)| self.has_room(*engine)) {
             self.demand[group].note(now, self.revisions[request.adapter]);
             return self.dispatch(number, engine);
@@ -336,28 +311,10 @@
             resident.used = now;
         }
         self.batches[engine].queue.push_back(number);
-        self.advance(engine);
+        self.batches[engine].advance(self.now);
         self.start(engine);
     }
 
-    /// Brings a batch to the present.
-    fn advance(&mut self, engine: usize) {
-        let now = self.now;
-        let batch = &mut self.batches[engine];
-        let span = now - batch.at;
-        batch.at = now;
-        let count = batch.running.len();
-        if count == 0 {
-            return;
-        }
-        let tokens = span / step_s(count, batch.revisions.len());
-        batch.done += tokens;
-        if now >= WARM_UP_S {
-            batch.busy_s += span;
-            batch.tokens += tokens * count as f64;
-        }
-    }
-
     /// Takes queued requests into the batch.
     fn start(&mut self, engine: usize) {
         let concurrency = self.deployment.concurrency as usize;
@@ -414,101 +371,6 @@
         self.place();
     }
 
-    /// Orders loads for waiting requests within the budget.
-    fn place(&mut self) {
-        let mut wanted: Vec<(usize, (usize, usize))> = self
-            .waiting
-            .iter()
-            .filter(|(key, _)| !self.loads.contains_key(*key))
-            .map(|(key, queue)| (queue[0], *key))
-            .collect();
-        wanted.sort_unstable();
-        for (_, (group, adapter)) in wanted {
-            if self.in_budget(group) {
-                self.load(group, adapter);
-            }
-        }
-    }
-
-    fn packing(&self) -> f64 {
-        if !self.is_ours() || !self.ideas.pack {
-            return 0.0;
-        }
-        let Deployment { stall_weight, batch_weight, .. } = self.deployment;
-        let weights = document::Policy { stall_weight, batch_weight, ..Default::default() };
-        placement::packing(&weights)
-    }
-
-    fn in_budget(&self, group: usize) -> bool {
-        match self.policy {
-            Policy::Ours(_) => {
-                self.loads.values().filter(|load| load.group == group).count() < self.share()
-            }
-            _ => self.loads.len() < IN_TRANSIT,
-        }
-    }
-
-    /// Loads an adapter for a group.
-    fn load(&mut self, group: usize, adapter: usize) {
-        let now = self.instant();
-        let revision = self.revisions[adapter];
-        let Deployment { slots, concurrency, .. } = self.deployment;
-        let keys = &self.keys;
-        let engines = &self.groups[group].engines;
-        let candidates =
-            engines.iter().map(|engine| Candidate { upstream: keys[*engine], slots, concurrency });
-        let demand = &self.demand[group];
-        let packing = self.packing();
-        let draws = std::cell::RefCell::new(&mut self.rng);
-        let worth = |victim| match self.policy {
-            Policy::Random => Some(draws.borrow_mut().random()),
-            Policy::Ours(ideas) if ideas.demand => Some(demand.rate(now, victim)),
-            _ => Some(0.0),
-        };
-        let plan = placement::plan(now, &self.fleet, candidates, revision, packing, worth);
-        let Some(plan) = plan else { return };
-        if let Plan::Evict(key, victim) = plan {
-            let upstream = self.fleet.get_mut(key).expect("it is listed");
-            upstream.residents.remove(&victim);
-        }
-        let resident =
-            Resident { residency: Residency::Loading, running: 0, reported: 0, used: now };
-        let upstream = self.fleet.get_mut(plan.upstream()).expect("it is listed");
-        upstream.residents.insert(revision, resident);
-        let engine = self.keys.iter().position(|key| *key == plan.upstream()).expect("it is ours");
-        self.loads.insert((group, adapter), Load { group, ordered: self.now });
-        self.figures.loads += u32::from(self.now >= WARM_UP_S);
-        self.store_free = self.store_free.max(self.now) + 1.0 / self.deployment.store;
-        let fetched = (self.store_free - 1.0 / self.deployment.store).max(self.now);
-        let slower = (self.loads.len() as f64 / IN_TRANSIT as f64).max(1.0);
-        self.push(fetched + LOAD_S * slower, Event::Loaded(engine, adapter));
-    }
-
-    fn end_load(&mut self, engine: usize, adapter: usize) {
-        let found = self.loads.iter().find(|((group, loaded), _)| {
-            *loaded == adapter && self.groups[*group].engines.contains(&engine)
-        });
-        let Some((key, load)) = found else { return };
-        let key = *key;
-        self.load_time.note(Duration::from_secs_f64(self.now - load.ordered));
-        self.loads.remove(&key);
-        let upstream = self.fleet.get_mut(self.keys[engine]).expect("it is listed");
-        if let Some(resident) = upstream.residents.get_mut(&self.revisions[adapter]) {
-            resident.residency = Residency::Loaded;
-            self.serve(key);
-        }
-        self.place();
-    }
-
-    fn serve(&mut self, key: (usize, usize)) {
-        for number in self.waiting.remove(&key).unwrap_or_default() {
-            let Some(engine) = self.holder(key.0, key.1) else { return };
-            let wait = self.now - self.requests[number].at;
-            self.stalls[number] = wait;
-            self.dispatch(number, engine);
-        }
-    }
-
     fn tick(&mut self) {
         let deadline = self.deployment.deadline;
         let overdue: Vec<usize> = self
@@ -569,68 +431,8 @@
     }
 }
 
-/// Returns the time of one token for each request of a batch, in seconds.
-fn step_s(requests: usize, revisions: usize) -> f64 {
-    let further = |count: usize| count.saturating_sub(1) as f64;
-    TOKEN_S * (1.0 + BATCH_COST * further(requests) + REVISION_COST * further(revisions))
-}
-
 fn percentile(values: &mut [f64], share: f64) -> f64 {
     values.sort_by(f64::total_cmp);
     let last = values.len().saturating_sub(1);
     values.get((last as f64 * share) as usize).copied().unwrap_or(0.0)
 }
-
-/// Returns the groups of a policy, and those of the owners by region.
-fn groups(
-    deployment: &Deployment,
-    policy: Policy,
-    fleet: &Fleet,
-    keys: &[key::Upstream],
-) -> (Vec<Group>, Vec<Vec<usize>>) {
-    let region_of = |engine: usize| engine / deployment.engines;
-    let mut homes = vec![Vec::new(); deployment.regions];
-    let group = |engines: Vec<usize>| Group { region: region_of(engines[0]), engines };
-    let groups: Vec<Group> = match policy {
-        Policy::Random | Policy::Hashed | Policy::HashedAcross => {
-            (0..keys.len()).map(|engine| group(vec![engine])).collect()
-        }
-        Policy::LeastLoaded => (0..deployment.regions)
-            .map(|region| {
-                group((region * deployment.engines..(region + 1) * deployment.engines).collect())
-            })
-            .collect(),
-        Policy::Ours(_) => {
-            let mut owned: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
-            for (engine, key) in keys.iter().enumerate() {
-                let first = region_of(engine) * deployment.instances;
-                let upstream = fleet.get(*key).map_or(0, |upstream| upstream.digest);
-                let node = |owner: &usize| weight(upstream, digest(&*format!("node-{owner}")));
-                let owner = (first..first + deployment.instances).max_by_key(node);
-                owned.entry(owner.expect("a region has instances")).or_default().push(engine);
-            }
-            owned.into_values().map(group).collect()
-        }
-    };
-    for (number, group) in groups.iter().enumerate() {
-        homes[group.region].push(number);
-    }
-    (groups, homes)
-}
-
-/// Returns a document with the adapters of a deployment.
-fn configuration(deployment: &Deployment) -> Document {
-    let adapters: Vec<_> = (0..deployment.adapters)
-        .map(|adapter| {
-            serde_json::json!({
-                "name": format!("adapter-{adapter}"), "model": "base",
-                "versions": ["v1"], "default": "v1",
-            })
-        })
-        .collect();
-    let pool = serde_json::json!({ "name": "pool", "model": "base", "slots": deployment.slots });
-    let document = serde_json::json!({
-        "format": 1, "models": [{ "name": "base" }], "pools": [pool], "adapters": adapters,
-    });
-    Document::from_json(&document.to_string()).expect("it is valid")
-}
