--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -3,11 +3,15 @@
 use crate::catalog::Catalog;
 use crate::claim::Claims;
 use crate::config::{Config, News};
+use crate::demand::Demand;
 use crate::effect::Effects;
 use crate::fleet::Fleet;
+use crate::holders::Holders;
 use crate::instance::Instance as Identity;
 use crate::key::Ticket;
+use crate::limits::LoadTime;
 use crate::membership::Membership;
+use crate::message::Message;
 use crate::operator::{Answer, Command};
 use crate::orders::Orders;
 use crate::ownership::Ownership;
@@ -17,10 +21,12 @@
 
 mod claims;
 mod engines;
+mod holding;
 mod operators;
 mod placing;
 mod requests;
 mod routes;
+mod spilling;
 
 /// The decisions of one instance, without input or output.
 ///
@@ -60,6 +66,9 @@
     retries: Budget,
     orders: Orders,
     ownership: Ownership,
+    demand: Demand,
+    load_time: LoadTime,
+    holders: Holders,
     indexed: u64,
     listed: bool,
     effects: Effects,
@@ -78,6 +87,9 @@
             retries: Budget::default(),
             orders: Orders::default(),
             ownership: Ownership::default(),
+            demand: Demand::default(),
+            load_time: LoadTime::default(),
+            holders: Holders::default(),
             indexed: 0,
             listed: false,
             effects: Effects::default(),
@@ -176,6 +188,7 @@
         self.reconcile(now);
         self.refuse_overdue(now);
         self.refuse_unclaimed(now);
+        self.demand.sweep(now);
         self.place(now);
     }
 
@@ -192,7 +205,10 @@
         }
     }
 
-    fn take_message(&mut self, now: Instant, from: &Arc<str>, message: &crate::message::Message) {
+    fn take_message(&mut self, now: Instant, from: &Arc<str>, message: &Message) {
+        if let Message::Holds { name, held } = message {
+            return self.take_holds(from, name, *held);
+        }
         self.membership.take_message(now, from, message, &mut self.effects);
         if self.config.take_message(from, message, &self.membership, &mut self.effects) {
             self.apply_document(now);
--- a/crates/orioleroute/src/core/engines.rs
+++ b/crates/orioleroute/src/core/engines.rs
@@ -96,10 +96,23 @@
         upstream.end_order(now, ticket, revision, outcome);
         // What really holds is what the next report says, so it is asked for at once.
         upstream.next_probe = now;
+        if outcome == engine::Outcome::Done {
+            self.note_done(now, key, revision, load);
+        }
         self.serve_waiting(now);
         self.place(now);
     }
 
+    /// Learns how long loads take, and tells other homes what is held here.
+    fn note_done(&mut self, now: Instant, key: key::Upstream, revision: key::Revision, load: bool) {
+        let resident = self.fleet.get(key).and_then(|upstream| upstream.residents.get(&revision));
+        if let Some(resident) = resident.filter(|_| load) {
+            // A resident was last used when its load was ordered.
+            self.load_time.note(now.since(resident.used));
+        }
+        self.announce(revision);
+    }
+
     /// Unloads what the configuration in force does not have.
     pub(super) fn reconcile(&mut self, now: Instant) {
         // Without a document nothing is known of what an engine should hold.
--- a/crates/orioleroute/src/fleet.rs
+++ b/crates/orioleroute/src/fleet.rs
@@ -47,7 +47,7 @@
 
 impl Resident {
     /// Returns a revision with `reported` requests on the engine and none of this instance's.
-    fn new(residency: Residency, reported: u32, now: Instant) -> Self {
+    pub fn new(residency: Residency, reported: u32, now: Instant) -> Self {
         let unsure_until = Instant::ZERO;
         Self { residency, running: 0, reported, used: now, unsure_until }
     }
