--- a/crates/standins/src/world/caller.rs
+++ b/crates/standins/src/world/caller.rs
@@ -150,7 +150,10 @@
             }
             End::BrokenOff => {
                 self.finish(node, request, Outcome::Broken);
-                self.tell_progress(node, request, Progress::Gone);
+                // The connection is closed, so that whatever the core decides reaches nobody.
+                self.finished.remove(&(node, request));
+                self.tell_progress(node, request, Progress::Begun);
+                self.tell_progress(node, request, Progress::Failed(Failure::Broken));
             }
             End::Failed(failure) => {
                 self.tell_progress(node, request, Progress::Failed(failure));
