Measure one node against calling its engine directly

Tokens of the stand-in engine say when they were sent; an engine without a pace sends without a timer, whose resolution of about a millisecond would be measured otherwise. Not run yet at this commit.

--- /dev/null
+++ b/crates/standins/examples/load/system.rs
@@ -0,0 +1,77 @@
+//! A system of one node, its platform and two engines.
+
+use std::io::{Error, Result};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use orioleroute::operator::{Answer, Command};
+use serde_json::json;
+use standins::engine::Settings;
+use standins::process::{Process, binary};
+use standins::system::{self, listing, node, publish, status, until};
+
+const REGION: &str = "zurich";
+
+/// Between two tokens of the paced engine.
+const PACE: Duration = Duration::from_millis(10);
+
+/// The served name on the engine that paces its tokens.
+pub const PACED: &str = "paced@v1";
+
+/// The served name on the engine that sends tokens as fast as they are taken.
+pub const UNPACED: &str = "unpaced@v1";
+
+/// A system to measure.
+pub struct System {
+    /// The node.
+    pub node: Process,
+    /// Where the node takes callers.
+    pub callers: SocketAddr,
+    /// The engine that paces its tokens.
+    pub paced: SocketAddr,
+    /// The engine that does not.
+    pub unpaced: SocketAddr,
+}
+
+impl System {
+    /// Starts a system and waits until its document is in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node does not start.
+    pub fn start() -> Result<Self> {
+        let platform = system::platform();
+        let paced = system::engine(Settings { token_time: PACE, ..Settings::default() });
+        let unpaced =
+            system::engine(Settings { token_time: Duration::ZERO, ..Settings::default() });
+        publish(
+            platform,
+            &[
+                listing("engine-1", "paced", REGION, paced),
+                listing("engine-2", "unpaced", REGION, unpaced),
+            ],
+        );
+        let node = node(&binary("orioleroute-node")?, "a", REGION, platform, &[])?;
+        let callers = node.address("callers").ok_or_else(|| Error::other("no address"))?;
+        until("a member", || status(&node).is_some_and(|status| status.instances.len() == 1));
+        let submit = Command::Submit { base: 0, document: document().to_string().into() };
+        match system::command(&node, &submit) {
+            Some(Answer::Accepted { .. }) => {}
+            other => return Err(Error::other(format!("the document was not accepted: {other:?}"))),
+        }
+        until("in force", || status(&node).is_some_and(|status| status.version == 1));
+        Ok(Self { node, callers, paced, unpaced })
+    }
+}
+
+fn document() -> serde_json::Value {
+    let pool = |name: &str, model: &str| json!({ "name": name, "model": model, "slots": 4, "concurrency": 4096, "fencing": "checked" });
+    let adapter = |name: &str, model: &str| json!({ "name": name, "model": model, "versions": ["v1"], "default": "v1", "queue": 4096 });
+    json!({
+        "format": 1,
+        "models": [{ "name": "one" }, { "name": "two" }],
+        "pools": [pool("paced", "one"), pool("unpaced", "two")],
+        "adapters": [adapter("paced", "one"), adapter("unpaced", "two")],
+        "policy": { "deadline_ms": 120_000 },
+    })
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use monoio::net::TcpListener;
@@ -281,9 +281,11 @@
         if break_after > 0 && index >= break_after {
             return Err(Error::new(orioleroute_wire::Step::Send, connection.peer(), "broken off"));
         }
-        monoio::select! {
-            _ = monoio::time::sleep(pace) => {}
-            _ = connection.closed() => return Ok(()),
+        if !pace.is_zero() {
+            monoio::select! {
+                _ = monoio::time::sleep(pace) => {}
+                _ = connection.closed() => return Ok(()),
+            }
         }
         let last = index + 1 == tokens;
         let event = format!("data: {}\n\n", part(&name, &word(index), last, chat));
@@ -326,5 +328,11 @@
         "created": 0,
         "model": name,
         "choices": [choice],
+        "sent_us": since_epoch_us(),
     })
 }
+
+/// Returns when a token is sent, from which a caller on the same machine tells its delay.
+fn since_epoch_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -49,6 +49,11 @@
         values.find_map(|value| value.parse().ok())
     }
 
+    /// Returns the identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
