Count requests, refusals, orders, table operations and messages

Cause: the recorder was installed and nothing was recorded. Everything is counted where events enter the core and effects leave it, so that no decision needs to know of metrics. The test scrapes a node; it failed before, since /metrics was empty.

--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod engines;
 mod log;
+mod meter;
 mod operators;
 mod peers;
 mod platform;
@@ -43,7 +44,7 @@
 
 /// Runs the instance until it has left and every request has had its final answer.
 async fn run(settings: Settings) -> std::io::Result<()> {
-    let metrics = operators::install_metrics();
+    let metrics = meter::install();
     let callers = callers::bind(&settings)?;
     let peers = peers::bind(&settings)?;
     let operators = operators::bind(&settings)?;
--- a/crates/orioleroute-node/src/operators.rs
+++ b/crates/orioleroute-node/src/operators.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use http::{Method, StatusCode};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use monoio::net::TcpListener;
 use orioleroute::operator::Command;
 use orioleroute_wire::server::{Fault, Limits, Request, Response, serve};
@@ -21,15 +21,6 @@
     TcpListener::bind(settings.operator_address)
 }
 
-/// Installs the recorder of metrics and returns the handle that renders them.
-pub fn install_metrics() -> PrometheusHandle {
-    let recorder = PrometheusBuilder::new().build_recorder();
-    let handle = recorder.handle();
-    // A recorder that was installed before stays; this process installs only this one.
-    let _ = metrics::set_global_recorder(recorder);
-    handle
-}
-
 /// Takes commands of operators.
 pub async fn run(shell: Rc<Shell>, listener: TcpListener, metrics: PrometheusHandle) {
     let log = shell.log.clone();
@@ -53,7 +44,10 @@
     match (&request.method, request.path.as_str()) {
         (&Method::GET, "/livez") => Response::text(StatusCode::OK, "live"),
         (&Method::GET, "/readyz") => readiness(shell),
-        (&Method::GET, "/metrics") => Response::text(StatusCode::OK, metrics.render()),
+        (&Method::GET, "/metrics") => {
+            shell.read(|core| shell.meter.read(core, shell.now()));
+            Response::typed(StatusCode::OK, "text/plain; version=0.0.4", metrics.render())
+        }
         (&Method::POST, "/command") => command(shell, request).await,
         _ => Response::json(StatusCode::NOT_FOUND, &json!({ "error": "no such path" })),
     }
--- a/crates/orioleroute-node/src/shell.rs
+++ b/crates/orioleroute-node/src/shell.rs
@@ -19,6 +19,7 @@
 use orioleroute_wire::rpc;
 use slog::{Logger, debug, info, o, warn};
 
+use crate::meter::Meter;
 use crate::settings::Settings;
 use crate::{engines, log, platform};
 
@@ -36,6 +37,8 @@
     pub pool: Pool,
     /// The log.
     pub log: Logger,
+    /// The metrics.
+    pub meter: Meter,
     core: RefCell<Core>,
     started: Clock,
     steps: RefCell<HashMap<key::Request, mpsc::unbounded::Tx<Step>>>,
@@ -66,6 +69,7 @@
             settings,
             pool: Pool::new(),
             log,
+            meter: Meter::default(),
             core: RefCell::new(Core::new(identity)),
             started: Clock::now(),
             steps: RefCell::default(),
@@ -100,8 +104,10 @@
 
     /// Gives the core an event and carries out the effects.
     pub fn feed(self: &Rc<Self>, event: Event) {
+        self.meter.take_event(&event);
         let effects = self.core.borrow_mut().handle(self.now(), event);
         for effect in effects {
+            self.meter.take_effect(&effect);
             self.carry_out(effect);
         }
     }
--- a/crates/orioleroute-node/tests/path.rs
+++ b/crates/orioleroute-node/tests/path.rs
@@ -114,3 +114,32 @@
     until("one member", || status(&nodes[1]).is_some_and(|status| status.instances.len() == 1));
     assert_eq!(complete(&nodes[1], "milk").status, StatusCode::OK);
 }
+
+#[test]
+fn metrics_count_what_was_answered_and_refused() {
+    let nodes = system();
+    complete(&nodes[0], "milk");
+    complete(&nodes[1], "milk");
+    complete(&nodes[0], "nobody@v9");
+    let scrape = |node: &Process| {
+        let address = node.address("operators").expect("the node printed its addresses");
+        let answer = call(address, Call::new(Method::GET, "/metrics")).expect("the node answers");
+        String::from_utf8(answer.body.to_vec()).expect("it is text")
+    };
+    let both = nodes.iter().map(scrape).collect::<String>();
+    for line in [
+        "orioleroute_requests_total{outcome=\"finished\"}",
+        "orioleroute_requests_total{outcome=\"refused\"} 1",
+        "orioleroute_refusals_total{kind=\"not_found\",ran=\"not-run\"} 1",
+        "orioleroute_request_duration_seconds_bucket{outcome=\"finished\",le=",
+        "orioleroute_loads_total 1",
+        "orioleroute_orders_total{outcome=\"done\"} 1",
+        "orioleroute_table_operations_total{outcome=\"written\"}",
+        "orioleroute_peer_messages_total{direction=\"sent\"}",
+        "orioleroute_lease_held 1",
+        "orioleroute_config_version 1",
+        "orioleroute_requests_in_flight 0",
+    ] {
+        assert!(both.contains(line), "{line} is missing in\n{both}");
+    }
+}
