Report every fault of a document's shape at once, and publish the schema

Cause: the decoder stops at its first wrong type or unknown field, so an operator mended a document one fault at a time. A walk of the JSON along the schema that schemars derives finds them all, with path, found and allowed. Versions named twice and empty names of versions and regions are faults.

--- a/crates/oriolectl/src/ask.rs
+++ b/crates/oriolectl/src/ask.rs
@@ -38,6 +38,10 @@
             };
             Ok(print::check(&answer, command.json))
         }
+        Verb::Schema => {
+            println!("{:#}", Document::schema());
+            Ok(0)
+        }
         Verb::Submit(file) => submit(command, &read(file)?).await,
         Verb::Diff(file) => diff(command, &read(file)?).await,
         Verb::Status => status(command).await,
--- a/crates/oriolectl/src/command.rs
+++ b/crates/oriolectl/src/command.rs
@@ -8,6 +8,8 @@
 pub enum Verb {
     /// Checks a document without an instance.
     Check(String),
+    /// Prints the schema of the document.
+    Schema,
     /// Submits a document.
     Submit(String),
     /// Shows what holds where.
@@ -48,6 +50,7 @@
 
 Commands:
     check FILE      check a document, without an instance
+    schema          print the schema of the document, without an instance
     submit FILE     submit a document and wait until it is accepted
     diff FILE       show what a document would change
     status          show what holds where
@@ -105,6 +108,7 @@
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words[..] {
         ["check", file] => Ok(Verb::Check(file.to_owned())),
+        ["schema"] => Ok(Verb::Schema),
         ["submit", file] => Ok(Verb::Submit(file.to_owned())),
         ["diff", file] => Ok(Verb::Diff(file.to_owned())),
         ["status"] => Ok(Verb::Status),
--- a/crates/orioleroute/src/document.rs
+++ b/crates/orioleroute/src/document.rs
@@ -10,6 +10,7 @@
 
 mod check;
 mod delta;
+mod shape;
 
 pub use check::Fault;
 pub use delta::Delta;
@@ -209,6 +210,11 @@
         if faults.is_empty() { Ok(document) } else { Err(faults) }
     }
 
+    /// Returns the JSON schema of the format, which `schema/configuration.json` publishes.
+    pub fn schema() -> &'static serde_json::Value {
+        shape::schema()
+    }
+
     /// Writes the document as JSON text.
     pub fn to_json(&self) -> String {
         serde_json::to_string(self).expect("documents have text keys only")
--- a/crates/orioleroute/src/document/check.rs
+++ b/crates/orioleroute/src/document/check.rs
@@ -3,8 +3,9 @@
 use std::fmt::Display;
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
-use super::{Document, FORMAT};
+use super::{Document, FORMAT, shape};
 use crate::hash::Set;
 
 /// A fault in a document.
@@ -20,15 +21,24 @@
 }
 
 impl Fault {
-    fn new(path: impl Into<String>, found: impl Display, allowed: impl Into<String>) -> Self {
+    pub(super) fn new(
+        path: impl Into<String>,
+        found: impl Display,
+        allowed: impl Into<String>,
+    ) -> Self {
         Self { path: path.into(), found: found.to_string(), allowed: allowed.into() }
     }
 }
 
 /// Decodes the JSON text.
 pub(super) fn parse(text: &str) -> Result<Document, Vec<Fault>> {
-    let mut decoder = serde_json::Deserializer::from_str(text);
-    serde_path_to_error::deserialize(&mut decoder).map_err(|error| {
+    let value: Value = serde_json::from_str(text)
+        .map_err(|error| vec![Fault::new("document", error, "JSON text")])?;
+    let faults = shape::faults(&value);
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    serde_path_to_error::deserialize(&value).map_err(|error| {
         let path = error.path().to_string();
         let cause = error.into_inner();
         vec![Fault::new(path, cause, "a document of the published schema")]
@@ -78,6 +88,21 @@
         if adapter.versions.is_empty() {
             faults.push(Fault::new(path("versions"), "no version", "at least 1 version"));
         }
+        let mut seen = Set::default();
+        for (index, version) in adapter.versions.iter().enumerate() {
+            let path = path(&format!("versions[{index}]"));
+            if version.is_empty() {
+                faults.push(Fault::new(path, "an empty name", "a name"));
+            } else if !seen.insert(version) {
+                faults.push(Fault::new(path, version, "a version named once"));
+            }
+        }
+        for (index, region) in adapter.regions.iter().enumerate() {
+            if region.is_empty() {
+                let path = path(&format!("regions[{index}]"));
+                faults.push(Fault::new(path, "an empty name", "the name of a region"));
+            }
+        }
         if !adapter.versions.contains(&adapter.default) {
             faults.push(Fault::new(path("default"), &adapter.default, "one of the versions"));
         }
