Name each decision by the caller's request, and refuse empty and zero settings

The mark 'repeatable' of a service was read from the document and never asked for, so calls to it were claimed; its test was not run against the old code.

--- a/crates/orioleroute-node/src/callers.rs
+++ b/crates/orioleroute-node/src/callers.rs
@@ -72,7 +72,7 @@
             Ok(job) => relay::run(shell, connection, job).await,
             Err(message) => connection.respond(invalid(&message)).await,
         },
-        (_, path) if path.starts_with(SERVICES) => match service_call(request) {
+        (_, path) if path.starts_with(SERVICES) => match service_call(shell, request) {
             Ok(job) => relay::run(shell, connection, job).await,
             Err(message) => connection.respond(invalid(&message)).await,
         },
@@ -133,12 +133,13 @@
     Ok(Job { request, spec, stream: head.stream })
 }
 
-fn service_call(mut request: Request) -> Result<Job, String> {
+fn service_call(shell: &Rc<Shell>, mut request: Request) -> Result<Job, String> {
     let rest = request.path.trim_start_matches(SERVICES);
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let (name, path): (Arc<str>, String) = (name.into(), format!("/{path}"));
     request.path = path;
-    let repeatable = matches!(request.method, Method::GET | Method::HEAD);
+    let marked = shell.read(|core| core.catalog().service(&name).is_some_and(|it| it.repeatable));
+    let repeatable = marked || matches!(request.method, Method::GET | Method::HEAD);
     let mut spec = spec_of(&request, Target::Service(name))?;
     spec.repeatable = repeatable;
     Ok(Job { request, spec, stream: false })
--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -51,6 +51,9 @@
     let (key, mut steps) = shell.admit();
     let mut guard = Guard { shell: shell.clone(), key, last: Progress::Gone };
     let Job { request, spec, stream } = job;
+    if let Some(name) = request.header("x-request-id") {
+        shell.name_request(key, name);
+    }
     let hops = spec.hops;
     shell.feed(Event::Arrived { request: key, spec });
     loop {
--- a/crates/orioleroute-node/src/settings.rs
+++ b/crates/orioleroute-node/src/settings.rs
@@ -239,11 +239,11 @@
             ));
             return None;
         };
-        let value = text.parse().ok();
+        let value = if is_empty_value(&text) { None } else { text.parse().ok() };
         if value.is_none() {
             let hint = setting.hint;
             self.faults.push(format!(
-                "orioleroute-node: --{flag} or {variable} is {text:?}, allowed is {hint}"
+                "orioleroute-node: --{flag} or {variable} is {text:?}, allowed is {hint}, neither empty nor 0"
             ));
         }
         value
@@ -264,6 +264,12 @@
     }
 }
 
+/// Returns whether a text is empty or zero, which no setting allows: a limit of 0 would shut everybody
+/// out, and an empty token would let everybody in.
+fn is_empty_value(text: &str) -> bool {
+    text.is_empty() || text.bytes().all(|byte| byte == b'0')
+}
+
 fn variable(flag: &str) -> String {
     format!("ORIOLEROUTE_{}", flag.to_uppercase().replace('-', "_"))
 }
--- a/crates/orioleroute-node/src/shell.rs
+++ b/crates/orioleroute-node/src/shell.rs
@@ -42,6 +42,7 @@
     core: RefCell<Core>,
     started: Clock,
     steps: RefCell<HashMap<key::Request, mpsc::unbounded::Tx<Step>>>,
+    names: RefCell<HashMap<key::Request, Arc<str>>>,
     answers: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
     next_command: Cell<u64>,
 }
@@ -73,6 +74,7 @@
             core: RefCell::new(Core::new(identity)),
             started: Clock::now(),
             steps: RefCell::default(),
+            names: RefCell::default(),
             answers: RefCell::default(),
             next_command: Cell::new(0),
         }
@@ -120,9 +122,15 @@
         (key, steps)
     }
 
+    /// Names an admitted request in the log as its caller named it.
+    pub fn name_request(&self, key: key::Request, name: &str) {
+        self.names.borrow_mut().insert(key, name.into());
+    }
+
     /// Forgets a request that has had its final answer.
     pub fn forget(&self, key: key::Request) {
         self.steps.borrow_mut().remove(&key);
+        self.names.borrow_mut().remove(&key);
     }
 
     /// Gives the core an operator's command and waits for the answer.
@@ -194,10 +202,21 @@
         }
     }
 
+    /// Returns the name that the caller gave a request, or else one of this instance.
+    fn request_name(&self, key: key::Request) -> String {
+        let names = self.names.borrow();
+        names.get(&key).map_or_else(|| format!("{key:?}"), ToString::to_string)
+    }
+
     fn log_decision(&self, decision: &Decision) {
+        let (adapter, version) = match decision.name.split_once('@') {
+            Some((adapter, version)) => (adapter.to_owned(), Some(version.to_owned())),
+            None => (decision.name.to_string(), None),
+        };
         let line = o!(
-            "request" => decision.request.map(|key| format!("{key:?}")),
-            "served" => decision.name.to_string(),
+            "request" => decision.request.map(|key| self.request_name(key)),
+            "adapter" => adapter,
+            "version" => version,
             "chosen" => decision.chosen.as_deref().map(str::to_owned),
             "reason" => decision.reason.to_string(),
             "runners_up" => decision.runners_up.join(","),
--- a/crates/orioleroute-node/tests/path.rs
+++ b/crates/orioleroute-node/tests/path.rs
@@ -28,7 +28,10 @@
         "adapters": [{
             "name": "milk", "model": "coach-7b", "versions": ["v1", "v2"], "default": "v2",
         }],
-        "services": [{ "name": "bookings", "pool": "course" }],
+        "services": [
+            { "name": "bookings", "pool": "course" },
+            { "name": "notes", "pool": "course", "repeatable": true },
+        ],
     });
     document.to_string().into()
 }
@@ -105,6 +108,18 @@
     assert_eq!(book(&nodes[1]), StatusCode::CONFLICT);
 }
 
+#[test]
+fn a_call_to_a_repeatable_service_needs_no_claim() {
+    let nodes = system();
+    for node in &nodes {
+        let request = Call::new(Method::POST, "/services/notes/draft")
+            .header("idempotency-key", "draft-1")
+            .body("text/plain", "crema");
+        let answer = call(callers(node), request).expect("the node answers");
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
 #[test]
 fn a_terminated_node_leaves_and_ends() {
     let mut nodes = system();
