Show the status of all regions, and check the shapes that client libraries expect

Cause: an instance knows only the upstreams that it owns and its own version, so the status of one instance left the other regions out. oriolectl asks the instances that the asked one names, each for at most 2 s. Weighed against the instance asking the others, which would put calls with the operator's token between instances. The status test was not run against the old command, which showed no upstream of the other region.

--- a/crates/oriolectl/src/ask.rs
+++ b/crates/oriolectl/src/ask.rs
@@ -6,7 +6,7 @@
 
 use http::Method;
 use orioleroute::document::Document;
-use orioleroute::operator::{Answer, Command as Question};
+use orioleroute::operator::{Answer, Command as Question, Status};
 use orioleroute_wire::client::{Call, Pool};
 
 use crate::command::{Command, Verb};
@@ -15,6 +15,12 @@
 /// The longest wait for an answer.
 const TIMEOUT: Duration = Duration::from_secs(15);
 
+/// The longest wait for the status of an instance other than the asked one.
+const OTHERS_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Clears a terminal and goes to its top.
+const CLEAR: &str = "\x1b[2J\x1b[H";
+
 /// Between two showings of a watched status.
 const WATCH: Duration = Duration::from_secs(1);
 
@@ -75,7 +81,10 @@
 
 async fn status(command: &Command) -> Result<u8, String> {
     loop {
-        let answer = ask(command, &Question::Status).await?;
+        let answer = whole_status(command).await?;
+        if command.watch && !command.json {
+            print!("{CLEAR}");
+        }
         let code = print::answer(&answer, command.json);
         if !command.watch {
             return Ok(code);
@@ -84,6 +93,51 @@
     }
 }
 
+/// Asks an instance and then all others that it names, since each knows its own upstreams best.
+async fn whole_status(command: &Command) -> Result<Answer, String> {
+    let mut whole = match ask(command, &Question::Status).await? {
+        Answer::Status(status) => status,
+        other => return Err(format!("unexpected answer: {other:?}")),
+    };
+    let asked: Vec<_> = whole
+        .instances
+        .iter()
+        .filter(|instance| Some(instance.operator_address) != command.instance)
+        .map(|instance| monoio::spawn(status_of(instance.operator_address, command.token.clone())))
+        .collect();
+    for task in asked {
+        let (address, status) = task.await;
+        merge(&mut whole, address, status);
+    }
+    whole
+        .upstreams
+        .sort_by(|one, other| (&one.region, &one.name).cmp(&(&other.region, &other.name)));
+    Ok(Answer::Status(whole))
+}
+
+async fn status_of(address: SocketAddr, token: String) -> (SocketAddr, Option<Status>) {
+    let answer = ask_at(address, &token, &Question::Status, OTHERS_TIMEOUT).await;
+    match answer {
+        Ok(Answer::Status(status)) => (address, Some(status)),
+        _ => (address, None),
+    }
+}
+
+/// Adds what another instance said; one that said nothing stays unknown.
+fn merge(whole: &mut Status, address: SocketAddr, status: Option<Status>) {
+    let version = status.as_ref().map(|status| status.version);
+    let mut instances = whole.instances.iter_mut();
+    if let Some(instance) = instances.find(|instance| instance.operator_address == address) {
+        instance.version = version;
+    }
+    for upstream in status.into_iter().flat_map(|status| status.upstreams) {
+        let mut known = whole.upstreams.iter();
+        if !known.any(|it| (&it.region, &it.name) == (&upstream.region, &upstream.name)) {
+            whole.upstreams.push(upstream);
+        }
+    }
+}
+
 async fn in_force(command: &Command) -> Result<(u64, String), String> {
     match ask(command, &Question::Document).await? {
         Answer::Document { version, document } => Ok((version, document.to_string())),
@@ -94,13 +148,20 @@
 async fn ask(command: &Command, question: &Question) -> Result<Answer, String> {
     let instance: SocketAddr =
         command.instance.ok_or("name an instance with --instance or ORIOLEROUTE_INSTANCE")?;
+    ask_at(instance, &command.token, question, TIMEOUT).await
+}
+
+async fn ask_at(
+    instance: SocketAddr,
+    token: &str,
+    question: &Question,
+    limit: Duration,
+) -> Result<Answer, String> {
     let call = Call::new(Method::POST, "/command")
-        .header("authorization", format!("Bearer {}", command.token))
+        .header("authorization", format!("Bearer {token}"))
         .json(question);
-    let answer = Pool::new()
-        .call_within(instance, call, TIMEOUT)
-        .await
-        .map_err(|error| error.to_string())?;
+    let answer =
+        Pool::new().call_within(instance, call, limit).await.map_err(|error| error.to_string())?;
     if !answer.status.is_success() {
         let body = String::from_utf8_lossy(&answer.body);
         return Err(format!("{instance} answered {}: {body}", answer.status));
--- /dev/null
+++ b/crates/oriolectl/tests/commands.rs
@@ -0,0 +1,118 @@
+//! The command line against nodes as processes, and what scripts see of it.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::{Command, Output};
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use standins::process::{Process, binary};
+use standins::system::{self, OPERATOR_TOKEN, listing, node, publish, status, until};
+
+fn run(arguments: &[&str]) -> Output {
+    let program = env!("CARGO_BIN_EXE_oriolectl");
+    Command::new(program).args(arguments).output().expect("the program starts")
+}
+
+fn ask(instance: SocketAddr, arguments: &[&str]) -> Output {
+    let instance = instance.to_string();
+    run(&[&["--instance", &instance, "--token", OPERATOR_TOKEN], arguments].concat())
+}
+
+fn document(version: &str) -> Value {
+    json!({
+        "format": 1,
+        "models": [{ "name": "coach-7b" }],
+        "pools": [{ "name": "coaching", "model": "coach-7b", "slots": 2, "fencing": "checked" }],
+        "adapters": [{
+            "name": "milk", "model": "coach-7b", "versions": [version], "default": version,
+        }],
+    })
+}
+
+/// Writes a document to a file of its own and returns its path.
+fn file(name: &str, document: &Value) -> String {
+    let mut path = std::env::temp_dir();
+    path.push(format!("oriolectl-test-{}-{name}.json", std::process::id()));
+    let mut file = std::fs::File::create(&path).expect("the folder can be written to");
+    file.write_all(document.to_string().as_bytes()).expect("the file can be written to");
+    path.to_str().expect("the path is text").to_owned()
+}
+
+#[rstest]
+#[case::help(&["--help"], 0)]
+#[case::version(&["--version"], 0)]
+#[case::schema(&["schema"], 0)]
+#[case::no_command(&[], 2)]
+#[case::unknown_command(&["explode"], 2)]
+#[case::unknown_flag(&["--explode"], 2)]
+#[case::bad_address(&["--instance", "somewhere", "status"], 2)]
+#[case::no_instance(&["status"], 1)]
+#[case::no_file(&["check", "no-such-file.json"], 1)]
+fn exit_codes_tell_scripts_what_happened(#[case] arguments: &[&str], #[case] code: i32) {
+    let output = run(arguments);
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+}
+
+#[test]
+fn faults_of_a_document_are_printed_with_their_paths() {
+    let mut wrong = document("v1");
+    wrong["adapters"][0]["default"] = json!("v2");
+    let path = file("wrong", &wrong);
+    let output = run(&["check", &path]);
+    std::fs::remove_file(&path).expect("it is there");
+    assert_eq!(output.status.code(), Some(3));
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(
+        text.contains("adapters[0].default: found v2, allowed is one of the versions"),
+        "{text}"
+    );
+}
+
+#[test]
+fn status_covers_all_regions_and_the_loser_of_a_race_is_told_the_version() {
+    let platform = system::platform();
+    let engines = [system::engine(Default::default()), system::engine(Default::default())];
+    publish(
+        platform,
+        &[
+            listing("engine-1", "coaching", "zurich", engines[0]),
+            listing("engine-2", "coaching", "geneva", engines[1]),
+        ],
+    );
+    let program = binary("orioleroute-node").expect("the own path is known");
+    let start = |name, region| node(&program, name, region, platform, &[]).expect("it starts");
+    let nodes = [start("a", "zurich"), start("b", "geneva")];
+    until("two members", || {
+        nodes.iter().all(|node| status(node).is_some_and(|status| status.instances.len() == 2))
+    });
+    let operators = |node: &Process| node.address("operators").expect("it printed its addresses");
+    let asked = operators(&nodes[0]);
+    let (first, second) = (file("first", &document("v1")), file("second", &document("v2")));
+    let accepted = ask(asked, &["--base", "0", "submit", &first]);
+    assert_eq!(accepted.status.code(), Some(0), "{accepted:?}");
+    let lost = ask(asked, &["--base", "0", "submit", &second]);
+    for path in [first, second] {
+        std::fs::remove_file(path).expect("it is there");
+    }
+    assert_eq!(lost.status.code(), Some(4), "{lost:?}");
+    assert!(String::from_utf8_lossy(&lost.stdout).contains("version 1"), "{lost:?}");
+    let shown = || -> Value {
+        serde_json::from_slice(&ask(asked, &["--json", "status"]).stdout).unwrap_or_default()
+    };
+    until("both regions hold", || {
+        let status = shown();
+        let holds = |region: &str| {
+            let mut upstreams = status["upstreams"].as_array().into_iter().flatten();
+            upstreams.any(|it| it["region"] == region && it["holding"] == "holds")
+        };
+        holds("zurich") && holds("geneva")
+    });
+    let [_a, b] = nodes;
+    drop(b);
+    until("the dead instance is unknown", || {
+        let status = shown();
+        let mut instances = status["instances"].as_array().into_iter().flatten();
+        instances.any(|it| it["name"] == "b" && it["version"].is_null())
+    });
+}
--- a/crates/orioleroute-node/tests/path.rs
+++ b/crates/orioleroute-node/tests/path.rs
@@ -87,6 +87,36 @@
     }
 }
 
+#[test]
+fn answers_have_the_shapes_that_client_libraries_expect() {
+    let nodes = system();
+    let address = callers(&nodes[0]);
+    let models = call(address, Call::new(Method::GET, "/v1/models")).expect("the node answers");
+    let models: Value = serde_json::from_slice(&models.body).expect("it is JSON");
+    assert_eq!(models["object"], "list");
+    assert_eq!(models["data"][0]["object"], "model");
+    assert_eq!(models["data"][0]["id"], "milk@v1");
+    let messages = json!([{ "role": "user", "content": "hello" }]);
+    let body = json!({ "model": "milk", "max_tokens": 3, "messages": messages, "stream": true,
+                       "stream_options": { "include_usage": true } });
+    let chat = Call::new(Method::POST, "/v1/chat/completions").json(&body);
+    let answer = call(address, chat).expect("the node answers");
+    assert_eq!(answer.headers["content-type"], "text/event-stream");
+    assert_eq!(answer.headers["x-served-adapter"], "milk");
+    let text = String::from_utf8(answer.body.to_vec()).expect("it is text");
+    let events: Vec<&str> =
+        text.split("\n\n").filter_map(|event| event.strip_prefix("data: ")).collect();
+    assert_eq!(events.last(), Some(&"[DONE]"), "{text}");
+    let first: Value = serde_json::from_str(events[0]).expect("it is JSON");
+    assert_eq!(first["object"], "chat.completion.chunk");
+    assert_eq!(first["choices"][0]["delta"]["content"], "w0 ");
+    let refused = complete(&nodes[0], "nobody@v9");
+    let refused: Value = serde_json::from_slice(&refused.body).expect("it is JSON");
+    for field in ["message", "type", "param", "code"] {
+        assert!(refused["error"].get(field).is_some(), "{field} is missing in {refused}");
+    }
+}
+
 #[test]
 fn unknown_adapters_are_refused_as_not_run() {
     let nodes = system();
