--- a/crates/orioleroute-node/tests/path.rs
+++ b/crates/orioleroute-node/tests/path.rs
@@ -28,7 +28,10 @@
         "adapters": [{
             "name": "milk", "model": "coach-7b", "versions": ["v1", "v2"], "default": "v2",
         }],
-        "services": [{ "name": "bookings", "pool": "course" }],
+        "services": [
+            { "name": "bookings", "pool": "course" },
+            { "name": "notes", "pool": "course", "repeatable": true },
+        ],
     });
     document.to_string().into()
 }
@@ -84,6 +87,36 @@
     }
 }
 
+#[test]
+fn answers_have_the_shapes_that_client_libraries_expect() {
+    let nodes = system();
+    let address = callers(&nodes[0]);
+    let models = call(address, Call::new(Method::GET, "/v1/models")).expect("the node answers");
+    let models: Value = serde_json::from_slice(&models.body).expect("it is JSON");
+    assert_eq!(models["object"], "list");
+    assert_eq!(models["data"][0]["object"], "model");
+    assert_eq!(models["data"][0]["id"], "milk@v1");
+    let messages = json!([{ "role": "user", "content": "hello" }]);
+    let body = json!({ "model": "milk", "max_tokens": 3, "messages": messages, "stream": true,
+                       "stream_options": { "include_usage": true } });
+    let chat = Call::new(Method::POST, "/v1/chat/completions").json(&body);
+    let answer = call(address, chat).expect("the node answers");
+    assert_eq!(answer.headers["content-type"], "text/event-stream");
+    assert_eq!(answer.headers["x-served-adapter"], "milk");
+    let text = String::from_utf8(answer.body.to_vec()).expect("it is text");
+    let events: Vec<&str> =
+        text.split("\n\n").filter_map(|event| event.strip_prefix("data: ")).collect();
+    assert_eq!(events.last(), Some(&"[DONE]"), "{text}");
+    let first: Value = serde_json::from_str(events[0]).expect("it is JSON");
+    assert_eq!(first["object"], "chat.completion.chunk");
+    assert_eq!(first["choices"][0]["delta"]["content"], "w0 ");
+    let refused = complete(&nodes[0], "nobody@v9");
+    let refused: Value = serde_json::from_slice(&refused.body).expect("it is JSON");
+    for field in ["message", "type", "param", "code"] {
+        assert!(refused["error"].get(field).is_some(), "{field} is missing in {refused}");
+    }
+}
+
 #[test]
 fn unknown_adapters_are_refused_as_not_run() {
     let nodes = system();
@@ -105,6 +138,18 @@
     assert_eq!(book(&nodes[1]), StatusCode::CONFLICT);
 }
 
+#[test]
+fn a_call_to_a_repeatable_service_needs_no_claim() {
+    let nodes = system();
+    for node in &nodes {
+        let request = Call::new(Method::POST, "/services/notes/draft")
+            .header("idempotency-key", "draft-1")
+            .body("text/plain", "crema");
+        let answer = call(callers(node), request).expect("the node answers");
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
 #[test]
 fn a_terminated_node_leaves_and_ends() {
     let mut nodes = system();
@@ -114,3 +159,32 @@
     until("one member", || status(&nodes[1]).is_some_and(|status| status.instances.len() == 1));
     assert_eq!(complete(&nodes[1], "milk").status, StatusCode::OK);
 }
+
+#[test]
+fn metrics_count_what_was_answered_and_refused() {
+    let nodes = system();
+    complete(&nodes[0], "milk");
+    complete(&nodes[1], "milk");
+    complete(&nodes[0], "nobody@v9");
+    let scrape = |node: &Process| {
+        let address = node.address("operators").expect("the node printed its addresses");
+        let answer = call(address, Call::new(Method::GET, "/metrics")).expect("the node answers");
+        String::from_utf8(answer.body.to_vec()).expect("it is text")
+    };
+    let both = nodes.iter().map(scrape).collect::<String>();
+    for line in [
+        "orioleroute_requests_total{outcome=\"finished\"}",
+        "orioleroute_requests_total{outcome=\"refused\"} 1",
+        "orioleroute_refusals_total{kind=\"not_found\",ran=\"not-run\"} 1",
+        "orioleroute_request_duration_seconds_bucket{outcome=\"finished\",le=",
+        "orioleroute_loads_total 1",
+        "orioleroute_orders_total{outcome=\"done\"} 1",
+        "orioleroute_table_operations_total{outcome=\"written\"}",
+        "orioleroute_peer_messages_total{direction=\"sent\"}",
+        "orioleroute_lease_held 1",
+        "orioleroute_config_version 1",
+        "orioleroute_requests_in_flight 0",
+    ] {
+        assert!(both.contains(line), "{line} is missing in\n{both}");
+    }
+}
