Tell removed members of their removal, and take no old message for a sign of life

Cause: a member that was stopped, removed, and woken in a table outage answered by its old configuration. What had waited for it while it was stopped counted as heard when it woke, so that after the 2 s of its pause it still seemed to reach most of its region. And nobody could tell it that it was out: a removed member's address was looked up among the members. A process that wakes also took the silence of its own pause for that of the others.

Messages taken during a pause no longer count for answering, members that a view left out are still sent it, and a watcher that wakes waits a lease before it removes anybody.

--- a/crates/orioleroute/src/membership.rs
+++ b/crates/orioleroute/src/membership.rs
@@ -6,6 +6,8 @@
 //! watchers granted it. A watcher removes a member only once it has granted it nothing for a lease,
 //! and a new owner that engines do not fence waits one more lease before its first order.
 
+use std::net::SocketAddr;
+
 use crate::effect::Effects;
 use crate::hash::{Map, digest};
 use crate::instance::Instance as Identity;
@@ -48,6 +50,9 @@
 /// that a watcher that can tell goes first.
 const UNCLEAN_WAIT: Duration = Duration::from_millis(3_000);
 
+/// Removed members that are still told about their removal, at most.
+const REMOVED: usize = 64;
+
 /// The key of the row that lists the regions.
 pub const REGIONS: &str = "regions";
 
@@ -63,6 +68,8 @@
     pub applied: u64,
     /// The configuration version that it had then in force.
     pub config: u64,
+    /// When it was last heard of by a message that cannot have waited while this process was stopped.
+    reached: Instant,
     /// When this instance last granted its lease.
     granted: Instant,
     /// Whether it was ever heard to have applied some view.
@@ -87,6 +94,8 @@
     paused: bool,
     paused_at: Instant,
     last_view: Option<View>,
+    /// Where the members were that a view applied here was the first without.
+    removed: Map<Arc<str>, SocketAddr>,
     reading: Option<(Ticket, Instant)>,
     writing: Option<(Ticket, Instant)>,
     token: u64,
@@ -116,6 +125,7 @@
             paused: false,
             paused_at: Instant::ZERO,
             last_view: None,
+            removed: Map::default(),
             reading: None,
             writing: None,
             token,
@@ -150,7 +160,7 @@
     }
 
     /// Returns the address of an instance for peers, if it is a member of a known view.
-    pub fn address(&self, name: &str) -> Option<std::net::SocketAddr> {
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
         let mut members = self.views.values().flat_map(|view| &view.members);
         members.find(|member| &*member.name == name).map(|member| member.peer_address)
     }
@@ -206,7 +216,7 @@
         let members = &self.view().members;
         let reached = |member: &&Identity| {
             member.name == self.identity.name
-                || self.peers.get(&member.name).is_some_and(|peer| now < peer.heard + LEASE)
+                || self.peers.get(&member.name).is_some_and(|peer| now < peer.reached + LEASE)
         };
         let count = members.iter().filter(reached).count();
         let first = members.iter().min_by_key(|member| digest(&*member.name));
@@ -307,6 +317,11 @@
             self.paused = true;
             self.paused_at = now;
             self.refresh();
+            for peer in self.peers.values_mut() {
+                peer.reached = Instant::ZERO;
+                // Its silence may be that of this process.
+                peer.granted = now;
+            }
         }
         if now >= self.paused_at + TABLE_TIMEOUT {
             self.paused = false;
@@ -315,7 +330,7 @@
     }
 
     fn send(&self, to: &Arc<str>, message: Message, effects: &mut Effects) {
-        if let Some(address) = self.address(to) {
+        if let Some(address) = self.address(to).or_else(|| self.removed.get(to).copied()) {
             effects.push(Effect::Send { to: to.clone(), address, message });
         }
     }
--- a/crates/orioleroute/src/membership/spread.rs
+++ b/crates/orioleroute/src/membership/spread.rs
@@ -1,6 +1,6 @@
 //! How a view comes into force among the members of its region.
 
-use super::{Membership, Peer};
+use super::{Membership, Peer, REMOVED, SUSPICION};
 use crate::effect::Effects;
 use crate::message::Message;
 use crate::prelude::*;
@@ -16,12 +16,25 @@
         self.changes += 1;
         if view.region == self.identity.region {
             self.last_view = former;
+            self.note_removed();
         }
         if view.region == self.identity.region {
             self.apply(now, effects);
         }
     }
 
+    /// Notes the members that the applied view no longer has, so that they can be told so.
+    fn note_removed(&mut self) {
+        let Some(last) = &self.last_view else { return };
+        let view = &self.views[&self.identity.region];
+        if self.removed.len() >= REMOVED {
+            self.removed.clear();
+        }
+        let gone = last.members.iter().filter(|member| view.member(&member.name).is_none());
+        self.removed.extend(gone.map(|member| (member.name.clone(), member.peer_address)));
+        self.removed.retain(|name, _| view.member(name).is_none());
+    }
+
     /// Starts to act under a new view of the own region.
     fn apply(&mut self, now: Instant, effects: &mut Effects) {
         self.grants.clear();
@@ -91,6 +104,9 @@
     pub(super) fn hear(&mut self, now: Instant, from: &Arc<str>, applied: u64) {
         if let Some(peer) = self.peers.get_mut(from) {
             peer.heard = now;
+            if !self.paused && now < self.ticked + SUSPICION {
+                peer.reached = now;
+            }
             peer.applied = peer.applied.max(applied);
             peer.known = true;
         }
--- a/crates/orioleroute/tests/membership.rs
+++ b/crates/orioleroute/tests/membership.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{ONE_REGION, Shape, is_whole, owner, request, time_to_answer, world};
+use orioleroute::operator::Command;
 use rstest::rstest;
 use standins::world::check::breaches;
 
@@ -127,3 +128,32 @@
         assert_eq!(breaches(&world.records), [], "seed {seed}");
     }
 }
+
+#[test]
+fn a_member_removed_while_it_was_stopped_answers_nothing_in_a_table_outage() {
+    for seed in 0..20 {
+        let mut world = world(seed, Shape { slots: 12, ..ONE_REGION });
+        for adapter in 0..common::ADAPTERS {
+            time_to_answer(&mut world, 2, adapter, Duration::from_secs(5)).expect("an answer");
+        }
+        world.freeze(2);
+        let document = common::document(1, 12).into();
+        world.command(0, Command::Submit { base: 1, document });
+        let accepted = world.run_until(Duration::from_secs(8), |world| {
+            world.platform.rows.get("config/head").is_some_and(|row| row.version == 2)
+        });
+        assert!(accepted, "seed {seed}");
+        world.platform.faults.table_down = true;
+        world.run(Duration::from_millis(1_200));
+
+        world.wake(2);
+        for _ in 0..100 {
+            for adapter in 0..common::ADAPTERS {
+                world.ask(2, request(adapter, Duration::from_secs(1)));
+            }
+            world.run(Duration::from_millis(100));
+        }
+
+        assert_eq!(breaches(&world.records), [], "seed {seed}");
+    }
+}
