--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -12,6 +12,9 @@
 /// Attempts at a request, at most.
 const ATTEMPTS: u32 = 3;
 
+/// Attempts that an engine without the revision may turn away, at most; they do not count as others.
+const MISSES: u32 = 8;
+
 /// How long an upstream gets no new work after an exchange with it failed.
 const EJECTION: Duration = Duration::from_millis(1_000);
 
@@ -38,6 +41,7 @@
             deadline: now + patience,
             state: State::Waiting,
             attempts: 0,
+            misses: 0,
             begun: false,
             passed_to: Vec::new(),
             claim: None,
@@ -97,9 +101,14 @@
         request.state = State::Waiting;
         request.spec.may_have_run |= failure.may_have_run();
         let again = request.spec.repeatable || !failure.may_have_run();
-        let in_time = now < request.deadline && request.attempts < ATTEMPTS;
         // Waiting for a load anew puts no load on an upstream that fails.
         let is_free = failure == Failure::NotLoaded;
+        request.misses += u32::from(is_free);
+        let is_left = match is_free {
+            true => request.misses < MISSES,
+            false => request.attempts.saturating_sub(request.misses) < ATTEMPTS,
+        };
+        let in_time = now < request.deadline && is_left;
         if again && !request.begun && in_time && (is_free || self.retries.spend(now)) {
             return self.route(now, key);
         }
--- a/crates/orioleroute/src/request.rs
+++ b/crates/orioleroute/src/request.rs
@@ -176,6 +176,8 @@
     pub state: State,
     /// The attempts made.
     pub attempts: u32,
+    /// How often an engine turned out not to have the revision loaded.
+    pub misses: u32,
     /// Whether the caller has a part of the answer, after which there can be no other attempt.
     pub begun: bool,
     /// The instances that it was passed on to.
--- a/crates/orioleroute/tests/retries.rs
+++ b/crates/orioleroute/tests/retries.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use orioleroute::engine;
+use orioleroute::key::Ticket;
 use orioleroute::operator::Command;
-use orioleroute::prelude::{Effect, Event, Instant};
+use orioleroute::prelude::{Effect, Event, Instant, key};
 use orioleroute::request::{Failure, Progress, Ran, Refusal, Spec, Step, Target};
 use orioleroute::retry::{BURST, Budget, TIME_PER_RETRY};
 use serde_json::json;
@@ -132,6 +134,42 @@
     assert_eq!(second.iter().find_map(forward_of), Some((homes[1], left)));
 }
 
+#[test]
+fn a_request_that_misses_its_revision_waits_for_it_again() {
+    let mut world = world(2);
+    let model = Target::Model("milk".into());
+    let home = {
+        let core = world.nodes[0].core.as_ref().expect("it runs");
+        number_of(&core.homes("zurich", &model)[0].name)
+    };
+    world.ask(home, spec(model.clone()));
+    world.run(Duration::from_secs(2));
+    let now = world.now + Duration::from_secs(1);
+    let core = world.nodes[home].core.as_mut().expect("it runs");
+    let request = core.admit();
+    let mut effects = core.handle(now, Event::Arrived { request, spec: spec(model) });
+
+    for miss in 0..5 {
+        assert!(effects.iter().any(is_dispatch), "after {miss} misses: {effects:?}");
+        let progress = Progress::Failed(Failure::NotLoaded);
+        let ordered = core.handle(now, Event::Progress { request, progress });
+        let (ticket, upstream) = ordered.iter().find_map(order_of).expect("it is loaded anew");
+        let outcome = engine::Outcome::Done;
+        effects = core.handle(now, Event::Ordered { ticket, upstream, outcome });
+    }
+}
+
+fn is_dispatch(effect: &Effect) -> bool {
+    matches!(step_of(effect), Some(Step::Dispatch(_)))
+}
+
+fn order_of(effect: &Effect) -> Option<(Ticket, key::Upstream)> {
+    match effect {
+        Effect::Order { ticket, upstream, .. } => Some((*ticket, *upstream)),
+        _ => None,
+    }
+}
+
 fn step_of(effect: &Effect) -> Option<&Step> {
     match effect {
         Effect::Request { step, .. } => Some(step),
