Test late and repeated replies, in histories and between processes

Replies and messages arrive a second time up to a second later, in 300 histories; a late answer of an engine is given to no other request.

--- a/crates/orioleroute-node/tests/faults.rs
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -11,7 +11,7 @@
 use standins::process::Process;
 use standins::system::{self, set_faults, until};
 use standins::{engine, platform, service};
-use support::{System, book, complete, hang_up_early, is_by, ran, stream};
+use support::{System, book, complete, complete_within, hang_up_early, is_by, ran, stream};
 
 /// How long a caller waits for a refusal that is given at once.
 const AT_ONCE: Duration = Duration::from_millis(500);
@@ -233,6 +233,33 @@
     system.assert_nothing_evicted_in_use();
 }
 
+#[test]
+fn a_late_answer_is_given_to_nobody_else() {
+    let engines = [system::engine(engine::Settings::default())];
+    let system = System::with_engines(2, &engines, &engines);
+    let address = system.callers(system.home(0, "milk"));
+    for model in ["milk@v1", "milk@v2"] {
+        assert!(is_by(complete(address, model, "before").as_ref(), model));
+    }
+    set_faults(engines[0], &engine::Faults { delay_ms: 1_000, ..Default::default() });
+    let late = complete_within(address, "milk@v1", Duration::from_millis(300));
+    set_faults(engines[0], &engine::Faults::default());
+
+    // These run while the late answer arrives.
+    let answers: Vec<_> = (0..40)
+        .map(|index| if index % 2 == 0 { "milk@v1" } else { "milk@v2" })
+        .map(|model| (model, complete(address, model, "other")))
+        .collect();
+
+    let late = late.expect("it is answered");
+    assert!(late.status.is_server_error(), "{}", late.status);
+    assert_eq!(ran(&late), Some("may-have-run"));
+    for (model, answer) in answers {
+        assert!(is_by(answer.as_ref(), model), "{model}: {answer:?}");
+    }
+    assert_eq!(system.begins("other"), 40);
+}
+
 #[rstest]
 #[case::at_its_home(true)]
 #[case::through_another_node(false)]
--- a/crates/orioleroute-node/tests/support/mod.rs
+++ b/crates/orioleroute-node/tests/support/mod.rs
@@ -158,6 +158,12 @@
     call(address, completion(model, 3, false).header("x-request-id", request)).ok()
 }
 
+/// Asks for a whole answer within a time that the node is told.
+pub fn complete_within(address: SocketAddr, model: &str, limit: Duration) -> Option<HttpAnswer> {
+    let question = completion(model, 3, false);
+    call(address, question.header("x-deadline-ms", limit.as_millis().to_string())).ok()
+}
+
 /// Returns whether an answer is whole and by a served name.
 pub fn is_by(answer: Option<&HttpAnswer>, served: &str) -> bool {
     answer.is_some_and(|answer| {
--- /dev/null
+++ b/crates/orioleroute/tests/replies.rs
@@ -0,0 +1,112 @@
+//! Replies and messages that arrive late, twice and out of order.
+
+use std::time::Duration;
+
+use orioleroute::operator::Command;
+use orioleroute::request::{Spec, Target};
+use proptest::prelude::*;
+use serde_json::json;
+use standins::world::check::breaches;
+use standins::world::{Engine, Outcome, World};
+
+const NODES: usize = 3;
+
+const SETTLED: Duration = Duration::from_secs(8);
+
+fn document() -> String {
+    let adapters: Vec<_> = (0..4)
+        .map(|number| {
+            json!({
+                "name": format!("adapter-{number}"),
+                "model": "base",
+                "versions": ["v1", "v2"],
+                "default": "v2",
+            })
+        })
+        .collect();
+    json!({
+        "format": 1,
+        "models": [{ "name": "base" }],
+        "pools": [{ "name": "coaching", "model": "base", "slots": 4, "fencing": "checked" }],
+        "adapters": adapters,
+        "services": [{ "name": "bookings", "pool": "course" }],
+    })
+    .to_string()
+}
+
+fn world(seed: u64) -> World {
+    let mut world = World::new(seed);
+    for _ in 0..NODES {
+        world.add_node("zurich");
+    }
+    for number in 0..3 {
+        world.add_engine(Engine::new(number, "coaching", "zurich", 4));
+    }
+    world.add_engine(Engine::new(3, "course", "zurich", 0));
+    world.run(SETTLED);
+    while world.nodes[0].core.as_ref().is_some_and(|core| core.version() == 0) {
+        world.command(0, Command::Submit { base: 0, document: document().into() });
+        world.run(SETTLED);
+    }
+    world
+}
+
+/// Asks for a version of an adapter, or books a seat.
+fn ask(world: &mut World, node: usize, what: usize) -> usize {
+    let repeatable = what < 8;
+    let (target, idempotency) = match repeatable {
+        true => (Target::Model(format!("adapter-{}@v{}", what / 2, 1 + what % 2).into()), None),
+        false => (Target::Service("bookings".into()), Some(format!("seat-{what}").into())),
+    };
+    world.ask(
+        node,
+        Spec {
+            target,
+            importance: None,
+            patience: Some(Duration::from_secs(5)),
+            repeatable,
+            idempotency,
+            hops: 0,
+            may_have_run: false,
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: std::env::var("ORIOLEROUTE_HISTORIES")
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(300),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn each_request_has_its_own_answer_once(
+        seed in any::<u64>(),
+        duplicates in 1..80_u64,
+        asked in prop::collection::vec((0..NODES, 0..12_usize, 0..500_u64), 1..60),
+    ) {
+        let mut world = world(seed);
+        world.duplicates = duplicates;
+        let numbers: Vec<usize> = asked
+            .iter()
+            .map(|(node, what, wait)| {
+                let number = ask(&mut world, *node, *what);
+                world.run(Duration::from_millis(*wait));
+                number
+            })
+            .collect();
+        world.run(SETTLED);
+
+        let breaches = breaches(&world.records);
+        prop_assert!(breaches.is_empty(), "{breaches:?}");
+        for (number, (_, what, _)) in numbers.iter().zip(&asked) {
+            let outcome = world.outcome(*number);
+            prop_assert!(outcome.is_some(), "request {number} has no answer");
+            let is_whole = matches!(outcome, Some(Outcome::Whole(_)));
+            prop_assert!(*what >= 8 || is_whole, "request {number}: {outcome:?}");
+        }
+    }
+}
--- a/crates/standins/src/world/mod.rs
+++ b/crates/standins/src/world/mod.rs
@@ -138,6 +138,8 @@
     pub cuts: BTreeSet<(usize, usize)>,
     /// Nodes that cannot reach the platform.
     pub severed: BTreeSet<usize>,
+    /// How many of a hundred replies and messages arrive a second time, later.
+    pub duplicates: u64,
     /// The answers that operators had, by ticket.
     pub answers: BTreeMap<u64, Answer>,
     asked: Vec<Asked>,
@@ -155,6 +157,9 @@
 /// The shortest and longest delay between regions, in microseconds.
 const REMOTE_DELAY_US: (u64, u64) = (10_000, 40_000);
 
+/// The shortest and longest delay after which something arrives a second time, in microseconds.
+const DUPLICATE_DELAY_US: (u64, u64) = (100, 1_000_000);
+
 /// The longest lag of the instance list, in milliseconds.
 const LIST_LAG_MS: u64 = 1_500;
 
@@ -172,6 +177,7 @@
             records: Vec::new(),
             cuts: BTreeSet::new(),
             severed: BTreeSet::new(),
+            duplicates: 0,
             answers: BTreeMap::new(),
             asked: Vec::new(),
             places: BTreeMap::new(),
@@ -422,6 +428,17 @@
         Duration::from_micros(self.rng.random_range(shortest..longest))
     }
 
+    /// Lets an event arrive again, after others that were sent later.
+    fn duplicate(&mut self, node: usize, incarnation: u64, event: &Event) {
+        // A node polls the list and has no old one after a new one.
+        let is_reply = !matches!(event, Event::Listed(_));
+        if self.duplicates > 0 && is_reply && self.draw(100) < self.duplicates {
+            let at = self.now + self.delay(DUPLICATE_DELAY_US);
+            let event = event.clone();
+            self.queue.push(at, Delivery::Event { node, incarnation, event });
+        }
+    }
+
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Tick { node, incarnation } => {
@@ -435,6 +452,7 @@
             }
             Delivery::Event { node, incarnation, event } => {
                 if self.nodes[node].identity.incarnation == incarnation {
+                    self.duplicate(node, incarnation, &event);
                     self.feed(node, event);
                 }
             }
