Ask a frozen node before it wakes

The question used to be sent after SIGCONT, so that the node had time to catch up. It now waits in the kernel.

--- a/crates/orioleroute-node/tests/faults.rs
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
@@ -11,7 +12,9 @@
 use standins::process::Process;
 use standins::system::{self, set_faults, until};
 use standins::{engine, platform, service};
-use support::{System, book, complete, complete_within, hang_up_early, is_by, ran, stream};
+use support::{
+    System, book, complete, complete_within, hang_up_early, is_by, ran, receive, send, stream,
+};
 
 /// How long a caller waits for a refusal that is given at once.
 const AT_ONCE: Duration = Duration::from_millis(500);
@@ -63,10 +66,13 @@
         is_by(complete(system.callers(other), "milk", "meanwhile").as_ref(), "milk@v2")
     });
     let running = stream(system.callers(other), "milk", 300);
+    // These are there before the node has run a line of its own.
+    let asked: Vec<TcpStream> = (0..8).map(|_| send(address, "milk")).collect();
     system.nodes[home].signal(Signal::SIGCONT).expect("it is stopped");
-    let woken = complete(address, "milk", "woken");
 
-    assert!(!is_by(woken.as_ref(), "milk@v1"), "it answered by the old configuration");
+    for woken in asked.into_iter().map(receive) {
+        assert!(!woken.contains("milk@v1"), "it answered by the old configuration: {woken}");
+    }
     assert_eq!(again.status, StatusCode::CONFLICT);
     assert_eq!(ran(&again), Some("may-have-run"));
     let first = booking.join().expect("it was asked").expect("it was answered");
--- a/crates/orioleroute-node/tests/support/mod.rs
+++ b/crates/orioleroute-node/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A system of node processes for tests of faults, seen from its callers' side.
 
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -164,6 +165,35 @@
     call(address, question.header("x-deadline-ms", limit.as_millis().to_string())).ok()
 }
 
+/// Sends a request to a process that may be stopped, and returns without an answer.
+pub fn send(address: SocketAddr, model: &str) -> TcpStream {
+    let body = json!({ "model": model, "max_tokens": 3, "prompt": "hello" }).to_string();
+    let length = body.len();
+    let head =
+        format!("POST /v1/completions HTTP/1.1\r\nhost: node\r\ncontent-length: {length}\r\n\r\n");
+    let mut socket = TcpStream::connect(address).expect("the kernel takes connections");
+    socket.set_read_timeout(Some(FIRST_PART)).expect("a socket has timeouts");
+    socket.write_all((head + &body).as_bytes()).expect("the kernel takes the request");
+    socket
+}
+
+/// Returns the whole answer to a request that was sent.
+pub fn receive(socket: TcpStream) -> String {
+    let mut reader = BufReader::new(socket);
+    let (mut head, mut length) = (String::new(), 0);
+    while !head.ends_with("\r\n\r\n") {
+        let start = head.len();
+        reader.read_line(&mut head).expect("the node answers");
+        let line = head[start..].to_ascii_lowercase();
+        if let Some(text) = line.strip_prefix("content-length: ") {
+            length = text.trim().parse().expect("it is a length");
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).expect("the answer is whole");
+    head + &String::from_utf8_lossy(&body)
+}
+
 /// Returns whether an answer is whole and by a served name.
 pub fn is_by(answer: Option<&HttpAnswer>, served: &str) -> bool {
     answer.is_some_and(|answer| {
