--- a/crates/orioleroute-node/tests/faults.rs
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
@@ -11,7 +12,9 @@
 use standins::process::Process;
 use standins::system::{self, set_faults, until};
 use standins::{engine, platform, service};
-use support::{System, book, complete, hang_up_early, is_by, ran, stream};
+use support::{
+    System, book, complete, complete_within, hang_up_early, is_by, ran, receive, send, stream,
+};
 
 /// How long a caller waits for a refusal that is given at once.
 const AT_ONCE: Duration = Duration::from_millis(500);
@@ -63,10 +66,13 @@
         is_by(complete(system.callers(other), "milk", "meanwhile").as_ref(), "milk@v2")
     });
     let running = stream(system.callers(other), "milk", 300);
+    // These are there before the node has run a line of its own.
+    let asked: Vec<TcpStream> = (0..8).map(|_| send(address, "milk")).collect();
     system.nodes[home].signal(Signal::SIGCONT).expect("it is stopped");
-    let woken = complete(address, "milk", "woken");
 
-    assert!(!is_by(woken.as_ref(), "milk@v1"), "it answered by the old configuration");
+    for woken in asked.into_iter().map(receive) {
+        assert!(!woken.contains("milk@v1"), "it answered by the old configuration: {woken}");
+    }
     assert_eq!(again.status, StatusCode::CONFLICT);
     assert_eq!(ran(&again), Some("may-have-run"));
     let first = booking.join().expect("it was asked").expect("it was answered");
@@ -233,6 +239,33 @@
     system.assert_nothing_evicted_in_use();
 }
 
+#[test]
+fn a_late_answer_is_given_to_nobody_else() {
+    let engines = [system::engine(engine::Settings::default())];
+    let system = System::with_engines(2, &engines, &engines);
+    let address = system.callers(system.home(0, "milk"));
+    for model in ["milk@v1", "milk@v2"] {
+        assert!(is_by(complete(address, model, "before").as_ref(), model));
+    }
+    set_faults(engines[0], &engine::Faults { delay_ms: 1_000, ..Default::default() });
+    let late = complete_within(address, "milk@v1", Duration::from_millis(300));
+    set_faults(engines[0], &engine::Faults::default());
+
+    // These run while the late answer arrives.
+    let answers: Vec<_> = (0..40)
+        .map(|index| if index % 2 == 0 { "milk@v1" } else { "milk@v2" })
+        .map(|model| (model, complete(address, model, "other")))
+        .collect();
+
+    let late = late.expect("it is answered");
+    assert!(late.status.is_server_error(), "{}", late.status);
+    assert_eq!(ran(&late), Some("may-have-run"));
+    for (model, answer) in answers {
+        assert!(is_by(answer.as_ref(), model), "{model}: {answer:?}");
+    }
+    assert_eq!(system.begins("other"), 40);
+}
+
 #[rstest]
 #[case::at_its_home(true)]
 #[case::through_another_node(false)]
