--- a/crates/orioleroute/benches/decisions.rs
+++ b/crates/orioleroute/benches/decisions.rs
@@ -9,7 +9,7 @@
 use criterion::Criterion;
 use orioleroute::catalog::Catalog;
 use orioleroute::demand::Demand;
-use orioleroute::document::Document;
+use orioleroute::document::{Adapter, Document, Importance};
 use orioleroute::fleet::{Fleet, Residency, Resident};
 use orioleroute::hash::{digest, score};
 use orioleroute::instance::{Listing, Phase};
@@ -17,7 +17,6 @@
 use orioleroute::placement::{self, Candidate};
 use orioleroute::prelude::Instant;
 use orioleroute::routing;
-use serde_json::json;
 
 const SLOTS: u32 = 8;
 const CONCURRENCY: u32 = 16;
@@ -49,17 +48,17 @@
 }
 
 fn document(size: Size) -> Document {
-    let adapters: Vec<_> = (0..size.adapters)
-        .map(|adapter| {
-            let name = format!("adapter-{adapter}");
-            json!({ "name": name, "model": "base", "versions": ["v1"], "default": "v1" })
-        })
-        .collect();
-    let pool = json!({ "name": "pool", "model": "base", "slots": SLOTS });
-    let document = json!({
-        "format": 1, "models": [{ "name": "base" }], "pools": [pool], "adapters": adapters,
+    let adapters = (0..size.adapters).map(|adapter| Adapter {
+        name: format!("adapter-{adapter}").into(),
+        model: "base".into(),
+        versions: vec!["v1".into()],
+        default: "v1".into(),
+        regions: Vec::new(),
+        importance: Importance::Normal,
+        pinned: false,
+        queue: 64,
     });
-    Document::from_json(&document.to_string()).expect("it is valid")
+    Document { adapters: adapters.collect(), ..Document::default() }
 }
 
 fn catalog(document: &Document) -> Catalog {
@@ -186,9 +185,10 @@
 
 /// Returns the resident memory of this process in bytes, as the kernel counts it.
 fn resident() -> i64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages: Option<i64> = text.split(' ').nth(1).and_then(|field| field.parse().ok());
-    pages.unwrap_or(0) * 4_096
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kibibytes = line.and_then(|line| line.split_whitespace().next()?.parse::<i64>().ok());
+    kibibytes.unwrap_or(0) * 1_024
 }
 
 fn main() {
--- a/crates/orioleroute/src/placement.rs
+++ b/crates/orioleroute/src/placement.rs
@@ -80,7 +80,7 @@
     if let Some((candidate, _)) = free {
         return Some(Plan::Load(candidate.upstream));
     }
-    let copies = |victim| open.iter().filter(|(_, held)| held.has_loaded(victim)).count();
+    let copies = copies(open.iter().map(|(_, upstream)| *upstream));
     let mut best: Option<(f64, Instant, Plan)> = None;
     for (candidate, upstream) in &open {
         let fill = f64::from(upstream.running) / f64::from(candidate.concurrency);
@@ -88,7 +88,7 @@
         for (victim, used) in idle(upstream) {
             let Some(worth) = worth(victim) else { continue };
             // A copy on another upstream answers without a load.
-            let cost = if copies(victim) > 1 { 0.0 } else { worth * discount };
+            let cost = if copies[&victim] > 1 { 0.0 } else { worth * discount };
             let better = best.is_none_or(|(least, oldest, _)| {
                 cost.total_cmp(&least).then(used.cmp(&oldest)).is_lt()
             });
@@ -111,3 +111,14 @@
         .filter(move |(_, resident)| unused(resident))
         .map(|(victim, resident)| (*victim, resident.used))
 }
+
+/// Returns on how many of these upstreams each revision is loaded.
+fn copies<'a>(upstreams: impl Iterator<Item = &'a Upstream>) -> Map<key::Revision, u32> {
+    let mut copies = Map::default();
+    for (revision, resident) in upstreams.flat_map(|upstream| &upstream.residents) {
+        if resident.residency == Residency::Loaded {
+            *copies.entry(*revision).or_default() += 1;
+        }
+    }
+    copies
+}
--- /dev/null
+++ b/crates/orioleroute/tests/limits.rs
@@ -0,0 +1,48 @@
+//! Limits: the least important is refused first, and nothing is taken on beyond its room.
+
+use std::time::Duration;
+
+use orioleroute::document::Importance;
+use orioleroute::limits::{LoadTime, admits, has_room};
+use proptest::prelude::*;
+
+proptest! {
+    #[test]
+    fn the_less_important_is_never_admitted_where_the_more_important_is_not(
+        waiting in 0..200_usize,
+        room in 0..200_u32,
+    ) {
+        let admitted = [Importance::Low, Importance::Normal, Importance::High]
+            .map(|importance| admits(importance, waiting, room));
+
+        prop_assert!(admitted.is_sorted());
+        prop_assert!(waiting == 0 || !admitted[2] || waiting < room as usize);
+    }
+
+    #[test]
+    fn an_upstream_never_has_more_than_one_batch_waiting(
+        running in 0..100_u32,
+        concurrency in 1..50_u32,
+    ) {
+        let admitted = [Importance::Low, Importance::Normal, Importance::High]
+            .map(|importance| has_room(importance, running, concurrency));
+
+        prop_assert!(admitted.is_sorted());
+        prop_assert!(!admitted[2] || running < 2 * concurrency);
+        prop_assert!(admitted[0] || running >= concurrency);
+    }
+}
+
+#[test]
+fn the_expected_wait_grows_with_those_ahead_and_follows_slow_loads() {
+    let mut time = LoadTime::default();
+    let quick = time.wait(0, 1);
+
+    for _ in 0..50 {
+        time.note(Duration::from_secs(2));
+    }
+
+    assert!(time.wait(0, 1) > Duration::from_millis(1_900));
+    assert!(time.wait(4, 1) > time.wait(4, 2));
+    assert!(time.wait(0, 1) > quick);
+}
