Widen what is full to another upstream, and to the next home

Cause: a popular revision filled its one upstream and was refused while others idled. An upstream at its concurrency now has the revision loaded on another owned one, and what finds no room goes to the next home.

--- a/crates/orioleroute/src/core/placing.rs
+++ b/crates/orioleroute/src/core/placing.rs
@@ -43,6 +43,25 @@
         if self.is_loading(now, revision) {
             return;
         }
+        match self.plan(now, revision) {
+            Some(plan) => self.carry_out(now, plan, revision),
+            // Room may come soon where a load or an unload is under way.
+            None if self.is_ordered(now, revision) => {}
+            None => self.spill(revision),
+        }
+    }
+
+    /// Loads another copy of a revision whose upstream is full, within the budget.
+    pub(super) fn widen(&mut self, now: Instant, revision: key::Revision) {
+        if self.orders.loads() >= self.load_budget() || self.is_loading(now, revision) {
+            return;
+        }
+        if let Some(plan) = self.plan(now, revision) {
+            self.carry_out(now, plan, revision);
+        }
+    }
+
+    fn plan(&self, now: Instant, revision: key::Revision) -> Option<Plan> {
         let candidates: Vec<Candidate> = self
             .candidates(revision)
             .iter()
@@ -50,18 +69,18 @@
             .filter(|key| self.may_order(now, *key) && !self.orders.is_barred(now, *key, revision))
             .filter_map(|key| self.candidate(key))
             .collect();
-        let (catalog, demand) = (&self.catalog, &self.demand);
-        let packing = placement::packing(catalog.policy());
-        let worth = |key| (!catalog.revision(key).pinned).then(|| demand.rate(now, key));
-        match placement::plan(now, &self.fleet, candidates, revision, packing, worth) {
-            Some(Plan::Load(key)) => self.load(now, key, revision),
-            Some(Plan::Evict(key, victim)) if self.may_unload(now, key) => {
-                self.unload(now, key, victim, Reason::Room)
+        let packing = placement::packing(self.catalog.policy());
+        let worth = |key| (!self.catalog.revision(key).pinned).then(|| self.demand.rate(now, key));
+        placement::plan(now, &self.fleet, candidates, revision, packing, worth)
+    }
+
+    fn carry_out(&mut self, now: Instant, plan: Plan, revision: key::Revision) {
+        match plan {
+            Plan::Load(key) => self.load(now, key, revision),
+            Plan::Evict(key, victim) if self.may_unload(now, key) => {
+                self.unload(now, key, victim, Reason::Room);
             }
-            Some(Plan::Evict(..)) => {}
-            // Room may come soon where a load or an unload is under way.
-            None if self.is_ordered(now, revision) => {}
-            None => self.spill(revision),
+            Plan::Evict(..) => {}
         }
     }
 
--- a/crates/orioleroute/src/core/routes.rs
+++ b/crates/orioleroute/src/core/routes.rs
@@ -37,11 +37,16 @@
         }
         match routing::choose(now, &self.fleet, candidates.iter().copied(), revision) {
             Some((upstream, _)) if !self.has_room(key, upstream) => {
-                self.refuse(key, Kind::Overloaded, Some(RETRY_AFTER));
+                if !self.spill_one(key, revision) {
+                    self.refuse(key, Kind::Overloaded, Some(RETRY_AFTER));
+                }
             }
             Some((upstream, runners_up)) => {
                 self.decide(key, Some(upstream), Reason::LeastLoaded, runners_up);
                 self.dispatch(now, key, upstream);
+                if self.is_full(upstream) {
+                    self.widen(now, revision);
+                }
             }
             None if self.leave_region(key, revision) => {}
             None => self.wait(now, key, revision),
@@ -101,6 +106,12 @@
         limits::has_room(importance.unwrap_or_default(), running, concurrency)
     }
 
+    /// Returns whether an upstream runs as many requests as it does at full speed.
+    fn is_full(&self, upstream: key::Upstream) -> bool {
+        let running = self.fleet.get(upstream).map_or(0, |upstream| upstream.running);
+        self.candidate(upstream).is_some_and(|found| running >= found.concurrency)
+    }
+
     /// Passes on the waiting requests whose home has moved to another instance.
     pub(super) fn reroute_waiting(&mut self, now: Instant) {
         for revision in self.requests.wanted() {
--- a/crates/orioleroute/src/core/spilling.rs
+++ b/crates/orioleroute/src/core/spilling.rs
@@ -11,12 +11,18 @@
     /// their deadlines although another home may load the revision at once.
     pub(super) fn spill(&mut self, revision: key::Revision) {
         for key in self.requests.waiting(revision).to_vec() {
-            let Some((instance, address)) = self.spill_home(key, revision) else { continue };
-            self.requests.unqueue(key, revision);
-            self.forward_to(key, instance, address);
+            self.spill_one(key, revision);
         }
     }
 
+    /// Passes a request on to the next home, and returns whether it may go there.
+    pub(super) fn spill_one(&mut self, key: key::Request, revision: key::Revision) -> bool {
+        let Some((instance, address)) = self.spill_home(key, revision) else { return false };
+        self.requests.unqueue(key, revision);
+        self.forward_to(key, instance, address);
+        true
+    }
+
     /// Returns the home after this one in the order of preference, if the request may go there.
     fn spill_home(
         &self,
--- a/crates/orioleroute/src/document.rs
+++ b/crates/orioleroute/src/document.rs
@@ -148,7 +148,7 @@
 
 /// The weights and bounds of routing and placement.
 ///
-/// `docs/OPERATIONS.md` tells how to set them from the measures.
+/// `docs/POLICY.md` tells how to set them from the measures.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
--- a/crates/orioleroute/tests/policy.rs
+++ b/crates/orioleroute/tests/policy.rs
@@ -34,7 +34,7 @@
     serde_json::json!({
         "format": 1,
         "models": [{ "name": "base" }],
-        "pools": [{ "name": "pool", "model": "base", "slots": 2, "fencing": "checked" }],
+        "pools": [{ "name": "pool", "model": "base", "slots": 2, "concurrency": 4, "fencing": "checked" }],
         "adapters": adapters,
         "policy": { "region_penalty_ms": region_penalty_ms },
     })
@@ -304,3 +304,29 @@
         assert!(matches!(outcome, Some(Outcome::Whole(_))), "{outcome:?}");
     }
 }
+
+#[test]
+fn a_revision_whose_upstream_is_full_is_loaded_on_another() {
+    let mut world = world(8);
+    for engine in &mut world.engines {
+        engine.run_time = Duration::from_secs(3);
+    }
+    let first = world.ask(0, spec(0));
+    world.run(Duration::from_secs(1));
+
+    let rest: Vec<usize> = (0..11)
+        .map(|_| {
+            let request = world.ask(0, spec(0));
+            world.run(Duration::from_millis(200));
+            request
+        })
+        .collect();
+    world.run(Duration::from_secs(8));
+
+    for request in rest.into_iter().chain([first]) {
+        let outcome = world.outcome(request);
+        assert!(matches!(outcome, Some(Outcome::Whole(_))), "{outcome:?}");
+    }
+    let ordered = |record: &Record| matches!(record, Record::Ordered { load: true, .. });
+    assert!(world.records.iter().filter(|(_, record)| ordered(record)).count() > 1);
+}
--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -124,6 +124,8 @@
     pub regions: bool,
     /// Weighs homes by the upstreams that they own.
     pub weighted: bool,
+    /// Loads another copy of what is full, and spills to the next home.
+    pub widen: bool,
     /// Refuses at once what cannot make its deadline.
     pub refuse: bool,
     /// Evicts rather from upstreams that run larger batches, as the weights say.
@@ -133,7 +135,7 @@
 impl Ideas {
     /// All that are in the policy.
     pub const ALL: Self =
-        Self { demand: true, regions: true, weighted: true, refuse: true, pack: true };
+        Self { demand: true, regions: true, weighted: true, widen: true, refuse: true, pack: true };
 }
 
 /// What was measured in one run, after the warm-up.
--- a/crates/standins/src/bench/report.rs
+++ b/crates/standins/src/bench/report.rs
@@ -103,12 +103,13 @@
 }
 
 /// Returns the variants of the policy with one idea off each.
-pub fn ablations() -> [(&'static str, Ideas); 5] {
+pub fn ablations() -> [(&'static str, Ideas); 6] {
     let all = Ideas::ALL;
     [
         ("evict by demand", Ideas { demand: false, ..all }),
         ("pass on to the region that holds it", Ideas { regions: false, ..all }),
         ("homes weighted by their upstreams", Ideas { weighted: false, ..all }),
+        ("widen what is full", Ideas { widen: false, ..all }),
         ("refuse at once", Ideas { refuse: false, ..all }),
         ("evict from larger batches", Ideas { pack: false, ..all }),
     ]
--- a/crates/standins/src/bench/sim.rs
+++ b/crates/standins/src/bench/sim.rs
@@ -196,7 +196,10 @@
         self.demand[group].note(now, self.revisions[request.adapter]);
         if let Some(engine) = self.holder(group, request.adapter) {
             if self.is_ours() && self.ideas.refuse && !self.has_room(engine) {
-                return self.refuse(number);
+                return self.spill(number, group);
+            }
+            if self.is_ours() && self.ideas.widen && self.is_full(engine) {
+                self.widen(group, request.adapter);
             }
             return self.dispatch(number, engine);
         }
@@ -283,6 +286,40 @@
         limits::has_room(Importance::Normal, running, self.deployment.concurrency)
     }
 
+    fn is_full(&self, engine: usize) -> bool {
+        let running = self.fleet.get(self.keys[engine]).map_or(0, |upstream| upstream.running);
+        running >= self.deployment.concurrency
+    }
+
+    /// Gives a request that found no room to the next home of the region, or refuses it.
+    fn spill(&mut self, number: usize, first: usize) {
+        let request = self.requests[number];
+        if !self.ideas.widen {
+            return self.refuse(number);
+        }
+        let mut homes = self.homes[request.region].clone();
+        homes.retain(|home| *home != first);
+        let digest = self.digests[request.adapter];
+        let score = |group: &usize| {
+            let owner = orioleroute::hash::digest(&format!("node-{group}"));
+            orioleroute::hash::score(digest, owner, self.groups[*group].engines.len() as u32)
+        };
+        let next = homes.into_iter().max_by(|one, other| score(one).total_cmp(&score(other)));
+        let Some(next) = next else { return self.refuse(number) };
+        let now = self.instant();
+        self.demand[next].note(now, self.revisions[request.adapter]);
+        match self.holder(next, request.adapter) {
+            Some(engine) if self.has_room(engine) => self.dispatch(number, engine),
+            Some(_) => self.refuse(number),
+            None if self.expected_wait(next) > self.deployment.deadline => self.refuse(number),
+            None => {
+                self.figures.stalled += u32::from(self.measures(number));
+                self.waiting.entry((next, request.adapter)).or_default().push_back(number);
+                self.place();
+            }
+        }
+    }
+
     fn expected_wait(&self, group: usize) -> f64 {
         let ahead = self.waiting.keys().filter(|(queued, _)| *queued == group).count();
         self.load_time.wait(ahead, self.share() as u32).as_secs_f64()
--- a/crates/standins/src/bench/sim/loads.rs
+++ b/crates/standins/src/bench/sim/loads.rs
@@ -27,6 +27,19 @@
         }
     }
 
+    /// Loads a second copy of an adapter whose upstream is full.
+    pub(super) fn widen(&mut self, group: usize, adapter: usize) {
+        let revision = self.revisions[adapter];
+        let copies = self.groups[group].engines.iter().filter(|engine| {
+            let upstream = self.fleet.get(self.keys[**engine]);
+            upstream.is_some_and(|upstream| upstream.residents.contains_key(&revision))
+        });
+        let everywhere = copies.count() == self.groups[group].engines.len();
+        if !everywhere && !self.loads.contains_key(&(group, adapter)) && self.in_budget(group) {
+            self.load(group, adapter);
+        }
+    }
+
     fn packing(&self) -> f64 {
         if !self.is_ours() || !self.ideas.pack {
             return 0.0;
