Tie an attempt in the world to its process

The core was not at fault. Attempts now name the incarnation, and a process that ends closes what it passed on.

--- a/crates/standins/src/world/caller.rs
+++ b/crates/standins/src/world/caller.rs
@@ -87,15 +87,14 @@
         true
     }
 
-    pub(super) fn arrive_forwarded(
-        &mut self,
-        node: usize,
-        from: (usize, key::Request),
-        spec: Spec,
-    ) {
+    pub(super) fn arrive_forwarded(&mut self, node: usize, place: Place, spec: Spec) {
+        if !self.is_current(place) {
+            return;
+        }
+        let from = (place.node, place.request);
         let Some(number) = self.places.get(&from).copied() else { return };
         if !self.arrive(node, spec, number, Some(from)) {
-            self.tell_progress(from.0, from.1, Progress::Failed(Failure::Unsent));
+            self.take_run_answer(place, End::Failed(Failure::Unsent));
         }
     }
 
@@ -124,13 +123,18 @@
             return self.queue.push(self.now + FROZEN, Delivery::Timeout(place));
         }
         let above = (place.node, place.request);
-        let child = self.parents.iter().find(|(_, parent)| **parent == above);
-        if let Some((child, _)) = child.map(|(child, parent)| (*child, *parent)) {
+        self.abandon(|parent| parent == above);
+        self.take_run_answer(place, End::Failed(Failure::Broken));
+    }
+
+    /// Closes the connections to nodes that requests were passed on to.
+    fn abandon(&mut self, gone: impl Fn((usize, key::Request)) -> bool) {
+        let children = self.parents.iter().filter(|(_, parent)| gone(**parent));
+        for child in children.map(|(child, _)| *child).collect::<Vec<_>>() {
             self.parents.remove(&child);
             self.places.remove(&child);
             self.tell_progress(child.0, child.1, Progress::Gone);
         }
-        self.take_run_answer(place, End::Failed(Failure::Broken));
     }
 
     /// Takes the end of an attempt, once its node runs.
@@ -181,12 +185,11 @@
                 let local = self.nodes[node].identity.region == self.nodes[to].identity.region;
                 let at =
                     self.now + self.delay(if local { LOCAL_DELAY_US } else { REMOTE_DELAY_US });
-                let from = (node, request);
                 if self.cuts.contains(&(node, to)) {
                     let progress = Progress::Failed(Failure::Unsent);
                     return self.tell_progress(node, request, progress);
                 }
-                self.attempt(node, request, left);
+                let from = self.attempt(node, request, left);
                 self.queue.push(at, Delivery::Arrive { node: to, from, spec });
             }
             Step::Refuse(refusal) => self.finish(node, request, Outcome::Refused(refusal)),
@@ -234,6 +237,7 @@
     pub(super) fn lose_callers_of(&mut self, node: usize) {
         // The next process may give its requests the same keys.
         self.finished.retain(|(at, _), _| *at != node);
+        self.abandon(|parent| parent.0 == node);
         let lost: Vec<_> = self.places.keys().filter(|(at, _)| *at == node).copied().collect();
         for place in lost {
             let Some(number) = self.places.remove(&place) else { continue };
--- a/crates/standins/src/world/queue.rs
+++ b/crates/standins/src/world/queue.rs
@@ -37,7 +37,7 @@
     /// The end of a node's patience with an attempt.
     Timeout(Place),
     /// A request that another node passed on.
-    Arrive { node: usize, from: (usize, key::Request), spec: Spec },
+    Arrive { node: usize, from: Place, spec: Spec },
 }
 
 /// An attempt at a request.
