--- a/crates/orioleroute/tests/promises.rs
+++ b/crates/orioleroute/tests/promises.rs
@@ -470,3 +470,37 @@
         assert!(broken.is_empty(), "{fault:?} at {moment:?}: {broken:?}");
     }
 }
+
+#[test]
+fn a_region_cut_off_does_not_answer_by_a_replaced_version() {
+    let mut world = world(1);
+    apply(&mut world, &Step::Submit { node: 0, versions: 2 });
+    // Nothing else lets a node send a message to every other one at once.
+    let others = (REGIONS.len() * NODES_PER_REGION - 1) as u64;
+    let mut sent = world.nodes[0].counts.messages;
+    while world.nodes[0].counts.messages < sent + others {
+        sent = world.nodes[0].counts.messages;
+        world.run(Duration::from_millis(1));
+    }
+
+    // The other region confirms, but neither hears of the acceptance nor reads the head row.
+    for far in NODES_PER_REGION..REGIONS.len() * NODES_PER_REGION {
+        world.severed.insert(far);
+        for near in 0..NODES_PER_REGION {
+            world.cuts.insert((near, far));
+        }
+    }
+    world.run(Duration::from_millis(4_300));
+    for node in NODES_PER_REGION..REGIONS.len() * NODES_PER_REGION {
+        for adapter in 0..ADAPTERS {
+            apply(&mut world, &Step::Ask { node, adapter, exact: false });
+        }
+    }
+    world.run(Duration::from_secs(6));
+
+    let accepted =
+        world.records.iter().any(|(_, record)| matches!(record, Record::Head { version: 2, .. }));
+    assert!(accepted);
+    assert_eq!(world.nodes[NODES_PER_REGION].core.as_ref().map(|core| core.version()), Some(1));
+    assert_eq!(world.checker.breaches(), []);
+}
