--- a/crates/orioleroute/src/config.rs
+++ b/crates/orioleroute/src/config.rs
@@ -48,7 +48,7 @@
 #[derive(Clone, Debug)]
 struct Staged {
     held: Held,
-    delta: Delta,
+    delta: Arc<Delta>,
 }
 
 /// The configuration of one instance.
@@ -179,7 +179,7 @@
         }
         match self.resolve(proposal) {
             Some(held) => {
-                self.stage(held);
+                self.stage(held, &proposal.body);
                 let incarnation = membership.identity().incarnation;
                 let staged = Message::Staged { mark: proposal.mark, incarnation };
                 send(membership, from, staged, effects);
@@ -206,13 +206,18 @@
         }
     }
 
-    fn stage(&mut self, held: Held) {
+    /// Notes a staged document; a change that came with it is not worked out anew.
+    fn stage(&mut self, held: Held, body: &Body) {
         if self.staged.iter().any(|staged| staged.held.mark == held.mark) {
             return;
         }
-        let empty = Arc::default();
-        let old = self.document().unwrap_or(&empty);
-        let delta = Delta::between(old, &held.document);
+        let delta = match body {
+            Body::Change(delta) => delta.clone(),
+            Body::Whole(document) => {
+                let empty = Arc::default();
+                Arc::new(Delta::between(self.document().unwrap_or(&empty), document))
+            }
+        };
         self.staged.push(Staged { held, delta });
     }
 
