--- a/crates/orioleroute/tests/promises.rs
+++ b/crates/orioleroute/tests/promises.rs
@@ -39,11 +39,7 @@
     RepliesLost,
     WritesLate(u64),
     ObjectsDown,
-    Messages {
-        doubled: u64,
-        delayed: u64,
-        delay: u64,
-    },
+    Messages(Network),
     Heal,
     RestartEngine(usize),
     EngineDown(usize, bool),
@@ -66,6 +62,10 @@
     Wait(u64),
 }
 
+fn messages(doubled: u64, delayed: u64, delay: u64) -> Step {
+    Step::Messages(Network { doubled, delayed, delay: Duration::from_millis(delay) })
+}
+
 fn fault() -> impl Strategy<Value = Step> {
     let node = 0..REGIONS.len() * NODES_PER_REGION;
     let engine = 0..REGIONS.len() * ENGINES_PER_REGION;
@@ -82,7 +82,7 @@
         1 => (500..6_000_u64).prop_map(Step::WritesLate),
         1 => Just(Step::ObjectsDown),
         1 => (0..50_u64, 0..50_u64, 1..2_000_u64)
-            .prop_map(|(doubled, delayed, delay)| Step::Messages { doubled, delayed, delay }),
+            .prop_map(|(doubled, delayed, delay)| messages(doubled, delayed, delay)),
         1 => engine.clone().prop_map(Step::RestartEngine),
         1 => (engine.clone(), any::<bool>()).prop_map(|(e, down)| Step::EngineDown(e, down)),
         1 => (engine.clone(), any::<bool>()).prop_map(|(e, fail)| Step::LoadsFail(e, fail)),
@@ -206,10 +206,7 @@
             world.platform.faults.writes_late = Some(Duration::from_millis(*millis));
         }
         Step::ObjectsDown => world.platform.faults.objects_down = true,
-        Step::Messages { doubled, delayed, delay } => {
-            let delay = Duration::from_millis(*delay);
-            world.network = Network { doubled: *doubled, delayed: *delayed, delay };
-        }
+        Step::Messages(network) => world.network = *network,
         Step::Heal => world.heal(),
         Step::RestartEngine(engine) => world.restart_engine(*engine),
         Step::EngineDown(engine, down) => world.engines[*engine].faults.down = *down,
@@ -319,11 +316,8 @@
 #[test]
 fn a_submission_whose_outcome_was_overtaken_is_not_called_refused() {
     let mut world = world(1);
-    let first = Command::Submit { base: 1, document: document(2).into() };
-    let second = Command::Submit { base: 2, document: document(1).into() };
-
     // Node 0 accepts without a reply, and cannot see the platform until another version follows.
-    world.command(0, first);
+    apply(&mut world, &Step::Submit { node: 0, versions: 2 });
     let staged = |world: &World| world.platform.rows["config/staged"].version == 3;
     assert!(world.run_until(Duration::from_secs(3), staged));
     world.platform.faults.replies_lost = true;
@@ -338,7 +332,7 @@
     world.platform.faults.replies_lost = false;
     world.severed.insert(0);
     world.run(Duration::from_millis(3_000));
-    world.command(3, second);
+    world.command(3, Command::Submit { base: 2, document: document(1).into() });
     let followed = world.run_until(Duration::from_secs(30), accepted(3));
     world.heal();
     world.run(Duration::from_secs(10));
@@ -372,7 +366,7 @@
         Step::RepliesLost,
         Step::WritesLate(3_000),
         Step::ObjectsDown,
-        Step::Messages { doubled: 50, delayed: 50, delay: 2_000 },
+        messages(50, 50, 2_000),
         Step::Race { one: 0, other: 3 },
     ];
     for node in 0..NODES_PER_REGION {
@@ -403,13 +397,14 @@
         move |world: &World| world.records[since..].iter().any(|(_, record)| wanted(record))
     };
     let since = world.records.len();
-    let submission = Step::Submit { node: 0, versions: 2 };
     match moment {
         Moment::Idle => return true,
         Moment::RequestArrived | Moment::LoadOrdered | Moment::RequestRunning => {
             ask_for(0..6).for_each(|step| apply(world, &step));
         }
-        Moment::SubmissionStaged | Moment::SubmissionAccepted => apply(world, &submission),
+        Moment::SubmissionStaged | Moment::SubmissionAccepted => {
+            apply(world, &Step::Submit { node: 0, versions: 2 });
+        }
         Moment::ViewChanged => apply(world, &Step::Kill(2)),
         Moment::ProcessWoken => {
             apply(world, &Step::Freeze(2));
@@ -455,7 +450,6 @@
     for fault in faults() {
         let mut world = world(7);
         assert!(reach(&mut world, moment), "{moment:?}");
-
         apply(&mut world, &fault);
         ask_for(3..9).for_each(|step| apply(&mut world, &step));
         apply(&mut world, &Step::Book { node: 1, key: 1 });
--- a/crates/standins/src/world/mod.rs
+++ b/crates/standins/src/world/mod.rs
@@ -228,13 +228,16 @@
         }
     }
 
-    /// Lets a stopped process go on; what arrived meanwhile is handled first.
+    /// Lets a stopped process go on; its timer or what arrived meanwhile is handled first.
     pub fn wake(&mut self, number: usize) {
         if !self.nodes[number].frozen {
             return;
         }
         self.nodes[number].frozen = false;
         self.record(Record::Woken(number));
+        if self.draw(2) == 0 {
+            self.feed(number, Event::Tick);
+        }
         for event in std::mem::take(&mut self.nodes[number].backlog) {
             self.feed(number, event);
         }
