List an engine that keeps what a later owner does not know as known red

Cause: an owner that starts after a version was replaced has never had its revisions, so an engine's report of one makes it foreign, and only revisions that the catalog knows are unloaded.

--- a/crates/orioleroute/tests/promises.rs
+++ b/crates/orioleroute/tests/promises.rs
@@ -498,3 +498,19 @@
     assert_eq!(world.nodes[NODES_PER_REGION].core.as_ref().map(|core| core.version()), Some(1));
     assert_eq!(world.checker.breaches(), []);
 }
+
+#[test]
+fn a_new_owner_unloads_what_its_documents_never_had() {
+    let ask = |node, adapter| Step::Ask { node, adapter, exact: false };
+    let steps = [
+        vec![Step::Freeze(2), Step::Stop(0), Step::Wait(2_157)],
+        vec![Step::Submit { node: 1, versions: 2 }, Step::Wait(1_469), Step::Wait(832), ask(1, 2)],
+        vec![Step::Start(0), Step::TableDown, Step::Submit { node: 3, versions: 1 }],
+        vec![Step::Submit { node: 0, versions: 1 }, Step::Wait(900), Step::Wait(2_249)],
+        vec![Step::Wake(2), ask(0, 0)],
+    ];
+
+    let breach = first_breach(67_676_501_408_195, &steps.concat(), |_| true);
+
+    assert_eq!(breach, None);
+}
