Let the demonstration wait until both engines hold

Cause: it sent its request as soon as the document was in force, but a node reads the instance list only once a second and the list is published after the nodes start. Seen: 3 of 4 runs ended with 503 and exit 1.

--- a/crates/standins/examples/demo.rs
+++ b/crates/standins/examples/demo.rs
@@ -9,6 +9,7 @@
 
 use http::Method;
 use nix::sys::signal::Signal;
+use orioleroute::operator::Holding;
 use orioleroute_wire::client::{Call, Pool};
 use orioleroute_wire::runtime;
 use serde_json::{Value, json};
@@ -43,6 +44,10 @@
     let spread = until("in force everywhere", || {
         nodes.iter().all(|node| status(node).is_some_and(|status| status.version == 1))
     });
+    until("both engines hold", || {
+        let known = nodes.iter().filter_map(status).flat_map(|status| status.upstreams);
+        known.filter(|upstream| upstream.holding == Holding::Holds).count() == 2
+    });
     println!("in force on all nodes {spread:?} after the operator was told");
     run_tool("status", &nodes[1])?;
     let home = ask_route(&nodes[2])?;
