End an instance that is told to stop while the table is down

After 5 s without an answer of the table it ends like one that fails, once its requests have had their answers; its watchers remove it when the table is back.

Ruled out: ending at once, which would leave the view a member too many after each short hiccup of the table.

Seen failing before: an_instance_that_stops_in_a_table_outage_ends_once_its_requests_have.

--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -127,7 +127,7 @@
             Event::Arrived { request, spec } => self.take_arrival(now, request, spec),
             Event::Progress { request, progress } => self.take_progress(now, request, progress),
             Event::Command { ticket, command } => self.take_command(now, ticket, command),
-            Event::Shutdown => self.membership.leave(),
+            Event::Shutdown => self.membership.leave(now),
         }
         if self.membership.changes() != self.indexed {
             self.index(now);
@@ -267,7 +267,7 @@
             Command::Status => Answer::Status(self.status(now)),
             Command::Explain { model } => self.explain(&model),
             Command::Drain => {
-                self.membership.leave();
+                self.membership.leave(now);
                 Answer::Draining
             }
         };
--- a/crates/orioleroute/src/membership.rs
+++ b/crates/orioleroute/src/membership.rs
@@ -36,6 +36,9 @@
 /// Between two reads of the view's row.
 pub const POLL: Duration = Duration::from_millis(1_000);
 
+/// How long a leaving instance waits for an answer of the table.
+pub const LEAVE_PATIENCE: Duration = Duration::from_secs(5);
+
 /// Between two reads of the rows of the other regions.
 pub const WIDE_POLL: Duration = Duration::from_millis(10_000);
 
@@ -99,7 +102,10 @@
     reading: Option<(Ticket, Instant)>,
     writing: Option<(Ticket, Instant)>,
     token: u64,
-    leaving: bool,
+    /// Since when it has been leaving.
+    leaving: Option<Instant>,
+    /// Whether the table let it wait too long to leave.
+    is_stranded: bool,
     changes: u64,
 }
 
@@ -129,7 +135,8 @@
             reading: None,
             writing: None,
             token,
-            leaving: false,
+            leaving: None,
+            is_stranded: false,
             changes: 0,
         }
     }
@@ -242,18 +249,25 @@
     }
 
     /// Asks to leave: the next view will be without this instance.
-    pub fn leave(&mut self) {
-        self.leaving = true;
+    pub fn leave(&mut self, now: Instant) {
+        self.leaving.get_or_insert(now);
     }
 
-    /// Returns whether this instance has left its view after it asked to.
+    /// Returns whether this instance, asked to leave, has left its view or cannot.
+    ///
+    /// Without an answer of the table for [`LEAVE_PATIENCE`] it ends like one that fails: its
+    /// watchers remove it when the table is back.
     pub fn has_left(&self) -> bool {
-        self.leaving && !self.is_member()
+        self.leaving.is_some() && (!self.is_member() || self.is_stranded)
     }
 
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: Instant, config: u64, effects: &mut Effects) {
         self.notice_pause(now);
+        self.is_stranded = self.leaving.is_some_and(|since| {
+            let heard = self.reached.map_or(since, |reached| reached.max(since));
+            now >= heard + LEAVE_PATIENCE
+        });
         self.expire_operations(now);
         self.poll(now, effects);
         if now >= self.next_heartbeat {
--- a/crates/orioleroute/src/membership/poll.rs
+++ b/crates/orioleroute/src/membership/poll.rs
@@ -72,7 +72,7 @@
     fn join_or_leave(&mut self, now: Instant, effects: &mut Effects) {
         let mut members = self.view().members.clone();
         let mut unclean = self.view().unclean.clone();
-        match (self.is_member(), self.leaving) {
+        match (self.is_member(), self.leaving.is_some()) {
             (false, false) => {
                 members.retain(|member| member.name != self.identity.name);
                 members.push(self.identity.clone());
--- a/crates/orioleroute/tests/membership.rs
+++ b/crates/orioleroute/tests/membership.rs
@@ -164,3 +164,22 @@
     let breaches = world.checker.breaches().iter();
     breaches.filter(|breach| breach.promise != Promise::Prompt).cloned().collect()
 }
+
+#[test]
+fn an_instance_that_stops_in_a_table_outage_ends_once_its_requests_have() {
+    let mut world = world(0, ONE_REGION);
+    let stopped = owner(&world, 0);
+    time_to_answer(&mut world, stopped, 0, Duration::from_secs(5)).expect("an answer");
+    for engine in &mut world.engines {
+        engine.run_time = Duration::from_secs(4);
+    }
+    let asked = world.ask(stopped, request(0, Duration::from_secs(20)));
+    world.run(Duration::from_millis(50));
+
+    world.platform.faults.table_down = true;
+    world.stop(stopped);
+    world.run(Duration::from_secs(15));
+
+    assert!(is_whole(&world, asked), "{:?}", world.outcome(asked));
+    assert!(world.nodes[stopped].core.is_none(), "it still runs");
+}
