Answer waiting requests by the document that came into force meanwhile

Cause: a request was bound to a revision when it arrived. Each routing step now looks the name up again, and waiting requests are routed anew when their names come to mean another revision.

Ruled out: the news of the acceptance, which the instance had applied before the dispatch.

Seen failing before: a_request_that_waits_is_answered_by_the_document_that_came_into_force_meanwhile.

--- a/crates/orioleroute/src/core.rs
+++ b/crates/orioleroute/src/core.rs
@@ -16,7 +16,7 @@
 use crate::orders::Orders;
 use crate::ownership::Ownership;
 use crate::prelude::*;
-use crate::request::{Kind, Requests};
+use crate::request::Requests;
 use crate::retry::Budget;
 
 mod claims;
@@ -234,19 +234,19 @@
                 self.catalog.apply(document);
             }
         }
-        self.refuse_dropped();
         self.index(now);
+        self.resolve_waiting(now);
         self.reconcile(now);
     }
 
-    /// Refuses the waiting requests whose revisions the document in force no longer has.
-    fn refuse_dropped(&mut self) {
+    /// Routes the waiting requests anew that the document in force answers by another revision.
+    fn resolve_waiting(&mut self, now: Instant) {
         for revision in self.requests.wanted() {
-            if self.catalog.revision(revision).current {
-                continue;
-            }
             for key in self.requests.waiting(revision).to_vec() {
-                self.refuse(key, Kind::NotFound, None);
+                if self.named(key) != Some(revision) {
+                    self.requests.unqueue(key, revision);
+                    self.route(now, key);
+                }
             }
         }
     }
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -129,6 +129,9 @@
         if now >= request.deadline {
             return self.refuse(key, Kind::Deadline, Some(RETRY_AFTER));
         }
+        if !self.resolve(key) {
+            return self.refuse(key, Kind::NotFound, None);
+        }
         if self.passes_on(key) {
             return self.forward(now, key);
         }
@@ -146,6 +149,24 @@
         }
     }
 
+    /// Brings a request to the revision that it names in the document in force, which may have
+    /// changed since it arrived, and returns whether there still is one.
+    fn resolve(&mut self, key: key::Request) -> bool {
+        let revision = self.named(key);
+        let Some(request) = self.requests.get_mut(key) else { return false };
+        let is_model = matches!(request.spec.target, Target::Model(_));
+        request.revision = revision;
+        revision.is_some() || !is_model
+    }
+
+    /// Returns the revision that a request names in the document in force.
+    pub(super) fn named(&self, key: key::Request) -> Option<key::Revision> {
+        match &self.requests.get(key)?.spec.target {
+            Target::Model(model) => self.catalog.resolve(model),
+            Target::Service(_) => None,
+        }
+    }
+
     /// Refuses the waiting requests whose deadlines have passed.
     pub(super) fn refuse_overdue(&mut self, now: Instant) {
         for key in self.requests.overdue(now) {
--- a/crates/orioleroute/tests/promises.rs
+++ b/crates/orioleroute/tests/promises.rs
@@ -499,6 +499,36 @@
     assert_eq!(world.checker.breaches(), []);
 }
 
+#[test]
+fn a_request_that_waits_is_answered_by_the_document_that_came_into_force_meanwhile() {
+    let seed = 1_466_971_592_330_384_674;
+    let ask = |node, adapter| Step::Ask { node, adapter, exact: false };
+    let steps = [
+        Step::Freeze(2),
+        Step::Wait(5_444),
+        ask(4, 3),
+        Step::Submit { node: 5, versions: 2 },
+        Step::Sever(0),
+        ask(4, 0),
+        Step::Wait(813),
+        ask(4, 4),
+        Step::Wait(2_614),
+        Step::Wait(2_654),
+        Step::Freeze(3),
+        Step::Leave(0),
+        Step::Freeze(0),
+        ask(2, 0),
+        ask(4, 0),
+        ask(4, 0),
+        Step::Race { one: 2, other: 4 },
+        ask(1, 6),
+    ];
+
+    let breach = first_breach(seed, &steps, |promise| promise != Promise::Prompt);
+
+    assert_eq!(breach, None);
+}
+
 #[test]
 fn a_new_owner_unloads_what_its_documents_never_had() {
     let ask = |node, adapter| Step::Ask { node, adapter, exact: false };
