Put a submitter in doubt about its own document until the outcome is known

Cause: every other member refuses what a staged document would change once it has not read the head row for 3 s, but the submitter did not count its own document as staged.

Ruled out: the reads of the head row, which were sent in time and answered late.

Seen failing before: a_submitter_that_does_not_know_whether_its_document_was_accepted_answers_by_no_older_one.

--- a/crates/orioleroute/src/config/submission.rs
+++ b/crates/orioleroute/src/config/submission.rs
@@ -283,6 +283,9 @@
         // A view that has changed may have a member that this instance has not asked.
         writes.extend(membership.checks());
         submission.stage = Stage::Accepting(effects.table(Operation::Write(writes)));
+        // Until the outcome is known, the submitter is in doubt like every other member.
+        let held = submission.held.clone();
+        self.stage(held);
     }
 
     /// Puts the accepted submission in force and spreads the news.
--- a/crates/orioleroute/tests/promises.rs
+++ b/crates/orioleroute/tests/promises.rs
@@ -544,3 +544,23 @@
 
     assert_eq!(breach, None);
 }
+
+#[test]
+fn a_submitter_that_does_not_know_whether_its_document_was_accepted_answers_by_no_older_one() {
+    let seed = 7_481_773_281_296_995_276;
+    let both = |one, other| Step::Both(Box::new(one), Box::new(other));
+    let steps = [
+        Step::Freeze(4),
+        Step::Wait(1_848),
+        Step::Race { one: 5, other: 2 },
+        both(Step::Kill(4), Step::Freeze(5)),
+        Step::Wait(4_725),
+        both(Step::ObjectsDown, Step::TableSlow(1_496)),
+        Step::Wait(4_550),
+        Step::Ask { node: 0, adapter: 2, exact: false },
+    ];
+
+    let breach = first_breach(seed, &steps, |promise| promise != Promise::Prompt);
+
+    assert_eq!(breach, None);
+}
