Split the histories into properties, moments and single cases, and name the replay of traces

No check changed: the steps, the world and the search for the first breach moved to tests/histories, and the three kinds of test to files of their own.

--- /dev/null
+++ b/crates/orioleroute/tests/histories/mod.rs
@@ -0,0 +1,276 @@
+//! Histories of several cores: what can happen in one, and how it is looked at.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use orioleroute::operator::Command;
+use orioleroute::request::{Spec, Target};
+use proptest::prelude::*;
+use serde_json::json;
+use standins::world::check::{Breach, Promise};
+use standins::world::{Engine, Network, World};
+
+pub const REGIONS: [&str; 2] = ["zurich", "geneva"];
+pub const NODES_PER_REGION: usize = 3;
+pub const ENGINES_PER_REGION: usize = 3;
+pub const ADAPTERS: usize = 12;
+
+/// One thing that happens in a history.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Ask {
+        node: usize,
+        adapter: usize,
+        exact: bool,
+    },
+    Book {
+        node: usize,
+        key: usize,
+    },
+    Kill(usize),
+    Start(usize),
+    Stop(usize),
+    Freeze(usize),
+    Wake(usize),
+    Cut(usize, usize),
+    CutOneWay(usize, usize),
+    Sever(usize),
+    TableDown,
+    TableSlow(u64),
+    RepliesLost,
+    WritesLate(u64),
+    ObjectsDown,
+    Messages(Network),
+    Heal,
+    RestartEngine(usize),
+    EngineDown(usize, bool),
+    LoadsFail(usize, bool),
+    OrderRepliesLost(usize, bool),
+    AnswersLost(usize, bool),
+    ReportsLate(usize, u64),
+    Leave(usize),
+    /// Two operators submit at two nodes at once.
+    Race {
+        one: usize,
+        other: usize,
+    },
+    /// Two faults at the same moment.
+    Both(Box<Step>, Box<Step>),
+    Submit {
+        node: usize,
+        versions: usize,
+    },
+    Wait(u64),
+}
+
+pub fn messages(doubled: u64, delayed: u64, delay: u64) -> Step {
+    Step::Messages(Network { doubled, delayed, delay: Duration::from_millis(delay) })
+}
+
+pub fn fault() -> impl Strategy<Value = Step> {
+    let node = 0..REGIONS.len() * NODES_PER_REGION;
+    let engine = 0..REGIONS.len() * ENGINES_PER_REGION;
+    prop_oneof![
+        3 => node.clone().prop_map(Step::Kill),
+        1 => node.clone().prop_map(Step::Stop),
+        3 => node.clone().prop_map(Step::Freeze),
+        1 => (node.clone(), node.clone()).prop_map(|(a, b)| Step::Cut(a, b)),
+        2 => (node.clone(), node.clone()).prop_map(|(a, b)| Step::CutOneWay(a, b)),
+        1 => node.prop_map(Step::Sever),
+        1 => Just(Step::TableDown),
+        1 => (100..3_000_u64).prop_map(Step::TableSlow),
+        1 => Just(Step::RepliesLost),
+        1 => (500..6_000_u64).prop_map(Step::WritesLate),
+        1 => Just(Step::ObjectsDown),
+        1 => (0..50_u64, 0..50_u64, 1..2_000_u64)
+            .prop_map(|(doubled, delayed, delay)| messages(doubled, delayed, delay)),
+        1 => engine.clone().prop_map(Step::RestartEngine),
+        1 => (engine.clone(), any::<bool>()).prop_map(|(e, down)| Step::EngineDown(e, down)),
+        1 => (engine.clone(), any::<bool>()).prop_map(|(e, fail)| Step::LoadsFail(e, fail)),
+        1 => (engine.clone(), any::<bool>()).prop_map(|(e, lost)| Step::OrderRepliesLost(e, lost)),
+        1 => (engine.clone(), any::<bool>()).prop_map(|(e, lost)| Step::AnswersLost(e, lost)),
+        1 => (engine.clone(), 0..2_000_u64).prop_map(|(e, lag)| Step::ReportsLate(e, lag)),
+        1 => engine.prop_map(Step::Leave),
+    ]
+}
+
+pub fn step() -> impl Strategy<Value = Step> {
+    let node = 0..REGIONS.len() * NODES_PER_REGION;
+    prop_oneof![
+        12 => (node.clone(), 0..ADAPTERS, any::<bool>())
+            .prop_map(|(node, adapter, exact)| Step::Ask { node, adapter, exact }),
+        3 => (node.clone(), 0..4_usize).prop_map(|(node, key)| Step::Book { node, key }),
+        2 => node.clone().prop_map(Step::Start),
+        3 => node.clone().prop_map(Step::Wake),
+        2 => Just(Step::Heal),
+        2 => (node.clone(), 1..3_usize).prop_map(|(node, versions)| Step::Submit { node, versions }),
+        1 => (node.clone(), node).prop_map(|(one, other)| Step::Race { one, other }),
+        12 => (1..3_000_u64).prop_map(Step::Wait),
+        10 => fault(),
+        3 => (fault(), fault()).prop_map(|(a, b)| Step::Both(Box::new(a), Box::new(b))),
+    ]
+}
+
+/// Returns a document in which every other adapter has so many versions, the last one its default.
+pub fn document(versions: usize) -> String {
+    let adapters: Vec<_> = (0..ADAPTERS)
+        .map(|adapter| {
+            let versions = if adapter % 2 == 0 { versions } else { 1 };
+            let names: Vec<String> = (1..=versions).map(|version| format!("v{version}")).collect();
+            json!({
+                "name": format!("adapter-{adapter}"),
+                "model": "base",
+                "versions": names,
+                "default": names[versions - 1],
+            })
+        })
+        .collect();
+    json!({
+        "format": 1,
+        "models": [{ "name": "base" }],
+        "pools": [
+            { "name": "checked", "model": "base", "slots": 2, "fencing": "checked" },
+            { "name": "ignored", "model": "base", "slots": 2, "fencing": "ignored" },
+        ],
+        "adapters": adapters,
+        "services": [{ "name": "bookings", "pool": "course" }],
+    })
+    .to_string()
+}
+
+/// Two regions with nodes, engines of both kinds and a plain service, and a document in force.
+pub fn world(seed: u64) -> World {
+    let mut world = World::new(seed);
+    for region in REGIONS {
+        for _ in 0..NODES_PER_REGION {
+            world.add_node(region);
+        }
+    }
+    for region in REGIONS {
+        for index in 0..ENGINES_PER_REGION {
+            let checks_fencing = index % 2 == 0;
+            let pool = if checks_fencing { "checked" } else { "ignored" };
+            let number = world.engines.len();
+            let mut engine = Engine::new(number, pool, region, 2);
+            engine.checks_fencing = checks_fencing;
+            world.add_engine(engine);
+        }
+    }
+    let number = world.engines.len();
+    world.add_engine(Engine::new(number, "course", REGIONS[0], 0));
+    world.run(Duration::from_secs(8));
+    let document = document(1).into();
+    world.command(0, Command::Submit { base: 0, document });
+    world.run(Duration::from_secs(8));
+    world
+}
+
+pub fn apply(world: &mut World, step: &Step) {
+    let spec = |target, repeatable, idempotency| Spec {
+        target,
+        importance: None,
+        patience: Some(Duration::from_secs(5)),
+        repeatable,
+        idempotency,
+        hops: 0,
+        may_have_run: false,
+    };
+    match step {
+        Step::Ask { node, adapter, exact } => {
+            let version = if *exact { "@v1" } else { "" };
+            let target = Target::Model(format!("adapter-{adapter}{version}").into());
+            world.ask(*node, spec(target, true, None));
+        }
+        Step::Book { node, key } => {
+            let target = Target::Service("bookings".into());
+            world.ask(*node, spec(target, false, Some(format!("booking-{key}").into())));
+        }
+        Step::Kill(node) => world.kill(*node),
+        Step::Start(node) if world.nodes[*node].core.is_none() => world.start(*node),
+        Step::Start(_) => {}
+        Step::Stop(node) => world.stop(*node),
+        Step::Freeze(node) => world.freeze(*node),
+        Step::Wake(node) => world.wake(*node),
+        Step::Cut(one, other) => world.cut(*one, *other),
+        Step::CutOneWay(from, to) => {
+            world.cuts.insert((*from, *to));
+        }
+        Step::Sever(node) => {
+            world.severed.insert(*node);
+        }
+        Step::TableDown => world.platform.faults.table_down = true,
+        Step::TableSlow(millis) => {
+            world.platform.faults.slow = Duration::from_millis(*millis);
+        }
+        Step::RepliesLost => world.platform.faults.replies_lost = true,
+        Step::WritesLate(millis) => {
+            world.platform.faults.writes_late = Some(Duration::from_millis(*millis));
+        }
+        Step::ObjectsDown => world.platform.faults.objects_down = true,
+        Step::Messages(network) => world.network = *network,
+        Step::Heal => world.heal(),
+        Step::RestartEngine(engine) => world.restart_engine(*engine),
+        Step::EngineDown(engine, down) => world.engines[*engine].faults.down = *down,
+        Step::OrderRepliesLost(engine, lost) => {
+            world.engines[*engine].faults.order_replies_lost = *lost;
+        }
+        Step::AnswersLost(engine, lost) => world.engines[*engine].faults.answers_lost = *lost,
+        Step::ReportsLate(engine, millis) => {
+            world.engines[*engine].report_lag = Duration::from_millis(*millis);
+        }
+        Step::Race { one, other } => {
+            apply(world, &Step::Submit { node: *one, versions: 1 });
+            apply(world, &Step::Submit { node: *other, versions: 2 });
+        }
+        Step::Both(one, other) => {
+            apply(world, one);
+            apply(world, other);
+        }
+        Step::LoadsFail(engine, fail) => world.engines[*engine].faults.loads_fail = *fail,
+        Step::Leave(engine) => world.let_leave(*engine),
+        Step::Submit { node, versions } => {
+            let base = world.nodes[*node].core.as_ref().map_or(0, |core| core.version());
+            let document = document(*versions).into();
+            world.command(*node, Command::Submit { base, document });
+        }
+        Step::Wait(millis) => world.run(Duration::from_millis(*millis)),
+    }
+}
+
+/// Returns the first breach of a history, looked for after every event of it.
+pub fn first_breach(
+    seed: u64,
+    steps: &[Step],
+    promised: impl Fn(Promise) -> bool,
+) -> Option<Breach> {
+    let mut world = world(seed);
+    let first = |world: &World| {
+        world.checker.breaches().iter().find(|breach| promised(breach.promise)).cloned()
+    };
+    for step in steps {
+        apply(&mut world, step);
+        if let Some(breach) = first(&world) {
+            return Some(breach);
+        }
+    }
+    world.settle(QUIET);
+    first(&world)
+}
+
+/// How long after the last fault everything has to be in order again.
+pub const QUIET: Duration = Duration::from_secs(20);
+
+/// Returns the number of histories, `usual` unless the environment asks for another.
+pub fn histories(usual: u32) -> u32 {
+    let asked = std::env::var("ORIOLEROUTE_HISTORIES").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
+pub fn proving(histories: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases: histories,
+        max_shrink_iters: 2_000,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
--- /dev/null
+++ b/crates/orioleroute/tests/regressions.rs
@@ -0,0 +1,155 @@
+//! Single histories: a quiet one, and those that once broke a promise.
+
+mod histories;
+
+use std::time::Duration;
+
+use histories::*;
+use orioleroute::operator::Command;
+use standins::world::check::Promise;
+use standins::world::{Faults, Record, World};
+
+#[test]
+fn a_quiet_system_answers_every_request() {
+    let mut world = world(1);
+    for node in 0..6 {
+        apply(&mut world, &Step::Ask { node, adapter: node, exact: false });
+    }
+    world.run(Duration::from_secs(5));
+    for number in 0..6 {
+        assert!(
+            matches!(world.outcome(number), Some(standins::world::Outcome::Whole(_))),
+            "request {number}: {:?}",
+            world.outcome(number)
+        );
+    }
+    assert_eq!(world.platform.faults, Faults::default());
+}
+
+#[test]
+fn a_submission_whose_outcome_was_overtaken_is_not_called_refused() {
+    let mut world = world(1);
+    // Node 0 accepts without a reply, and cannot see the platform until another version follows.
+    apply(&mut world, &Step::Submit { node: 0, versions: 2 });
+    let staged = |world: &World| world.platform.rows["config/staged"].version == 3;
+    assert!(world.run_until(Duration::from_secs(3), staged));
+    world.platform.faults.replies_lost = true;
+    let accepted = |version: u64| {
+        move |world: &World| {
+            world.records.iter().any(|(_, record)| {
+                matches!(record, Record::Head { version: head, .. } if *head == version)
+            })
+        }
+    };
+    assert!(world.run_until(Duration::from_secs(3), accepted(2)));
+    world.platform.faults.replies_lost = false;
+    world.severed.insert(0);
+    world.run(Duration::from_millis(3_000));
+    world.command(3, Command::Submit { base: 2, document: document(1).into() });
+    let followed = world.run_until(Duration::from_secs(30), accepted(3));
+    world.heal();
+    world.run(Duration::from_secs(10));
+
+    assert!(followed);
+    assert_eq!(world.checker.breaches(), []);
+}
+
+#[test]
+fn a_region_cut_off_does_not_answer_by_a_replaced_version() {
+    let mut world = world(1);
+    apply(&mut world, &Step::Submit { node: 0, versions: 2 });
+    // Nothing else lets a node send a message to every other one at once.
+    let others = (REGIONS.len() * NODES_PER_REGION - 1) as u64;
+    let mut sent = world.nodes[0].counts.messages;
+    while world.nodes[0].counts.messages < sent + others {
+        sent = world.nodes[0].counts.messages;
+        world.run(Duration::from_millis(1));
+    }
+
+    // The other region confirms, but neither hears of the acceptance nor reads the head row.
+    for far in NODES_PER_REGION..REGIONS.len() * NODES_PER_REGION {
+        world.severed.insert(far);
+        for near in 0..NODES_PER_REGION {
+            world.cuts.insert((near, far));
+        }
+    }
+    world.run(Duration::from_millis(4_300));
+    for node in NODES_PER_REGION..REGIONS.len() * NODES_PER_REGION {
+        for adapter in 0..ADAPTERS {
+            apply(&mut world, &Step::Ask { node, adapter, exact: false });
+        }
+    }
+    world.run(Duration::from_secs(6));
+
+    let accepted =
+        world.records.iter().any(|(_, record)| matches!(record, Record::Head { version: 2, .. }));
+    assert!(accepted);
+    assert_eq!(world.nodes[NODES_PER_REGION].core.as_ref().map(|core| core.version()), Some(1));
+    assert_eq!(world.checker.breaches(), []);
+}
+
+#[test]
+fn a_request_that_waits_is_answered_by_the_document_that_came_into_force_meanwhile() {
+    let seed = 1_466_971_592_330_384_674;
+    let ask = |node, adapter| Step::Ask { node, adapter, exact: false };
+    let steps = [
+        Step::Freeze(2),
+        Step::Wait(5_444),
+        ask(4, 3),
+        Step::Submit { node: 5, versions: 2 },
+        Step::Sever(0),
+        ask(4, 0),
+        Step::Wait(813),
+        ask(4, 4),
+        Step::Wait(2_614),
+        Step::Wait(2_654),
+        Step::Freeze(3),
+        Step::Leave(0),
+        Step::Freeze(0),
+        ask(2, 0),
+        ask(4, 0),
+        ask(4, 0),
+        Step::Race { one: 2, other: 4 },
+        ask(1, 6),
+    ];
+
+    let breach = first_breach(seed, &steps, |promise| promise != Promise::Prompt);
+
+    assert_eq!(breach, None);
+}
+
+#[test]
+fn a_new_owner_unloads_what_its_documents_never_had() {
+    let ask = |node, adapter| Step::Ask { node, adapter, exact: false };
+    let steps = [
+        vec![Step::Freeze(2), Step::Stop(0), Step::Wait(2_157)],
+        vec![Step::Submit { node: 1, versions: 2 }, Step::Wait(1_469), Step::Wait(832), ask(1, 2)],
+        vec![Step::Start(0), Step::TableDown, Step::Submit { node: 3, versions: 1 }],
+        vec![Step::Submit { node: 0, versions: 1 }, Step::Wait(900), Step::Wait(2_249)],
+        vec![Step::Wake(2), ask(0, 0)],
+    ];
+
+    let breach = first_breach(67_676_501_408_195, &steps.concat(), |_| true);
+
+    assert_eq!(breach, None);
+}
+
+#[test]
+fn a_submitter_that_does_not_know_whether_its_document_was_accepted_answers_by_no_older_one() {
+    let seed = 7_481_773_281_296_995_276;
+    let both = |one, other| Step::Both(Box::new(one), Box::new(other));
+    let steps = [
+        Step::Freeze(4),
+        Step::Wait(1_848),
+        Step::Race { one: 5, other: 2 },
+        both(Step::Kill(4), Step::Freeze(5)),
+        Step::Wait(4_725),
+        both(Step::ObjectsDown, Step::TableSlow(1_496)),
+        Step::Wait(4_550),
+        Step::Ask { node: 0, adapter: 2, exact: false },
+    ];
+
+    let breach = first_breach(seed, &steps, |promise| promise != Promise::Prompt);
+
+    assert_eq!(breach, None);
+}
--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -6,9 +6,9 @@
 
 mod batch;
 pub mod overload;
+pub mod replay;
 pub mod report;
 mod setup;
-pub mod sim;
 pub mod trace;
 
 /// A deployment as the brief gives it.
--- a/crates/standins/src/bench/overload.rs
+++ b/crates/standins/src/bench/overload.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use super::sim::run;
+use super::replay::run;
 use super::trace::{Family, generate};
 use super::{Deployment, Ideas, Policy, report::REPORTED_SEEDS};
 
--- a/crates/standins/src/bench/sim.rs
+++ b/crates/standins/src/bench/replay.rs
@@ -55,7 +55,7 @@
 }
 
 /// A run.
-pub struct Sim<'a> {
+pub struct Replay<'a> {
     deployment: Deployment,
     policy: Policy,
     ideas: Ideas,
@@ -90,19 +90,19 @@
     family: Family,
     requests: &[Request],
 ) -> Figures {
-    let mut sim = Sim::new(deployment, policy, requests);
+    let mut replay = Replay::new(deployment, policy, requests);
     if let Some(request) = requests.first() {
-        sim.push(request.at, Event::Arrival(0));
+        replay.push(request.at, Event::Arrival(0));
     }
-    sim.push(TICK_S, Event::Tick);
+    replay.push(TICK_S, Event::Tick);
     if family == Family::Restart {
-        sim.push(WARM_UP_S + CHANGE_S, Event::Restart);
+        replay.push(WARM_UP_S + CHANGE_S, Event::Restart);
     }
-    sim.run();
-    sim.figures()
+    replay.run();
+    replay.figures()
 }
 
-impl<'a> Sim<'a> {
+impl<'a> Replay<'a> {
     fn new(deployment: &Deployment, policy: Policy, requests: &'a [Request]) -> Self {
         let mut catalog = Catalog::default();
         catalog.apply(&configuration(deployment));
--- a/crates/standins/src/bench/sim/loads.rs
+++ b/crates/standins/src/bench/replay/loads.rs
@@ -8,9 +8,9 @@
 use rand::RngExt;
 
 use super::super::trace::WARM_UP_S;
-use super::{Deployment, Event, IN_TRANSIT, LOAD_S, Load, Policy, Sim};
+use super::{Deployment, Event, IN_TRANSIT, LOAD_S, Load, Policy, Replay};
 
-impl Sim<'_> {
+impl Replay<'_> {
     /// Orders loads for waiting requests within the budget.
     pub(super) fn place(&mut self) {
         let mut wanted: Vec<(usize, (usize, usize))> = self
--- a/crates/standins/src/bench/report.rs
+++ b/crates/standins/src/bench/report.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use super::sim::run;
+use super::replay::run;
 use super::trace::{Family, clairvoyant, generate};
 use super::{Deployment, Figures, Ideas, Policy};
 
