--- a/crates/orioleroute-node/src/callers.rs
+++ b/crates/orioleroute-node/src/callers.rs
@@ -149,14 +149,14 @@
         Some(text) => Some(text.parse().map_err(|_| format!("x-importance is {text:?}"))?),
         None => None,
     };
-    let patience = match request.header("x-deadline-ms") {
+    let timeout = match request.header("x-deadline-ms") {
         Some(text) => Some(text.parse().map_err(|_| format!("x-deadline-ms is {text:?}"))?),
         None => None,
     };
     Ok(Spec {
         target,
         importance,
-        patience: patience.map(Duration::from_millis),
+        timeout: timeout.map(Duration::from_millis),
         repeatable: true,
         idempotency: request.header("idempotency-key").map(Arc::from),
         hops: request.header(HOPS).and_then(|text| text.parse().ok()).unwrap_or(0),
--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -94,16 +94,16 @@
             Some(Step::Dispatch(dispatch)) => {
                 let call = call_upstream(&request, &dispatch);
                 let expected = dispatch.name.as_deref();
-                let patience = dispatch.patience;
+                let timeout = dispatch.timeout;
                 let address = dispatch.address;
                 let source = Source { address, call, expected };
-                attempt(&guard, connection, source, patience, stream).await?
+                attempt(&guard, connection, source, timeout, stream).await?
             }
-            Some(Step::Forward { address, patience, may_have_run, .. }) => {
-                let call = call_instance(&request, hops + 1, patience, may_have_run);
-                let patience = patience + FORWARD_MARGIN;
+            Some(Step::Forward { address, timeout, may_have_run, .. }) => {
+                let call = call_instance(&request, hops + 1, timeout, may_have_run);
+                let timeout = timeout + FORWARD_MARGIN;
                 let source = Source { address, call, expected: None };
-                attempt(&guard, connection, source, patience, stream).await?
+                attempt(&guard, connection, source, timeout, stream).await?
             }
         };
         match attempt {
@@ -163,7 +163,7 @@
     call.header("content-type", media).payload(body)
 }
 
-fn call_instance(request: &Request, hops: u8, patience: Duration, may_have_run: bool) -> Call {
+fn call_instance(request: &Request, hops: u8, timeout: Duration, may_have_run: bool) -> Call {
     let mut call = Call::new(request.method.clone(), path_of(request));
     for name in ["idempotency-key", "x-request-id", "accept", "x-importance", "content-type"] {
         if let Some(value) = request.header(name) {
@@ -174,7 +174,7 @@
         call = call.header(callers::MAY_HAVE_RUN, "1");
     }
     call.header(callers::HOPS, hops.to_string())
-        .header("x-deadline-ms", patience.as_millis().to_string())
+        .header("x-deadline-ms", timeout.as_millis().to_string())
         .payload(request.body.clone())
 }
 
@@ -206,12 +206,12 @@
     guard: &Guard,
     connection: &mut Connection,
     source: Source<'_>,
-    patience: Duration,
+    timeout: Duration,
     stream: bool,
 ) -> Result<Attempt, Error> {
     let pool = &guard.shell.pool;
     let opened = monoio::select! {
-        opened = monoio::time::timeout(patience, pool.open(source.address, source.call.clone())) => opened,
+        opened = monoio::time::timeout(timeout, pool.open(source.address, source.call.clone())) => opened,
         _ = connection.closed() => return Err(gone(connection)),
     };
     let incoming = match opened {
--- a/crates/orioleroute-node/tests/bad_input.rs
+++ b/crates/orioleroute-node/tests/bad_input.rs
@@ -10,7 +10,7 @@
 use standins::system::{self, OPERATOR_TOKEN, PEER_TOKEN, node};
 
 /// The longest wait for an answer; the limits of [`start`] are well below it.
-const PATIENCE: Duration = Duration::from_secs(5);
+const TIMEOUT: Duration = Duration::from_secs(5);
 
 fn start() -> Process {
     let program = Path::new(env!("CARGO_BIN_EXE_orioleroute-node"));
@@ -29,7 +29,7 @@
 fn connect(node: &Process, listener: &str) -> TcpStream {
     let address: SocketAddr = node.address(listener).expect("the node printed its addresses");
     let stream = TcpStream::connect(address).expect("the node listens");
-    stream.set_read_timeout(Some(PATIENCE)).expect("the time is not zero");
+    stream.set_read_timeout(Some(TIMEOUT)).expect("the time is not zero");
     stream
 }
 
@@ -53,7 +53,7 @@
             Err(_) => break,
         }
     }
-    assert!(start.elapsed() < PATIENCE, "the node never closed: {answer:?}");
+    assert!(start.elapsed() < TIMEOUT, "the node never closed: {answer:?}");
     String::from_utf8_lossy(&answer).into_owned()
 }
 
@@ -163,7 +163,7 @@
     stream.write_all(start_of_request).expect("the node reads");
     let mut dribbler = stream.try_clone().expect("a socket can be shared");
     let dribble = std::thread::spawn(move || {
-        while begun.elapsed() < PATIENCE && dribbler.write_all(b"a").is_ok() {
+        while begun.elapsed() < TIMEOUT && dribbler.write_all(b"a").is_ok() {
             std::thread::sleep(Duration::from_millis(50));
         }
     });
--- a/crates/orioleroute/src/config/fetch.rs
+++ b/crates/orioleroute/src/config/fetch.rs
@@ -10,7 +10,7 @@
 use crate::prelude::*;
 
 /// How long a walk is waited for before it starts anew.
-const PATIENCE: Duration = Duration::from_secs(10);
+const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A walk under way.
 #[derive(Debug)]
@@ -28,7 +28,7 @@
         let under_way = self
             .fetch
             .as_ref()
-            .is_some_and(|fetch| fetch.target == target && now < fetch.since + PATIENCE);
+            .is_some_and(|fetch| fetch.target == target && now < fetch.since + TIMEOUT);
         if !under_way {
             let ticket = get(target, effects);
             self.fetch = Some(Fetch { target, ticket, since: now, changes: Vec::new() });
--- a/crates/orioleroute/src/core/claims.rs
+++ b/crates/orioleroute/src/core/claims.rs
@@ -9,7 +9,7 @@
 use crate::table::Outcome;
 
 /// The longest wait for a claim; a table that takes longer is as good as down.
-const CLAIM_PATIENCE: Duration = Duration::from_millis(2_500);
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 impl Core {
     /// Claims a request that may run only once, before any of it is sent.
@@ -66,9 +66,9 @@
     pub(super) fn refuse_unclaimed(&mut self, now: Instant) {
         let requests = &self.requests;
         let is_overdue = |key: &key::Request| {
-            requests.get(*key).is_some_and(|request| {
-                now >= request.deadline.min(request.arrived + CLAIM_PATIENCE)
-            })
+            requests
+                .get(*key)
+                .is_some_and(|request| now >= request.deadline.min(request.arrived + CLAIM_TIMEOUT))
         };
         let overdue: Vec<key::Request> = self.claims.waiting().filter(is_overdue).collect();
         for key in overdue {
--- a/crates/orioleroute/src/core/placing.rs
+++ b/crates/orioleroute/src/core/placing.rs
@@ -102,10 +102,10 @@
 
     /// Returns whether an order for a resident is under way and may be expected to end soon.
     fn is_pending(&self, now: Instant, resident: &Resident) -> bool {
-        let patience = (self.load_time.mean() * SLOW_LOAD).max(SLOW_LOAD_MIN);
+        let timeout = (self.load_time.mean() * SLOW_LOAD).max(SLOW_LOAD_MIN);
         match resident.residency {
             Residency::Loaded => false,
-            Residency::Loading => now < resident.used + patience,
+            Residency::Loading => now < resident.used + timeout,
             Residency::Unloading => true,
         }
     }
--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -28,7 +28,7 @@
     /// Takes a request that has arrived.
     pub(super) fn take_arrival(&mut self, now: Instant, key: key::Request, spec: Spec) {
         let policy = self.catalog.policy();
-        let patience = spec.patience.unwrap_or(Duration::from_millis(policy.deadline_ms.into()));
+        let timeout = spec.timeout.unwrap_or(Duration::from_millis(policy.deadline_ms.into()));
         let (revision, known) = match &spec.target {
             Target::Model(model) => {
                 let revision = self.catalog.resolve(model);
@@ -41,7 +41,7 @@
             importance: spec.importance.or(configured).unwrap_or_default(),
             revision,
             arrived: now,
-            deadline: now + patience,
+            deadline: now + timeout,
             state: State::Waiting,
             attempts: 0,
             misses: 0,
@@ -192,7 +192,7 @@
             address: upstream.listing.address,
             name,
             importance: request.importance,
-            patience: request.deadline.since(now),
+            timeout: request.deadline.since(now),
             attempt: request.attempts,
         });
         self.effects.push(Effect::Request { request: key, step });
@@ -242,7 +242,7 @@
         request.state = State::Forwarded;
         request.attempts += 1;
         request.passed_to.push(instance.clone());
-        let patience = request.deadline.since(now);
+        let timeout = request.deadline.since(now);
         let may_have_run = request.spec.may_have_run;
         self.effects.push(Effect::Decide(Decision {
             request: Some(key),
@@ -251,7 +251,7 @@
             reason: Reason::OtherHome,
             runners_up: Vec::new(),
         }));
-        let step = Step::Forward { instance, address, patience, may_have_run };
+        let step = Step::Forward { instance, address, timeout, may_have_run };
         self.effects.push(Effect::Request { request: key, step });
     }
 
--- a/crates/orioleroute/src/membership.rs
+++ b/crates/orioleroute/src/membership.rs
@@ -37,7 +37,7 @@
 pub const POLL: Duration = Duration::from_millis(1_000);
 
 /// How long a leaving instance waits for an answer of the table.
-pub const LEAVE_PATIENCE: Duration = Duration::from_secs(5);
+pub const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Between two reads of the rows of the other regions.
 pub const WIDE_POLL: Duration = Duration::from_millis(10_000);
@@ -255,7 +255,7 @@
 
     /// Returns whether this instance, asked to leave, has left its view or cannot.
     ///
-    /// Without an answer of the table for [`LEAVE_PATIENCE`] it ends like one that fails: its
+    /// Without an answer of the table for [`LEAVE_TIMEOUT`] it ends like one that fails: its
     /// watchers remove it when the table is back.
     pub fn has_left(&self) -> bool {
         self.leaving.is_some() && (!self.is_member() || self.is_stranded)
@@ -266,7 +266,7 @@
         self.notice_pause(now);
         self.is_stranded = self.leaving.is_some_and(|since| {
             let heard = self.reached.map_or(since, |reached| reached.max(since));
-            now >= heard + LEAVE_PATIENCE
+            now >= heard + LEAVE_TIMEOUT
         });
         self.expire_operations(now);
         self.poll(now, effects);
--- a/crates/orioleroute/src/request.rs
+++ b/crates/orioleroute/src/request.rs
@@ -24,7 +24,7 @@
     /// How much it matters, if the caller says so; else as the adapter is configured.
     pub importance: Option<Importance>,
     /// How long the caller waits, if it says so.
-    pub patience: Option<Duration>,
+    pub timeout: Option<Duration>,
     /// Whether it may be sent again when its outcome is unknown.
     pub repeatable: bool,
     /// The caller's idempotency key.
@@ -47,7 +47,7 @@
         /// Where it takes callers.
         address: SocketAddr,
         /// The time that is left.
-        patience: Duration,
+        timeout: Duration,
         /// Whether an attempt may have run, which the other instance has to know.
         may_have_run: bool,
     },
@@ -67,7 +67,7 @@
     /// How much it matters, for engines that honour priorities.
     pub importance: Importance,
     /// The time that is left.
-    pub patience: Duration,
+    pub timeout: Duration,
     /// The number of this attempt, from 1.
     pub attempt: u32,
 }
--- a/crates/orioleroute/tests/claims.rs
+++ b/crates/orioleroute/tests/claims.rs
@@ -46,7 +46,7 @@
     let spec = Spec {
         target: Target::Service("bookings".into()),
         importance: None,
-        patience: Some(Duration::from_secs(5)),
+        timeout: Some(Duration::from_secs(5)),
         repeatable: false,
         idempotency: key.map(Into::into),
         hops: 0,
--- a/crates/orioleroute/tests/common/mod.rs
+++ b/crates/orioleroute/tests/common/mod.rs
@@ -77,11 +77,11 @@
 }
 
 /// A request for an adapter that may be sent again.
-pub fn request(adapter: usize, patience: Duration) -> Spec {
+pub fn request(adapter: usize, timeout: Duration) -> Spec {
     Spec {
         target: Target::Model(format!("adapter-{adapter}").into()),
         importance: None,
-        patience: Some(patience),
+        timeout: Some(timeout),
         repeatable: true,
         idempotency: None,
         hops: 0,
--- a/crates/orioleroute/tests/histories/mod.rs
+++ b/crates/orioleroute/tests/histories/mod.rs
@@ -169,7 +169,7 @@
     let spec = |target, repeatable, idempotency| Spec {
         target,
         importance: None,
-        patience: Some(Duration::from_secs(5)),
+        timeout: Some(Duration::from_secs(5)),
         repeatable,
         idempotency,
         hops: 0,
--- a/crates/orioleroute/tests/policy.rs
+++ b/crates/orioleroute/tests/policy.rs
@@ -180,7 +180,7 @@
     Spec {
         target: Target::Model(format!("adapter-{adapter}").into()),
         importance: None,
-        patience: Some(Duration::from_secs(20)),
+        timeout: Some(Duration::from_secs(20)),
         repeatable: true,
         idempotency: None,
         hops: 0,
@@ -239,7 +239,7 @@
 #[test]
 fn a_request_that_cannot_be_in_time_is_refused_at_once() {
     let mut world = world(8);
-    let hopeless = Spec { patience: Some(Duration::from_millis(20)), ..spec(0) };
+    let hopeless = Spec { timeout: Some(Duration::from_millis(20)), ..spec(0) };
 
     let request = world.ask(0, hopeless);
     world.run(Duration::from_millis(100));
--- a/crates/orioleroute/tests/replies.rs
+++ b/crates/orioleroute/tests/replies.rs
@@ -62,7 +62,7 @@
         Spec {
             target,
             importance: None,
-            patience: Some(Duration::from_secs(5)),
+            timeout: Some(Duration::from_secs(5)),
             repeatable,
             idempotency,
             hops: 0,
--- a/crates/orioleroute/tests/retries.rs
+++ b/crates/orioleroute/tests/retries.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use standins::world::{Engine, Outcome, Record, World};
 
-const PATIENCE: Duration = Duration::from_secs(5);
+const TIMEOUT: Duration = Duration::from_secs(5);
 
 const SETTLED: Duration = Duration::from_secs(8);
 
@@ -44,7 +44,7 @@
     Spec {
         target,
         importance: None,
-        patience: Some(PATIENCE),
+        timeout: Some(TIMEOUT),
         repeatable: true,
         idempotency: None,
         hops: 0,
@@ -133,8 +133,8 @@
     let later = now + Duration::from_secs(2);
     let second = core.handle(later, Event::Progress { request, progress });
 
-    assert_eq!(first.iter().find_map(forward_of), Some((homes[0], PATIENCE)));
-    let left = PATIENCE - Duration::from_secs(2);
+    assert_eq!(first.iter().find_map(forward_of), Some((homes[0], TIMEOUT)));
+    let left = TIMEOUT - Duration::from_secs(2);
     assert_eq!(second.iter().find_map(forward_of), Some((homes[1], left)));
 }
 
@@ -183,7 +183,7 @@
 
 fn forward_of(effect: &Effect) -> Option<(usize, Duration)> {
     match step_of(effect)? {
-        Step::Forward { instance, patience, .. } => Some((number_of(instance), *patience)),
+        Step::Forward { instance, timeout, .. } => Some((number_of(instance), *timeout)),
         _ => None,
     }
 }
--- a/crates/standins/examples/control_load.rs
+++ b/crates/standins/examples/control_load.rs
@@ -31,7 +31,7 @@
 const CHANGE_EVERY: Duration = Duration::from_millis(4_320);
 
 /// The longest wait for nodes to join or for a version to be in force.
-const PATIENCE: Duration = Duration::from_secs(120);
+const TIMEOUT: Duration = Duration::from_secs(120);
 
 /// What one run measures.
 struct Load {
@@ -77,7 +77,7 @@
     fn run(&self) {
         let mut world = self.world();
         let before = resident_mb();
-        let joined = world.run_until(PATIENCE, |world| {
+        let joined = world.run_until(TIMEOUT, |world| {
             world.nodes.iter().all(|node| {
                 let core = node.core.as_ref();
                 core.is_some_and(|core| core.membership().holds_lease(world.now + node.skew()))
@@ -130,7 +130,7 @@
         let document = self.document(change).into();
         let node = change as usize % self.nodes;
         world.command(node, Command::Submit { base: change, document });
-        world.run_until(PATIENCE, |world| {
+        world.run_until(TIMEOUT, |world| {
             let versions = world.nodes.iter().map(|node| node.core.as_ref().map(|c| c.version()));
             versions.min().flatten() == Some(change + 1)
         })
--- a/crates/standins/src/system.rs
+++ b/crates/standins/src/system.rs
@@ -25,7 +25,7 @@
 pub const PEER_TOKEN: &str = "peer-secret";
 
 /// The longest wait for something to come about.
-const PATIENCE: Duration = Duration::from_secs(20);
+const TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Between two looks whether it has.
 const POLL: Duration = Duration::from_millis(20);
@@ -113,7 +113,7 @@
     address: SocketAddr,
     call: Call,
 ) -> std::result::Result<Answer, orioleroute_wire::Error> {
-    runtime::block_on(async move { Pool::new().call_within(address, call, PATIENCE).await })
+    runtime::block_on(async move { Pool::new().call_within(address, call, TIMEOUT).await })
 }
 
 /// Sets the faults of a stand-in.
@@ -153,7 +153,7 @@
 pub fn until(what: &str, mut check: impl FnMut() -> bool) -> Duration {
     let start = Instant::now();
     while !check() {
-        assert!(start.elapsed() < PATIENCE, "did not come about: {what}");
+        assert!(start.elapsed() < TIMEOUT, "did not come about: {what}");
         std::thread::sleep(POLL);
     }
     start.elapsed()
--- a/crates/standins/src/world/caller.rs
+++ b/crates/standins/src/world/caller.rs
@@ -21,11 +21,11 @@
     /// The idempotency key.
     pub idempotency: Option<String>,
     /// How long the caller waits.
-    pub patience: Duration,
+    pub timeout: Duration,
 }
 
 /// How long a caller waits that does not say so.
-const PATIENCE: Duration = Duration::from_secs(30);
+const TIMEOUT: Duration = Duration::from_secs(30);
 
 /// How often a stopped process is looked at again.
 const FROZEN: Duration = Duration::from_millis(50);
@@ -52,7 +52,7 @@
             target: spec.target.clone(),
             repeatable: spec.repeatable,
             idempotency: spec.idempotency.as_deref().map(str::to_owned),
-            patience: spec.patience.unwrap_or(PATIENCE),
+            timeout: spec.timeout.unwrap_or(TIMEOUT),
         };
         self.asked.push(asked.clone());
         self.record(Record::Asked(number, asked));
@@ -99,13 +99,13 @@
     }
 
     /// Starts an attempt, which its node gives up at the caller's deadline.
-    fn attempt(&mut self, node: usize, request: key::Request, patience: Duration) -> Place {
+    fn attempt(&mut self, node: usize, request: key::Request, timeout: Duration) -> Place {
         self.next_attempt += 1;
         let attempt = self.next_attempt;
         self.attempts.insert((node, request), attempt);
         let incarnation = self.nodes[node].identity.incarnation;
         let place = Place { node, incarnation, request, attempt };
-        self.queue.push(self.now + patience, Delivery::Timeout(place));
+        self.queue.push(self.now + timeout, Delivery::Timeout(place));
         place
     }
 
@@ -174,10 +174,10 @@
                 let at = self.now + self.delay(LOCAL_DELAY_US);
                 let version = self.nodes[node].core.as_ref().map_or(0, |core| core.version());
                 let asked = number;
-                let place = self.attempt(node, request, dispatch.patience);
+                let place = self.attempt(node, request, dispatch.timeout);
                 self.queue.push(at, Delivery::Dispatch { place, version, dispatch, asked });
             }
-            Step::Forward { address, patience, may_have_run, .. } => {
+            Step::Forward { address, timeout, may_have_run, .. } => {
                 let to = node_of(address);
                 let Some(core) = &self.nodes[node].core else { return };
                 let Some(held) = core.requests().get(request) else { return };
@@ -185,7 +185,7 @@
                 let left = held.deadline.since(self.now + self.nodes[node].skew);
                 spec.hops += 1;
                 spec.may_have_run = may_have_run;
-                spec.patience = Some(patience);
+                spec.timeout = Some(timeout);
                 let local = self.nodes[node].identity.region == self.nodes[to].identity.region;
                 let at =
                     self.now + self.delay(if local { LOCAL_DELAY_US } else { REMOTE_DELAY_US });
--- a/crates/standins/src/world/check.rs
+++ b/crates/standins/src/world/check.rs
@@ -22,7 +22,7 @@
 /// How long after a caller's deadline its answer may still be on its way.
 pub const GRACE: Duration = Duration::from_millis(500);
 
-/// The part of a caller's patience after which a refusal comes too late, in percent.
+/// The part of a caller's timeout after which a refusal comes too late, in percent.
 pub const HELD_PERCENT: u32 = 80;
 
 /// A promise of the brief.
@@ -188,7 +188,7 @@
     /// Checks when an answer came, unless some process was stopped while it was waited for.
     fn check_time(&mut self, at: Instant, number: usize, outcome: &Outcome) {
         let Some((since, asked)) = self.asked.get(&number) else { return };
-        let (since, patience, node) = (*since, asked.patience, asked.node);
+        let (since, timeout, node) = (*since, asked.timeout, asked.node);
         if *outcome == Outcome::Lost {
             if self.last_graceful == Some((at, node)) && since < at {
                 let what = format!("request {number} was cut off by node {node}");
@@ -200,12 +200,12 @@
             return;
         }
         let took = at.since(since);
-        if took > patience + GRACE {
+        if took > timeout + GRACE {
             let what = format!("request {number} had its answer after {took:?}");
             self.breach(Promise::Answered, at, what);
         }
         // What an upstream has begun to run may be answered up to the deadline.
-        let held = took * 100 > patience * HELD_PERCENT && !self.began.contains(&number);
+        let held = took * 100 > timeout * HELD_PERCENT && !self.began.contains(&number);
         if matches!(outcome, Outcome::Refused(_)) && held {
             let what = format!("request {number} was held for {took:?}, then {outcome:?}");
             self.breach(Promise::Prompt, at, what);
--- a/crates/standins/src/world/queue.rs
+++ b/crates/standins/src/world/queue.rs
@@ -34,7 +34,7 @@
     RunEnd { upstream: usize, run: u64 },
     /// The end of an attempt as its node sees it.
     RunAnswer { place: Place, end: End },
-    /// The end of a node's patience with an attempt.
+    /// The end of the time that a node waits for an attempt.
     Timeout(Place),
     /// A request that another node passed on.
     Arrive { node: usize, from: Place, spec: Spec },
