Try another upstream of a service when one fails

Cause: only model engines were kept from new work after a failure, so that each attempt at a call of a service went to the same dead upstream and the call was refused although another one lived. Found in the read-through. Services are now treated alike; one that failed lately is still better than none.

Seen failing before: a_service_answers_while_one_of_its_upstreams_is_down.

--- a/crates/orioleroute/src/core/requests.rs
+++ b/crates/orioleroute/src/core/requests.rs
@@ -2,7 +2,7 @@
 
 use super::Core;
 use crate::claim;
-use crate::fleet::Fleet;
+use crate::fleet::Upstream;
 use crate::prelude::*;
 use crate::request::{
     Dispatch, Failure, Kind, Progress, Ran, Refusal, Request, Spec, State, Step, Target,
@@ -100,11 +100,11 @@
         }
         self.release(now, key);
         let Some(request) = self.requests.get_mut(key) else { return };
-        if let (State::Running(upstream), Some(revision)) = (&request.state, request.revision) {
-            let upstream = *upstream;
-            note_failure(&mut self.fleet, now, upstream, revision, failure);
+        if let State::Running(upstream) = request.state
+            && let Some(upstream) = self.fleet.get_mut(upstream)
+        {
+            note_failure(upstream, now, request.revision, failure);
         }
-        let request = self.requests.get_mut(key).expect("it was there");
         request.state = State::Waiting;
         request.spec.may_have_run |= failure.may_have_run();
         let again = request.spec.repeatable || !failure.may_have_run();
@@ -308,17 +308,17 @@
 
 /// Keeps new work away from an upstream that failed, and believes it about what it holds.
 fn note_failure(
-    fleet: &mut Fleet,
+    upstream: &mut Upstream,
     now: Instant,
-    upstream: key::Upstream,
-    revision: key::Revision,
+    revision: Option<key::Revision>,
     failure: Failure,
 ) {
-    let Some(upstream) = fleet.get_mut(upstream) else { return };
     match failure {
         Failure::Unsent | Failure::Broken => upstream.ejected_until = now + EJECTION,
         Failure::NotLoaded => {
-            upstream.deny(now, revision);
+            if let Some(revision) = revision {
+                upstream.deny(now, revision);
+            }
             upstream.next_probe = now;
         }
         // One that declines may be leaving, which its report says sooner than the list.
--- a/crates/orioleroute/src/core/routes.rs
+++ b/crates/orioleroute/src/core/routes.rs
@@ -64,8 +64,12 @@
         let chosen = self
             .fleet
             .iter()
-            .filter(|(_, upstream)| upstream.listing.pool == service.pool && upstream.is_open(now))
-            .min_by_key(|(_, upstream)| (upstream.listing.region != *region, upstream.running))
+            .filter(|(_, upstream)| upstream.listing.pool == service.pool && !upstream.is_leaving())
+            .min_by_key(|(_, upstream)| {
+                // One that failed lately is better than none.
+                let is_elsewhere = upstream.listing.region != *region;
+                (!upstream.is_open(now), is_elsewhere, upstream.running)
+            })
             .map(|(key, _)| key);
         match chosen {
             Some(upstream) => {
--- a/crates/orioleroute/src/fleet.rs
+++ b/crates/orioleroute/src/fleet.rs
@@ -87,9 +87,14 @@
 }
 
 impl Upstream {
+    /// Returns whether it is leaving, as the list or its own report says.
+    pub fn is_leaving(&self) -> bool {
+        self.listing.phase == Phase::Leaving || self.draining
+    }
+
     /// Returns whether new work may be given to it at `now`.
     pub fn is_open(&self, now: Instant) -> bool {
-        self.listing.phase == Phase::Live && !self.draining && now >= self.ejected_until
+        !self.is_leaving() && now >= self.ejected_until
     }
 
     /// Returns whether a revision that is loaded on it may be used.
--- a/crates/orioleroute/tests/retries.rs
+++ b/crates/orioleroute/tests/retries.rs
@@ -191,3 +191,24 @@
 fn number_of(name: &str) -> usize {
     name.trim_start_matches("node-").parse().expect("names are numbered")
 }
+
+#[test]
+fn a_service_answers_while_one_of_its_upstreams_is_down() {
+    let mut world = world(0);
+    let second = world.engines.len();
+    world.add_engine(Engine::new(second, "course", "zurich", 0));
+    world.run(SETTLED);
+
+    for down in [0, second] {
+        world.engines[down].faults.down = true;
+        let number = world.ask(0, spec(Target::Service("bookings".into())));
+        world.run(TIMEOUT);
+        assert!(
+            matches!(world.outcome(number), Some(Outcome::Whole(_))),
+            "upstream {down} down: {:?}",
+            world.outcome(number)
+        );
+        world.engines[down].faults.down = false;
+        world.run(SETTLED);
+    }
+}
