--- a/crates/oriolectl/src/ask.rs
+++ b/crates/oriolectl/src/ask.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::Method;
-use orioleroute::document::Document;
+use orioleroute::document::{Delta, Document};
 use orioleroute::operator::{Answer, Command as Question, Status};
 use orioleroute_wire::client::{Call, Pool};
 
@@ -75,7 +75,10 @@
     };
     let (_, old) = in_force(command).await?;
     let old = Document::from_json(&old).unwrap_or_default();
-    print::diff(&old, &new);
+    match command.json {
+        true => print::json(&Delta::between(&old, &new)),
+        false => print::diff(&old, &new),
+    }
     Ok(0)
 }
 
--- a/crates/oriolectl/src/print.rs
+++ b/crates/oriolectl/src/print.rs
@@ -100,6 +100,11 @@
     }
 }
 
+/// Prints a value as JSON.
+pub fn json(value: &impl serde::Serialize) {
+    println!("{}", text(value));
+}
+
 /// Prints what a document would change.
 pub fn diff(old: &Document, new: &Document) {
     let old = lines(old);
--- a/crates/oriolectl/tests/commands.rs
+++ b/crates/oriolectl/tests/commands.rs
@@ -116,3 +116,33 @@
         instances.any(|it| it["name"] == "b" && it["version"].is_null())
     });
 }
+
+#[test]
+fn an_operator_sees_what_changes_why_an_adapter_is_where_it_is_and_lets_an_instance_leave() {
+    let platform = system::platform();
+    let engine = system::engine(Default::default());
+    publish(platform, &[listing("engine-1", "coaching", "zurich", engine)]);
+    let program = binary("orioleroute-node").expect("the own path is known");
+    let mut node = node(&program, "a", "zurich", platform, &[]).expect("it starts");
+    let asked = node.address("operators").expect("it printed its addresses");
+    let (first, second) = (file("before", &document("v1")), file("after", &document("v2")));
+    until("it joins", || ask(asked, &["--base", "0", "submit", &first]).status.success());
+
+    let shown = ask(asked, &["diff", &second]);
+    let delta: Value = serde_json::from_slice(&ask(asked, &["--json", "diff", &second]).stdout)
+        .expect("it is JSON");
+    let explained = ask(asked, &["explain", "milk"]);
+    let unknown = ask(asked, &["explain", "nobody"]);
+    let drained = ask(asked, &["drain"]);
+    for path in [first, second] {
+        std::fs::remove_file(path).expect("it is there");
+    }
+
+    assert!(String::from_utf8_lossy(&shown.stdout).contains("~ adapter milk"), "{shown:?}");
+    assert_eq!(delta["put"][0]["default"], "v2");
+    assert!(String::from_utf8_lossy(&explained.stdout).contains("milk@v1"), "{explained:?}");
+    assert_eq!(unknown.status.code(), Some(1), "{unknown:?}");
+    assert!(drained.status.success(), "{drained:?}");
+    let ended = node.wait(std::time::Duration::from_secs(15)).expect("it ends");
+    assert!(ended.success());
+}
