--- a/crates/orioleroute/tests/claims.rs
+++ b/crates/orioleroute/tests/claims.rs
@@ -1,5 +1,7 @@
 //! Requests that may run only once, under faults of the table, the service and the claimers.
 
+mod histories;
+
 use std::time::Duration;
 
 use orioleroute::operator::Command;
@@ -262,14 +264,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: std::env::var("ORIOLEROUTE_HISTORIES")
-            .ok()
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(500),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(histories::proving(histories::histories(500)))]
 
     /// No key runs twice, whatever fails; and while no node was killed, a key whose every try was
     /// refused as not run can still be used.
--- a/crates/orioleroute/tests/replies.rs
+++ b/crates/orioleroute/tests/replies.rs
@@ -1,5 +1,7 @@
 //! Replies and messages that arrive late, twice and out of order.
 
+mod histories;
+
 use std::time::Duration;
 
 use orioleroute::operator::Command;
@@ -72,14 +74,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: std::env::var("ORIOLEROUTE_HISTORIES")
-            .ok()
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(300),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(histories::proving(histories::histories(300)))]
 
     #[test]
     fn each_request_has_its_own_answer_once(
