Give request specs a constructor, and submit once in the fixtures of claims and replies

The seven fields of a request that states nothing but its target stood in five test fixtures. Two of these resubmitted their document until it was accepted, which hid the fault that a lone submission was refused; since that is mended they submit once and check it.

--- a/crates/orioleroute/src/request.rs
+++ b/crates/orioleroute/src/request.rs
@@ -35,6 +35,21 @@
     pub may_have_run: bool,
 }
 
+impl Spec {
+    /// Returns a repeatable request straight from a caller who states nothing but the target.
+    pub fn new(target: Target) -> Self {
+        Self {
+            target,
+            importance: None,
+            timeout: None,
+            repeatable: true,
+            idempotency: None,
+            hops: 0,
+            may_have_run: false,
+        }
+    }
+}
+
 /// The next step of a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
--- a/crates/orioleroute/tests/claims.rs
+++ b/crates/orioleroute/tests/claims.rs
@@ -36,23 +36,18 @@
     }
     world.add_engine(Engine::new(0, "course", "zurich", 0));
     world.run(SETTLED);
-    // An operator whose submission fails submits again.
-    while world.nodes[0].core.as_ref().is_some_and(|core| core.version() == 0) {
-        world.command(0, Command::Submit { base: 0, document: document().into() });
-        world.run(SETTLED);
-    }
+    world.command(0, Command::Submit { base: 0, document: document().into() });
+    world.run(SETTLED);
+    assert_eq!(world.nodes[0].core.as_ref().map(|core| core.version()), Some(1));
     world
 }
 
 fn book(world: &mut World, node: usize, key: Option<&str>) -> usize {
     let spec = Spec {
-        target: Target::Service("bookings".into()),
-        importance: None,
         timeout: Some(Duration::from_secs(5)),
         repeatable: false,
         idempotency: key.map(Into::into),
-        hops: 0,
-        may_have_run: false,
+        ..Spec::new(Target::Service("bookings".into()))
     };
     world.ask(node, spec)
 }
--- a/crates/orioleroute/tests/common/mod.rs
+++ b/crates/orioleroute/tests/common/mod.rs
@@ -78,15 +78,7 @@
 
 /// A request for an adapter that may be sent again.
 pub fn request(adapter: usize, timeout: Duration) -> Spec {
-    Spec {
-        target: Target::Model(format!("adapter-{adapter}").into()),
-        importance: None,
-        timeout: Some(timeout),
-        repeatable: true,
-        idempotency: None,
-        hops: 0,
-        may_have_run: false,
-    }
+    Spec { timeout: Some(timeout), ..Spec::new(Target::Model(format!("adapter-{adapter}").into())) }
 }
 
 /// Asks until a whole answer comes, at most for `limit`, and returns how long that took.
--- a/crates/orioleroute/tests/histories/mod.rs
+++ b/crates/orioleroute/tests/histories/mod.rs
@@ -167,13 +167,10 @@
 
 pub fn apply(world: &mut World, step: &Step) {
     let spec = |target, repeatable, idempotency| Spec {
-        target,
-        importance: None,
         timeout: Some(Duration::from_secs(5)),
         repeatable,
         idempotency,
-        hops: 0,
-        may_have_run: false,
+        ..Spec::new(target)
     };
     match step {
         Step::Ask { node, adapter, exact } => {
--- a/crates/orioleroute/tests/replies.rs
+++ b/crates/orioleroute/tests/replies.rs
@@ -45,10 +45,9 @@
     }
     world.add_engine(Engine::new(3, "course", "zurich", 0));
     world.run(SETTLED);
-    while world.nodes[0].core.as_ref().is_some_and(|core| core.version() == 0) {
-        world.command(0, Command::Submit { base: 0, document: document().into() });
-        world.run(SETTLED);
-    }
+    world.command(0, Command::Submit { base: 0, document: document().into() });
+    world.run(SETTLED);
+    assert_eq!(world.nodes[0].core.as_ref().map(|core| core.version()), Some(1));
     world
 }
 
@@ -62,13 +61,10 @@
     world.ask(
         node,
         Spec {
-            target,
-            importance: None,
             timeout: Some(Duration::from_secs(5)),
             repeatable,
             idempotency,
-            hops: 0,
-            may_have_run: false,
+            ..Spec::new(target)
         },
     )
 }
--- a/crates/orioleroute/tests/retries.rs
+++ b/crates/orioleroute/tests/retries.rs
@@ -41,15 +41,7 @@
 }
 
 fn spec(target: Target) -> Spec {
-    Spec {
-        target,
-        importance: None,
-        timeout: Some(TIMEOUT),
-        repeatable: true,
-        idempotency: None,
-        hops: 0,
-        may_have_run: false,
-    }
+    Spec { timeout: Some(TIMEOUT), ..Spec::new(target) }
 }
 
 fn runs(world: &World) -> usize {
