--- /dev/null
+++ b/crates/orioleroute-node/src/gateway/directory.rs
@@ -0,0 +1,114 @@
+//! The small listeners: readiness, addresses for clients, and metrics.
+
+use std::rc::Rc;
+
+use http::StatusCode;
+use metrics_exporter_prometheus::PrometheusHandle;
+use monoio::net::TcpListener;
+use orioleroute::prelude::*;
+use orioleroute_platform::ingress;
+use orioleroute_wire::http1::head::{self, Request};
+use orioleroute_wire::http1::socket::Socket;
+use slog::warn;
+
+use super::state::Gateway;
+
+/// The longest head of a question, in bytes.
+const MAX_HEAD: usize = 8 << 10;
+
+/// The longest wait for the next question on a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The wait after a failed accept, which is mostly for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers whether this instance takes requests, forever.
+pub async fn serve_ready(gateway: Rc<Gateway>, listener: TcpListener) {
+    let answer = |gateway: &Rc<Gateway>, request: &Request| match request.path() {
+        ingress::READY_PATH if gateway.is_serving() => (StatusCode::OK, Vec::new()),
+        ingress::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+        _ => (StatusCode::NOT_FOUND, Vec::new()),
+    };
+    serve(gateway, listener, answer, "text/plain").await;
+}
+
+/// Answers which addresses clients should use, forever.
+pub async fn serve_resolutions(gateway: Rc<Gateway>, listener: TcpListener) {
+    let answer = |gateway: &Rc<Gateway>, request: &Request| {
+        if request.path() != ingress::RESOLVE_PATH {
+            return (StatusCode::NOT_FOUND, Vec::new());
+        }
+        let own = gateway.settings().region.clone();
+        let addresses = gateway.addresses(request.parameter("region").unwrap_or(&own));
+        if addresses.is_empty() {
+            return (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+        }
+        let life = gateway.settings().resolution_life;
+        (StatusCode::OK, ingress::resolution(&addresses, life))
+    };
+    serve(gateway, listener, answer, "application/json").await;
+}
+
+/// Serves the metrics, forever.
+pub async fn serve_metrics(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    metrics: PrometheusHandle,
+) {
+    let answer = move |_: &Rc<Gateway>, _: &Request| (StatusCode::OK, metrics.render().into_bytes());
+    serve(gateway, listener, answer, "text/plain; version=0.0.4").await;
+}
+
+async fn serve(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    answer: impl Fn(&Rc<Gateway>, &Request) -> (StatusCode, Vec<u8>) + 'static,
+    media: &'static str,
+) {
+    let answer = Rc::new(answer);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(gateway.log, "no connection accepted"; "error" => error.to_string());
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(socket) = Socket::accepted(stream) else { continue };
+        let (gateway, answer) = (gateway.clone(), answer.clone());
+        monoio::spawn(async move {
+            // A peer that breaks off has no use for an answer.
+            let _ = converse(&gateway, socket, &*answer, media).await;
+        });
+    }
+}
+
+async fn converse(
+    gateway: &Rc<Gateway>,
+    mut socket: Socket,
+    answer: &impl Fn(&Rc<Gateway>, &Request) -> (StatusCode, Vec<u8>),
+    media: &str,
+) -> std::io::Result<()> {
+    loop {
+        let request = match Request::parse(&mut socket.input, MAX_HEAD) {
+            Ok(Some(request)) => request,
+            Ok(None) => match monoio::time::timeout(IDLE_TIMEOUT, socket.fill()).await {
+                Ok(Ok(read)) if read > 0 => continue,
+                _ => return Ok(()),
+            },
+            Err(_) => return Ok(()),
+        };
+        let (status, body) = answer(gateway, &request);
+        let mut output = Vec::with_capacity(256 + body.len());
+        head::write_response(&mut output, status, &http::HeaderMap::new());
+        head::write_field(&mut output, "content-type", media);
+        head::write_field(&mut output, "content-length", body.len().to_string());
+        output.extend_from_slice(b"\r\n");
+        output.extend_from_slice(&body);
+        socket.write(&output).await?;
+        if !request.keeps_alive {
+            return socket.shutdown().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/gateway/duty.rs
@@ -0,0 +1,499 @@
+//! The part of an instance that schedules availability zones.
+//!
+//! A row in the store names the scheduler of each zone; its version is the fencing token. The row
+//! is written only when the scheduler changes: that it lives shows in its heartbeats, so neither
+//! renewals nor an outage of the store get in the way. See `docs/PLATFORM.md`, section "Scheduler".
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use nix::time::{ClockId, clock_gettime};
+use orioleroute::hash;
+use orioleroute::ingress::Configuration;
+use orioleroute::ingress::upstream::{Announcement, Description};
+use orioleroute::prelude::*;
+use orioleroute::scheduler::message::{Placement, Reason, ToInstance, ToScheduler};
+use orioleroute::scheduler::order::{Order, Outcome};
+use orioleroute::scheduler::{Client, Output, RequestKey, Scheduler};
+use orioleroute_platform::engine;
+use orioleroute_platform::store::{Commit, Write};
+use orioleroute_wire::Step;
+use slog::{debug, info, warn};
+
+use super::link;
+use super::state::Gateway;
+use super::sync::{CLUSTER, OFFICES};
+
+/// How often the offices are looked after.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The longest sleep of the loop that lets the schedulers' time pass.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The shortest one, so that a load that is overdue does not keep the processor busy.
+const SHORTEST_TICK: Duration = Duration::from_millis(5);
+
+/// The time after its start in which an instance learns of the others before it takes an office.
+const INTRODUCTION: Duration = Duration::from_millis(1_500);
+
+/// How much longer each next candidate for an office waits than the one before.
+const CANDIDATE_STEP: Duration = Duration::from_millis(1_000);
+
+/// How much longer an instance waits that hears no other: it is more likely cut off than alone.
+const ISOLATION_DELAY: Duration = Duration::from_millis(5_000);
+
+/// The longest wait for the answer to an order or a report.
+const ENGINE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// How much the clock that counts suspension may run ahead before the process counts as frozen.
+const FREEZE_MARGIN: Duration = Duration::from_millis(200);
+
+/// The connection of this instance to its own schedulers.
+pub const LOCAL: Client = Client(0);
+
+/// Who schedules an availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Office {
+    /// The instance.
+    pub holder: Arc<str>,
+    /// Its start.
+    pub incarnation: u64,
+}
+
+/// The offices as the store has them, and the schedulers that run here.
+#[derive(Default)]
+pub struct Duty {
+    offices: RefCell<Map<Arc<str>, Entry>>,
+    schedulers: RefCell<Map<Arc<str>, Scheduler>>,
+    vacant_since: RefCell<Map<Arc<str>, Instant>>,
+    /// Set while this process has been frozen and has not read the store since.
+    is_suspended: Cell<bool>,
+    suspension: Cell<Option<Duration>>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    office: Option<Office>,
+    version: u64,
+}
+
+impl Duty {
+    /// Takes a configuration into force.
+    pub fn configure(&self, configuration: &Arc<Configuration>) {
+        for scheduler in self.schedulers.borrow_mut().values_mut() {
+            scheduler.configure(configuration.clone());
+        }
+    }
+
+    /// Takes note of a newer version of an adapter.
+    pub fn announce(&self, announcement: &Announcement) {
+        for scheduler in self.schedulers.borrow_mut().values_mut() {
+            scheduler.announce(announcement);
+        }
+    }
+
+    /// Forgets who schedules what, before the table is read anew.
+    pub fn forget_offices(&self) {
+        self.offices.borrow_mut().clear();
+        self.is_suspended.set(false);
+    }
+
+    /// Takes note of who schedules a zone.
+    pub fn occupy(&self, zone: &str, office: Office, version: u64) {
+        self.write(zone, Entry { office: Some(office), version });
+    }
+
+    /// Takes note that nobody schedules a zone.
+    pub fn vacate(&self, zone: &str, version: u64) {
+        self.write(zone, Entry { office: None, version });
+    }
+
+    /// Returns who schedules a zone.
+    pub fn office(&self, zone: &str) -> Option<Office> {
+        self.offices.borrow().get(zone)?.office.clone()
+    }
+
+    /// Returns the zones that have a scheduler.
+    pub fn zones(&self) -> Vec<Arc<str>> {
+        let offices = self.offices.borrow();
+        let occupied = offices.iter().filter(|(_, entry)| entry.office.is_some());
+        occupied.map(|(zone, _)| zone.clone()).collect()
+    }
+
+    fn write(&self, zone: &str, entry: Entry) {
+        let mut offices = self.offices.borrow_mut();
+        match offices.get_mut(zone) {
+            Some(known) if known.version >= entry.version => {}
+            Some(known) => *known = entry,
+            None => {
+                offices.insert(zone.into(), entry);
+            }
+        }
+    }
+
+    /// Notices that the process was suspended since the last call.
+    fn was_frozen(&self) -> bool {
+        let clocks = (clock_gettime(ClockId::CLOCK_BOOTTIME), clock_gettime(ClockId::CLOCK_MONOTONIC));
+        let (Ok(total), Ok(running)) = clocks else { return false };
+        let suspended = Duration::from(total).saturating_sub(Duration::from(running));
+        let before = self.suspension.replace(Some(suspended));
+        before.is_some_and(|before| suspended > before + FREEZE_MARGIN)
+    }
+}
+
+/// Lets the schedulers' time pass and looks after the offices, forever.
+pub async fn run(gateway: Rc<Gateway>) {
+    let mut review_at = Instant::ZERO;
+    loop {
+        if gateway.duty.was_frozen() {
+            warn!(gateway.log, "process was frozen, orders wait for the store");
+            gateway.duty.is_suspended.set(true);
+            monoio::spawn(read_offices(gateway.clone()));
+        }
+        let now = gateway.now();
+        tick(&gateway);
+        if now >= review_at {
+            review_at = now + REVIEW_INTERVAL;
+            if gateway.registry().expire(now) {
+                list(&gateway);
+            }
+            elect(&gateway);
+        }
+        let next = gateway.duty.schedulers.borrow().values().filter_map(Scheduler::next_check).min();
+        let wait = next.map_or(TICK, |next| next.since(gateway.now()));
+        monoio::time::sleep(wait.clamp(SHORTEST_TICK, TICK)).await;
+    }
+}
+
+/// Starts and ends schedulers as the offices say.
+pub fn review(gateway: &Rc<Gateway>) {
+    let own = gateway.roster().own().clone();
+    let offices = gateway.duty.offices.borrow().clone();
+    let mut ended = Vec::new();
+    let mut begun = false;
+    for (zone, entry) in offices {
+        let is_own = entry
+            .office
+            .as_ref()
+            .is_some_and(|office| office.holder == own.name && office.incarnation == own.incarnation);
+        let mut schedulers = gateway.duty.schedulers.borrow_mut();
+        let fencing = schedulers.get(&zone).map(Scheduler::fencing);
+        match (is_own, fencing) {
+            (true, Some(fencing)) if fencing == entry.version => {}
+            (true, _) => {
+                let Some(configuration) = gateway.configuration() else { continue };
+                let zones = gateway.settings().zones.len();
+                let mut scheduler = Scheduler::new(entry.version, configuration, zones);
+                gateway.announcements().iter().for_each(|each| scheduler.announce(each));
+                info!(gateway.log, "scheduling begins"; "zone" => &*zone, "fencing" => entry.version);
+                schedulers.insert(zone, scheduler);
+                begun = true;
+            }
+            (false, Some(fencing)) => {
+                info!(gateway.log, "scheduling ends"; "zone" => &*zone, "fencing" => fencing,
+                    "successor" => entry.office.map(|office| office.holder.to_string()));
+                ended.extend(schedulers.remove(&zone));
+            }
+            (false, None) => {}
+        }
+    }
+    for mut scheduler in ended {
+        scheduler.abandon();
+        carry_out(gateway, None, scheduler.take_outputs());
+    }
+    if begun {
+        list(gateway);
+    }
+}
+
+/// Tells the schedulers which engines there are.
+pub fn list(gateway: &Rc<Gateway>) {
+    let Some(configuration) = gateway.configuration() else { return };
+    let engines: Vec<Description> = {
+        let registry = gateway.registry();
+        let engines = registry.iter().filter(|upstream| has_engine(&configuration, upstream));
+        engines.cloned().collect()
+    };
+    with_schedulers(gateway, |zone, scheduler, now| {
+        scheduler.list(engines.iter().filter(|upstream| upstream.zone == *zone), now);
+    });
+}
+
+/// Takes a message of an instance.
+pub fn receive(gateway: &Rc<Gateway>, client: Client, message: ToScheduler) {
+    match message {
+        ToScheduler::Place(placement) => place(gateway, client, *placement),
+        ToScheduler::Started { ticket } => {
+            let key = RequestKey { client, ticket };
+            with_schedulers(gateway, |_, scheduler, now| scheduler.started(key, now));
+        }
+        ToScheduler::Ended { ticket, result } => {
+            let key = RequestKey { client, ticket };
+            with_schedulers(gateway, |_, scheduler, now| {
+                scheduler.ended(key, result, now);
+            });
+        }
+    }
+}
+
+/// Takes note that an instance's connection is gone.
+pub fn disconnected(gateway: &Rc<Gateway>, client: Client) {
+    with_schedulers(gateway, |_, scheduler, now| scheduler.disconnected(client, now));
+}
+
+/// Gives the offices of this instance up, so that others need not wait for its silence.
+pub async fn resign(gateway: &Rc<Gateway>) {
+    let held: Vec<(Arc<str>, u64)> = {
+        let schedulers = gateway.duty.schedulers.borrow();
+        schedulers.iter().map(|(zone, held)| (zone.clone(), held.fencing())).collect()
+    };
+    for (zone, version) in held {
+        let key = format!("{OFFICES}{zone}");
+        let write = Write { table: CLUSTER, key, expected: Some(version), value: None };
+        match gateway.store.commit(&[write]).await {
+            Ok(Commit::Done(version)) => gateway.duty.vacate(&zone, version),
+            Ok(Commit::Conflict) => {}
+            Err(error) => {
+                warn!(gateway.log, "office not given up"; "zone" => &*zone,
+                    "error" => error.to_string());
+            }
+        }
+    }
+    review(gateway);
+}
+
+fn place(gateway: &Rc<Gateway>, client: Client, placement: Placement) {
+    let now = gateway.now();
+    let ticket = placement.ticket;
+    let zone = placement.zone.clone();
+    let outputs = {
+        let mut schedulers = gateway.duty.schedulers.borrow_mut();
+        schedulers.get_mut(&zone).map(|scheduler| {
+            scheduler.place(client, placement, now);
+            scheduler.take_outputs()
+        })
+    };
+    match outputs {
+        Some(outputs) => carry_out(gateway, Some(&zone), outputs),
+        None => {
+            let reason = Reason::NotScheduler;
+            link::tell(gateway, client, ToInstance::Refuse { ticket, retry_after_ms: 0, reason });
+        }
+    }
+}
+
+fn tick(gateway: &Rc<Gateway>) {
+    with_schedulers(gateway, |_, scheduler, now| scheduler.tick(now));
+}
+
+fn with_schedulers(
+    gateway: &Rc<Gateway>,
+    mut act: impl FnMut(&Arc<str>, &mut Scheduler, Instant),
+) {
+    let now = gateway.now();
+    let mut all = Vec::new();
+    for (zone, scheduler) in gateway.duty.schedulers.borrow_mut().iter_mut() {
+        act(zone, scheduler, now);
+        all.push((zone.clone(), scheduler.take_outputs()));
+    }
+    for (zone, outputs) in all {
+        carry_out(gateway, Some(&zone), outputs);
+    }
+}
+
+fn carry_out(gateway: &Rc<Gateway>, zone: Option<&Arc<str>>, outputs: Vec<Output>) {
+    for output in outputs {
+        match (output, zone) {
+            (Output::Tell(client, message), _) => link::tell(gateway, client, message),
+            (Output::Order(address, order), Some(zone)) => {
+                monoio::spawn(give(gateway.clone(), zone.clone(), address, order));
+            }
+            (Output::Report(address, upstream), Some(zone)) => {
+                monoio::spawn(ask(gateway.clone(), zone.clone(), address, upstream));
+            }
+            (Output::Deposed, Some(zone)) => {
+                warn!(gateway.log, "fenced off"; "zone" => &**zone);
+                let scheduler = gateway.duty.schedulers.borrow_mut().remove(zone);
+                gateway.duty.offices.borrow_mut().remove(zone);
+                if let Some(mut scheduler) = scheduler {
+                    scheduler.abandon();
+                    carry_out(gateway, None, scheduler.take_outputs());
+                }
+                monoio::spawn(read_offices(gateway.clone()));
+            }
+            (_, None) => {}
+        }
+    }
+}
+
+/// Gives an order and hands its outcome to the scheduler.
+async fn give(gateway: Rc<Gateway>, zone: Arc<str>, address: SocketAddr, order: Order) {
+    let outcome = match gateway.duty.is_suspended.get() || gateway.duty.was_frozen() {
+        true => Outcome::Unsent,
+        false => {
+            let call = engine::order(&order, &gateway.settings().name);
+            match gateway.pool.call_within(address, call, ENGINE_TIMEOUT).await {
+                Ok(answer) => engine::outcome(answer.status),
+                Err(error) if error.step == Step::Connect => Outcome::Unsent,
+                Err(_) => Outcome::Unanswered,
+            }
+        }
+    };
+    debug!(gateway.log, "order"; "upstream" => &*order.upstream, "action" => format!("{:?}", order.action),
+        "expected" => order.expected_orders, "outcome" => outcome.to_string());
+    metrics::counter!("orioleroute_orders_total", "outcome" => outcome.to_string()).increment(1);
+    let outputs = {
+        let now = gateway.now();
+        let mut schedulers = gateway.duty.schedulers.borrow_mut();
+        let scheduler =
+            schedulers.get_mut(&zone).filter(|scheduler| scheduler.fencing() == order.fencing);
+        scheduler.map(|scheduler| {
+            scheduler.ordered(&order, outcome, now);
+            scheduler.take_outputs()
+        })
+    };
+    carry_out(&gateway, Some(&zone), outputs.unwrap_or_default());
+}
+
+/// Asks an engine for its report and hands it to the scheduler.
+async fn ask(gateway: Rc<Gateway>, zone: Arc<str>, address: SocketAddr, upstream: Arc<str>) {
+    let call = engine::report_request(&upstream);
+    let answer = gateway.pool.call_within(address, call, ENGINE_TIMEOUT).await;
+    let report = match &answer {
+        Ok(answer) => engine::report(answer),
+        Err(error) => {
+            debug!(gateway.log, "no report"; "upstream" => &*upstream, "error" => error.to_string());
+            None
+        }
+    };
+    let outputs = {
+        let now = gateway.now();
+        let mut schedulers = gateway.duty.schedulers.borrow_mut();
+        schedulers.get_mut(&zone).map(|scheduler| {
+            scheduler.reported(&upstream, report.as_ref(), now);
+            scheduler.take_outputs()
+        })
+    };
+    carry_out(&gateway, Some(&zone), outputs.unwrap_or_default());
+}
+
+/// Takes offices over whose holder is gone, if this instance is next in line.
+fn elect(gateway: &Rc<Gateway>) {
+    let now = gateway.now();
+    let Some(configuration) = gateway.configuration() else { return };
+    if gateway.is_stopping() || now < Instant::ZERO + INTRODUCTION {
+        return;
+    }
+    let zones: Set<Arc<str>> = {
+        let registry = gateway.registry();
+        let engines = registry.iter().filter(|upstream| has_engine(&configuration, upstream));
+        engines.map(|upstream| upstream.zone.clone()).collect()
+    };
+    for zone in zones {
+        let is_vacant = is_vacant(gateway, &zone, now);
+        let mut vacant_since = gateway.duty.vacant_since.borrow_mut();
+        match is_vacant {
+            false => {
+                vacant_since.remove(&zone);
+            }
+            true => {
+                let since = *vacant_since.entry(zone.clone()).or_insert(now);
+                if now.since(since) >= delay(gateway, &zone, now) {
+                    vacant_since.insert(zone.clone(), now);
+                    drop(vacant_since);
+                    monoio::spawn(take(gateway.clone(), zone));
+                }
+            }
+        }
+    }
+}
+
+fn is_vacant(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> bool {
+    let roster = gateway.roster();
+    match gateway.duty.office(zone) {
+        None => true,
+        Some(office) if office.holder == roster.own().name => {
+            office.incarnation != roster.own().incarnation
+        }
+        Some(office) => !roster.is_alive(&office.holder, now),
+    }
+}
+
+/// Returns how long this instance leaves a vacant office to others that are closer to it.
+fn delay(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> Duration {
+    let roster = gateway.roster();
+    let own = roster.own();
+    if gateway.duty.office(zone).is_some_and(|office| office.holder == own.name) {
+        return Duration::ZERO;
+    }
+    let item = hash::digest(zone);
+    let mut candidates: Vec<_> = roster
+        .peers()
+        .filter(|peer| roster.is_alive(&peer.name, now))
+        .chain(std::iter::once(own))
+        .map(|member| {
+            let is_outside = *member.zone != *zone;
+            (is_outside, std::cmp::Reverse(hash::weight(item, hash::digest(&*member.name))), member)
+        })
+        .collect();
+    candidates.sort_by_key(|(is_outside, weight, _)| (*is_outside, *weight));
+    let rank = candidates.iter().position(|(_, _, member)| member.name == own.name).unwrap_or(0);
+    let is_isolated = candidates.len() == 1 && roster.peers().next().is_some();
+    let isolation = if is_isolated { ISOLATION_DELAY } else { Duration::ZERO };
+    CANDIDATE_STEP * rank as u32 + isolation
+}
+
+/// Writes this instance's name into an office if nobody else did since it was read.
+async fn take(gateway: Rc<Gateway>, zone: Arc<str>) {
+    let own = gateway.roster().own().clone();
+    let office = Office { holder: own.name, incarnation: own.incarnation };
+    let entry = gateway.duty.offices.borrow().get(&zone).cloned();
+    let expected = entry.filter(|entry| entry.office.is_some()).map_or(0, |entry| entry.version);
+    let write = Write {
+        table: CLUSTER,
+        key: format!("{OFFICES}{zone}"),
+        expected: Some(expected),
+        value: serde_json::to_vec(&office).ok(),
+    };
+    match gateway.store.commit(&[write]).await {
+        Ok(Commit::Done(version)) => {
+            gateway.duty.occupy(&zone, office, version);
+            review(&gateway);
+        }
+        Ok(Commit::Conflict) => debug!(gateway.log, "office taken by another"; "zone" => &*zone),
+        // If it was written all the same, the watch will show it.
+        Err(error) => {
+            warn!(gateway.log, "office not taken"; "zone" => &*zone, "error" => error.to_string());
+        }
+    }
+}
+
+/// Reads the offices anew, until the store answers.
+async fn read_offices(gateway: Rc<Gateway>) {
+    loop {
+        match gateway.store.read(CLUSTER).await {
+            Ok(read) => {
+                gateway.duty.is_suspended.set(false);
+                for row in read.rows {
+                    let Some(zone) = row.key.strip_prefix(OFFICES) else { continue };
+                    let office = row.value.as_deref().map(serde_json::from_slice::<Office>);
+                    if let Some(Ok(office)) = office {
+                        gateway.duty.occupy(zone, office, row.version);
+                    }
+                }
+                return review(&gateway);
+            }
+            Err(error) => {
+                debug!(gateway.log, "offices unread"; "error" => error.to_string());
+                monoio::time::sleep(REVIEW_INTERVAL).await;
+            }
+        }
+    }
+}
+
+fn has_engine(configuration: &Configuration, upstream: &Description) -> bool {
+    let service = configuration.services.get(&upstream.service);
+    service.is_some_and(|service| service.engine.is_some())
+}
+
--- /dev/null
+++ b/crates/orioleroute-node/src/gateway/placing.rs
@@ -0,0 +1,287 @@
+//! Places at model engines, asked of the zones' schedulers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use orioleroute::ingress::Configuration;
+use orioleroute::ingress::attempt::Generation;
+use orioleroute::ingress::health::Outcome;
+use orioleroute::prelude::*;
+use orioleroute::scheduler::message::{
+    Grant, Placement, Reason, RunResult, ToInstance, ToScheduler,
+};
+
+use super::link;
+use super::state::Gateway;
+
+/// The least time that must be left for asking another zone's scheduler: a round trip between
+/// regions and a place there.
+const ELSEWHERE_TIME: Duration = Duration::from_millis(200);
+
+/// What a request needs of an engine.
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a Arc<str>,
+    /// What is to be generated.
+    pub generation: &'a Generation,
+    /// Its rank.
+    pub priority: u8,
+    /// When its client leaves.
+    pub deadline: Instant,
+    /// When its answer is late.
+    pub objective: Instant,
+    /// Engines that have failed it.
+    pub excluded: &'a [Arc<str>],
+}
+
+/// A place at an engine, given back when dropped.
+pub struct Seat {
+    gateway: Rc<Gateway>,
+    way: Way,
+    /// The engine.
+    pub upstream: Arc<str>,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// The version of the adapter that it holds, if known.
+    pub version: Option<u64>,
+}
+
+/// How a place came about, and so whom its end concerns.
+enum Way {
+    /// A scheduler was asked for it.
+    Scheduled { route: link::Route, ticket: u64 },
+    /// This instance chose the upstream itself.
+    Unscheduled { begun: Instant },
+    /// It has been given back.
+    Ended,
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When one is likely.
+    pub retry_after: Duration,
+}
+
+impl Seat {
+    /// Tells the scheduler of the first event.
+    pub fn started(&self) {
+        if let Way::Scheduled { route, ticket } = &self.way {
+            route.send(&self.gateway, ToScheduler::Started { ticket: *ticket });
+        }
+    }
+
+    /// Gives the place back and tells how the request ended.
+    pub fn end(mut self, result: RunResult) {
+        self.give_back(result);
+    }
+
+    fn give_back(&mut self, result: RunResult) {
+        match std::mem::replace(&mut self.way, Way::Ended) {
+            Way::Scheduled { route, ticket } => {
+                route.send(&self.gateway, ToScheduler::Ended { ticket, result: Some(result) });
+            }
+            Way::Unscheduled { begun } => {
+                let now = self.gateway.now();
+                let outcome = match result {
+                    RunResult::Answered => Outcome::Answered(now.since(begun)),
+                    other => other.into(),
+                };
+                self.gateway.health().entry(self.upstream.clone()).or_default().end(outcome, now);
+            }
+            Way::Ended => {}
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.give_back(RunResult::Abandoned);
+    }
+}
+
+/// Asks the schedulers for a place: the one of this instance's zone, then that of another, and if
+/// none answers, takes an engine that is listed with the adapter.
+pub async fn find(gateway: &Rc<Gateway>, need: &Need<'_>) -> Result<Seat, Refusal> {
+    let own: Arc<str> = gateway.settings().zone.as_str().into();
+    let mut refusal = match ask(gateway, &own, need).await {
+        Ok(seat) => return Ok(seat),
+        Err(refusal) => refusal,
+    };
+    let left = need.objective.since(gateway.now());
+    let is_hopeful = matches!(refusal.reason, Reason::Overloaded | Reason::NoEngine);
+    if is_hopeful && left > ELSEWHERE_TIME {
+        let other = other_zone(gateway, &own, need.generation);
+        if let Some(other) = other {
+            match ask(gateway, &other, need).await {
+                Ok(seat) => return Ok(seat),
+                Err(other) if refusal.reason == Reason::NoEngine => refusal = other,
+                Err(_) => {}
+            }
+        }
+    }
+    if refusal.reason == Reason::NotScheduler {
+        return listed(gateway, need).ok_or(Refusal {
+            reason: Reason::NoEngine,
+            retry_after: UNSCHEDULED_RETRY,
+        });
+    }
+    Err(refusal)
+}
+
+/// When to come back if nobody schedules the zone and no engine is listed with the adapter: about
+/// the time until there is a new scheduler.
+const UNSCHEDULED_RETRY: Duration = Duration::from_millis(1_000);
+
+async fn ask(gateway: &Rc<Gateway>, zone: &Arc<str>, need: &Need<'_>) -> Result<Seat, Refusal> {
+    let unscheduled = Refusal { reason: Reason::NotScheduler, retry_after: Duration::ZERO };
+    let address = gateway.duty.office(zone).and_then(|office| {
+        gateway.roster().member(&office.holder).map(|member| member.peer_address)
+    });
+    let route = address.and_then(|address| link::Route::to(gateway, address));
+    let Some(route) = route else { return Err(unscheduled) };
+    let ticket = gateway.links.next_ticket();
+    // A seat that is dropped before the scheduler's answer withdraws the request.
+    let mut seat = Seat {
+        gateway: gateway.clone(),
+        way: Way::Scheduled { route: route.clone(), ticket },
+        upstream: "".into(),
+        address: gateway.settings().peer_address,
+        version: None,
+    };
+    let answer = route.expect(gateway, ticket);
+    route.send(gateway, ToScheduler::Place(Box::new(placement(gateway, zone, ticket, need))));
+    match answer.await {
+        Ok(ToInstance::Grant(Grant { upstream, address, version, .. })) => {
+            seat.upstream = upstream;
+            seat.address = address;
+            seat.version = version;
+            Ok(seat)
+        }
+        Ok(ToInstance::Refuse { retry_after_ms, reason, .. }) => {
+            seat.way = Way::Ended;
+            Err(Refusal { reason, retry_after: Duration::from_millis(retry_after_ms) })
+        }
+        Err(_) => {
+            seat.way = Way::Ended;
+            Err(unscheduled)
+        }
+    }
+}
+
+fn placement(gateway: &Gateway, zone: &Arc<str>, ticket: u64, need: &Need<'_>) -> Placement {
+    let now = gateway.now();
+    let generation = need.generation;
+    let adapter = generation.adapter.as_ref();
+    Placement {
+        ticket,
+        zone: zone.clone(),
+        service: need.service.clone(),
+        model: generation.model.clone(),
+        adapter: adapter.cloned(),
+        version: adapter.and_then(|adapter| gateway.version(&generation.model, adapter)),
+        prompt_tokens: generation.prompt_tokens,
+        output_tokens: generation.output_tokens,
+        parts: generation.parts.clone(),
+        priority: need.priority,
+        time_left_ms: need.deadline.since(now).as_millis() as u64,
+        objective_left_ms: need.objective.since(now).as_millis() as u64,
+        excluded: need.excluded.to_vec(),
+    }
+}
+
+/// Returns the other zone that an adapter's requests overflow to.
+fn other_zone(gateway: &Gateway, own: &str, generation: &Generation) -> Option<Arc<str>> {
+    let zones = gateway.duty.zones();
+    let others = zones.iter().filter(|zone| ***zone != *own);
+    let item = orioleroute::hash::digest(&generation.adapter);
+    orioleroute::hash::winner(item, others.map(|zone| (orioleroute::hash::digest(&**zone), zone)))
+        .cloned()
+}
+
+/// Returns an engine that is listed with what the request needs, for when no scheduler answers.
+fn listed(gateway: &Rc<Gateway>, need: &Need<'_>) -> Option<Seat> {
+    let now = gateway.now();
+    let generation = need.generation;
+    let registry = gateway.registry();
+    let health = gateway.health();
+    let usable = registry.ready(need.service).filter(|upstream| {
+        let has_adapter = generation.adapter.as_ref().is_none_or(|adapter| {
+            upstream.has_adapter(&generation.model, adapter)
+        });
+        has_adapter
+            && upstream.has_model(&generation.model)
+            && !need.excluded.contains(&upstream.id)
+            && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
+    });
+    let costs = usable.map(|upstream| {
+        let health = health.get(&upstream.id).cloned().unwrap_or_default();
+        (health.cost(upstream.slots, distance(gateway, &upstream.zone)), upstream)
+    });
+    let (_, best) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
+    let (upstream, address) = (best.id.clone(), best.address);
+    drop((registry, health));
+    Some(unscheduled_seat(gateway, upstream, address))
+}
+
+/// Takes the upstream of a plain service with the least expected cost.
+pub fn plain(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    excluded: &[Arc<str>],
+) -> Result<Seat, Refusal> {
+    let now = gateway.now();
+    let best = {
+        let registry = gateway.registry();
+        let health = gateway.health();
+        let costs = registry
+            .ready(service)
+            .filter(|upstream| {
+                !excluded.contains(&upstream.id)
+                    && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
+            })
+            .map(|upstream| {
+                let distance = distance(gateway, &upstream.zone);
+                let cost = health.get(&upstream.id).cloned().unwrap_or_default();
+                (cost.cost(upstream.slots, distance), upstream)
+            });
+        let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
+        best.map(|(_, upstream)| (upstream.id.clone(), upstream.address))
+    };
+    let refusal = Refusal { reason: Reason::NoEngine, retry_after: UNLISTED_RETRY };
+    let (upstream, address) = best.ok_or(refusal)?;
+    Ok(unscheduled_seat(gateway, upstream, address))
+}
+
+/// When to come back if a service has no upstream that can be used: about the length of an ejection.
+const UNLISTED_RETRY: Duration = Duration::from_millis(400);
+
+/// The extra time of an upstream in another availability zone of the region, which also costs more.
+const ZONE_DISTANCE: Duration = Duration::from_millis(3);
+
+/// The extra time of an upstream in another region: a round trip of 24 ms.
+const REGION_DISTANCE: Duration = Duration::from_millis(30);
+
+fn distance(gateway: &Gateway, zone: &str) -> Duration {
+    let settings = gateway.settings();
+    if *zone == *settings.zone {
+        return Duration::ZERO;
+    }
+    match gateway.region_of(zone).is_some_and(|region| region == settings.region) {
+        true => ZONE_DISTANCE,
+        false => REGION_DISTANCE,
+    }
+}
+
+fn unscheduled_seat(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Seat {
+    gateway.health().entry(upstream.clone()).or_default().begin();
+    let begun = gateway.now();
+    Seat { gateway: gateway.clone(), way: Way::Unscheduled { begun }, upstream, address, version: None }
+}
+
+/// Returns whether a service's upstreams are model engines.
+pub fn has_engine(configuration: &Configuration, service: &str) -> bool {
+    configuration.services.get(service).is_some_and(|service| service.engine.is_some())
+}
--- /dev/null
+++ b/crates/orioleroute-node/src/gateway/settings.rs
@@ -0,0 +1,153 @@
+//! Settings from flags, environment variables and a file, checked at the start and at each reload.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::settings::{Setting, Source, setting};
+
+pub use crate::settings::LogFormat;
+
+/// What the command line asks for.
+pub enum Outcome {
+    /// Runs with these settings.
+    Run(Box<Settings>),
+    /// Prints a text and ends.
+    Print(String),
+    /// Ends with a message.
+    Fail(String),
+}
+
+/// The settings of an instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The instance's name.
+    pub name: String,
+    /// The region.
+    pub region: String,
+    /// The availability zone.
+    pub zone: String,
+    /// All availability zones and their regions.
+    pub zones: Vec<(String, String)>,
+    /// Where clients connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks whether this instance takes requests.
+    pub ready_address: SocketAddr,
+    /// Where clients ask for addresses.
+    pub directory_address: SocketAddr,
+    /// Where other instances connect, and send heartbeats.
+    pub peer_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// The time between a termination signal and the end of the process at the latest.
+    pub grace: Duration,
+    /// How long clients may keep an answer to the question for addresses.
+    pub resolution_life: Duration,
+    /// The connections of clients that are open at a time.
+    pub connections: usize,
+    /// The bytes of request bodies that are held at a time.
+    pub body_memory: usize,
+    /// How log lines are written.
+    pub log_format: LogFormat,
+    /// The least severe level that is logged.
+    pub log_level: slog::Level,
+    /// The most log lines in a second; more are counted and left out.
+    pub log_lines: u32,
+}
+
+const SETTINGS: &[Setting] = &[
+    setting("backend", "platform", "where configurations come from", Some("documents")),
+    setting("config", "FILE", "settings, one NAME = VALUE a line", None),
+    setting("name", "NAME", "unique name of this instance", None),
+    setting("region", "NAME", "region of this instance", None),
+    setting("zone", "NAME", "availability zone of this instance", None),
+    setting("zones", "ZONE=REGION,...", "all availability zones", None),
+    setting("caller-address", "IP:PORT", "where clients connect", None),
+    setting("ready-address", "IP:PORT", "where readiness is asked for", None),
+    setting("directory-address", "IP:PORT", "where addresses are asked for", None),
+    setting("peer-address", "IP:PORT", "where other instances connect", None),
+    setting("metrics-address", "IP:PORT", "where metrics are served", None),
+    setting("store-address", "IP:PORT", "the platform's store", None),
+    setting("grace-ms", "MILLISECONDS", "from the termination signal to the end", Some("8000")),
+    setting("resolution-life-ms", "MILLISECONDS", "how long addresses are kept", Some("2000")),
+    setting("connections", "COUNT", "open connections of clients", Some("2000")),
+    setting("body-memory", "BYTES", "request bodies held at a time", Some("67108864")),
+    setting("log-format", "json|text", "form of log lines", Some("json")),
+    setting("log-level", "LEVEL", "least severe level that is logged", Some("info")),
+    setting("log-lines", "COUNT", "log lines in a second", Some("400")),
+];
+
+impl Settings {
+    /// Reads the settings of this process.
+    pub fn from_environment() -> Outcome {
+        let arguments: Vec<String> = std::env::args().skip(1).collect();
+        let mut source = match Source::read(SETTINGS, &arguments) {
+            Ok(source) => source,
+            Err(crate::settings::Outcome::Print(text)) => return Outcome::Print(text),
+            Err(crate::settings::Outcome::Fail(text)) => return Outcome::Fail(text),
+            Err(crate::settings::Outcome::Run(_)) => return Outcome::Fail("no settings".into()),
+        };
+        let settings = Self::from_source(&mut source);
+        match settings {
+            _ if !source.faults.is_empty() => Outcome::Fail(source.faults.join("\n")),
+            _ if source.asks_to_print() => Outcome::Print(source.print()),
+            Some(settings) => Outcome::Run(Box::new(settings)),
+            None => Outcome::Fail("orioleroute-node: the settings are incomplete".into()),
+        }
+    }
+
+    fn from_source(source: &mut Source) -> Option<Self> {
+        let name = source.value("name");
+        let region = source.value("region");
+        let zone = source.value("zone");
+        let zones = source.value::<Zones>("zones");
+        let caller_address = source.value("caller-address");
+        let ready_address = source.value("ready-address");
+        let directory_address = source.value("directory-address");
+        let peer_address = source.value("peer-address");
+        let metrics_address = source.value("metrics-address");
+        let store_address = source.value("store-address");
+        let grace = source.millis("grace-ms");
+        let resolution_life = source.millis("resolution-life-ms");
+        let connections = source.value("connections");
+        let body_memory = source.value("body-memory");
+        let log_format = source.value("log-format");
+        let log_level = source.value("log-level");
+        let log_lines = source.value("log-lines");
+        Some(Self {
+            name: name?,
+            region: region?,
+            zone: zone?,
+            zones: zones?.0,
+            caller_address: caller_address?,
+            ready_address: ready_address?,
+            directory_address: directory_address?,
+            peer_address: peer_address?,
+            metrics_address: metrics_address?,
+            store_address: store_address?,
+            grace: grace?,
+            resolution_life: resolution_life?,
+            connections: connections?,
+            body_memory: body_memory?,
+            log_format: log_format?,
+            log_level: log_level?,
+            log_lines: log_lines?,
+        })
+    }
+}
+
+/// Availability zones with their regions, as `ZONE=REGION,...`.
+struct Zones(Vec<(String, String)>);
+
+impl std::str::FromStr for Zones {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let pairs = text.split(',').map(|pair| pair.split_once('=').ok_or(()));
+        let zones: Result<Vec<_>, ()> = pairs
+            .map(|pair| pair.map(|(zone, region)| (zone.trim().into(), region.trim().into())))
+            .collect();
+        zones.map(Self)
+    }
+}
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod engines;
 mod events;
+mod gateway;
 mod log;
 mod meter;
 mod operators;
@@ -23,6 +24,9 @@
 use shell::Shell;
 
 fn main() -> ExitCode {
+    if settings::is_on_platform() {
+        return gateway::main();
+    }
     let settings = match Settings::from_environment() {
         Outcome::Run(settings) => *settings,
         Outcome::Print(text) => {
--- a/crates/orioleroute-node/src/settings.rs
+++ b/crates/orioleroute-node/src/settings.rs
@@ -17,7 +17,7 @@
 }
 
 /// How log lines are written.
-#[derive(Clone, Copy, Debug, strum::Display, strum::EnumString)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "snake_case")]
 pub enum LogFormat {
     /// One JSON object a line.
@@ -75,14 +75,16 @@
     pub log_level: slog::Level,
 }
 
-struct Setting {
+/// A setting that is given as a flag, an environment variable or a line of a file.
+pub struct Setting {
     flag: &'static str,
     hint: &'static str,
     help: &'static str,
     default: Option<&'static str>,
 }
 
-const fn setting(
+/// Returns a setting; one without a default has to be given.
+pub const fn setting(
     flag: &'static str,
     hint: &'static str,
     help: &'static str,
@@ -92,6 +94,7 @@
 }
 
 const SETTINGS: &[Setting] = &[
+    setting("backend", "documents|platform", "where configurations come from", Some("documents")),
     setting("name", "NAME", "unique name of this instance", None),
     setting("region", "NAME", "region of this instance", None),
     setting("zone", "NAME", "availability zone of this instance", None),
@@ -119,26 +122,16 @@
 impl Settings {
     /// Reads the settings of this process.
     pub fn from_environment() -> Outcome {
-        let options = options();
-        let matches = match options.parse(std::env::args().skip(1)) {
-            Ok(matches) => matches,
-            Err(error) => return Outcome::Fail(format!("orioleroute-node: {error}\n{}", usage())),
+        let arguments: Vec<String> = std::env::args().skip(1).collect();
+        let mut source = match Source::read(SETTINGS, &arguments) {
+            Ok(source) => source,
+            Err(outcome) => return outcome,
         };
-        if matches.opt_present("help") {
-            return Outcome::Print(usage());
-        }
-        if matches.opt_present("version") {
-            return Outcome::Print(format!("orioleroute-node {}", env!("CARGO_PKG_VERSION")));
-        }
-        if let Some(extra) = matches.free.first() {
-            return Outcome::Fail(format!("orioleroute-node: unexpected argument {extra:?}"));
-        }
-        let mut source = Source { matches, faults: Vec::new() };
         let settings = source.settings();
         if !source.faults.is_empty() {
             return Outcome::Fail(source.faults.join("\n"));
         }
-        if source.matches.opt_present("print-settings") {
+        if source.asks_to_print() {
             return Outcome::Print(source.print());
         }
         match settings {
@@ -148,9 +141,18 @@
     }
 }
 
-fn options() -> Options {
+/// Returns whether the process is to run on a platform that keeps the configuration.
+pub fn is_on_platform() -> bool {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let flag = arguments.iter().position(|argument| argument == "--backend");
+    let given = flag.and_then(|index| arguments.get(index + 1)).cloned();
+    let backend = given.or_else(|| std::env::var(variable("backend")).ok());
+    backend.as_deref() == Some("platform")
+}
+
+fn options(settings: &[Setting]) -> Options {
     let mut options = Options::new();
-    for setting in SETTINGS {
+    for setting in settings {
         options.optopt("", setting.flag, setting.help, setting.hint);
     }
     options.optflag("", "print-settings", "print the settings in force and end");
@@ -159,20 +161,82 @@
     options
 }
 
-fn usage() -> String {
+fn usage(settings: &[Setting]) -> String {
     let brief = "Usage: orioleroute-node [options]\n\n\
         Every option can also be given as an environment variable: --caller-address as\n\
         ORIOLEROUTE_CALLER_ADDRESS, and so on. A flag goes before a variable.";
-    options().usage(brief)
+    options(settings).usage(brief)
 }
 
 /// Where values come from, and the faults found in them.
-struct Source {
+pub struct Source {
+    settings: &'static [Setting],
     matches: Matches,
-    faults: Vec<String>,
+    /// The lines of the file that the setting `config` names.
+    file: Vec<(String, String)>,
+    /// What is wrong with the values.
+    pub faults: Vec<String>,
 }
 
 impl Source {
+    /// Reads the flags and, if one is named, the file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what to print if the flags or the file cannot be read or ask for help.
+    pub fn read(settings: &'static [Setting], arguments: &[String]) -> Result<Self, Outcome> {
+        let fail = |message: String| Err(Outcome::Fail(format!("orioleroute-node: {message}")));
+        let matches = match options(settings).parse(arguments) {
+            Ok(matches) => matches,
+            Err(error) => return fail(format!("{error}\n{}", usage(settings))),
+        };
+        if matches.opt_present("help") {
+            return Err(Outcome::Print(usage(settings)));
+        }
+        if matches.opt_present("version") {
+            let version = env!("CARGO_PKG_VERSION");
+            return Err(Outcome::Print(format!("orioleroute-node {version}")));
+        }
+        if let Some(extra) = matches.free.first() {
+            return fail(format!("unexpected argument {extra:?}"));
+        }
+        let mut source = Self { settings, matches, file: Vec::new(), faults: Vec::new() };
+        let config = settings.iter().find(|setting| setting.flag == "config");
+        if let Some(path) = config.and_then(|config| source.text(config)) {
+            match std::fs::read_to_string(&path) {
+                Ok(text) => source.read_file(&path, &text),
+                Err(error) => return fail(format!("settings file {path}: {error}")),
+            }
+        }
+        Ok(source)
+    }
+
+    /// Returns whether the settings are to be printed.
+    pub fn asks_to_print(&self) -> bool {
+        self.matches.opt_present("print-settings")
+    }
+
+    /// Takes lines of the form `NAME = VALUE`; empty lines and those that begin with `#` say nothing.
+    fn read_file(&mut self, path: &str, text: &str) {
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let place = format!("orioleroute-node: {path}, line {}", index + 1);
+            match line.split_once('=') {
+                Some((name, value)) => {
+                    let name = name.trim();
+                    if !self.settings.iter().any(|setting| setting.flag == name) {
+                        self.faults.push(format!("{place}: there is no setting {name:?}"));
+                    }
+                    self.file.push((name.to_owned(), value.trim().to_owned()));
+                }
+                None => self.faults.push(format!("{place}: not of the form NAME = VALUE")),
+            }
+        }
+    }
+
     fn settings(&mut self) -> Option<Settings> {
         let name = self.value("name");
         let region = self.value("region");
@@ -226,11 +290,16 @@
         self.matches
             .opt_str(setting.flag)
             .or_else(|| std::env::var(variable(setting.flag)).ok())
+            .or_else(|| {
+                let mut lines = self.file.iter().filter(|(name, _)| name == setting.flag);
+                lines.next_back().map(|(_, value)| value.clone())
+            })
             .or_else(|| setting.default.map(str::to_owned))
     }
 
-    fn value<T: FromStr>(&mut self, flag: &str) -> Option<T> {
-        let setting = SETTINGS.iter().find(|setting| setting.flag == flag)?;
+    /// Returns a value, or takes note of what is wrong with it.
+    pub fn value<T: FromStr>(&mut self, flag: &str) -> Option<T> {
+        let setting = self.settings.iter().find(|setting| setting.flag == flag)?;
         let variable = variable(flag);
         let Some(text) = self.text(setting) else {
             self.faults.push(format!(
@@ -249,12 +318,14 @@
         value
     }
 
-    fn millis(&mut self, flag: &str) -> Option<Duration> {
+    /// Returns a time in milliseconds.
+    pub fn millis(&mut self, flag: &str) -> Option<Duration> {
         self.value(flag).map(Duration::from_millis)
     }
 
-    fn print(&self) -> String {
-        let lines = SETTINGS.iter().map(|setting| {
+    /// Returns all settings, one a line, without the secret ones.
+    pub fn print(&self) -> String {
+        let lines = self.settings.iter().map(|setting| {
             let secret = setting.flag.ends_with("-token");
             let text = self.text(setting).unwrap_or_default();
             let shown = if secret { "(secret)" } else { &text };
--- a/crates/orioleroute-wire/src/client.rs
+++ b/crates/orioleroute-wire/src/client.rs
@@ -272,12 +272,8 @@
 }
 
 async fn connect(peer: SocketAddr) -> Result<Codec, Error> {
-    let stream = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(peer))
-        .await
-        .map_err(|_| Error::new(Step::Connect, peer, "timed out"))?
-        .map_err(|error| Error::new(Step::Connect, peer, error))?;
-    let _ = stream.set_nodelay(true);
-    Ok(ClientCodec::new(stream))
+    let stream = crate::connect::connect(peer, CONNECT_TIMEOUT).await;
+    stream.map(ClientCodec::new).map_err(|error| Error::new(Step::Connect, peer, error))
 }
 
 fn request_of(peer: SocketAddr, call: Call) -> http::Request<HttpBody> {
--- /dev/null
+++ b/crates/orioleroute-wire/src/http1/body.rs
@@ -0,0 +1,211 @@
+//! Where a body ends, and its data without the framing.
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::{HeaderMap, Method, StatusCode, header};
+
+use super::Malformed;
+
+/// The longest line of a chunk's size and extensions, or of a trailer field, in bytes.
+const MAX_LINE: usize = 4_096;
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body comes in chunks.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+impl Framing {
+    /// Returns the framing of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if recipients could disagree on where the request ends.
+    pub fn of_request(headers: &HeaderMap, is_http11: bool) -> Result<Self, Malformed> {
+        match (is_chunked(headers)?, length(headers)?) {
+            (true, None) if is_http11 => Ok(Self::Chunked),
+            (true, _) => Err(Malformed::Framing),
+            (false, length) => Ok(Self::Length(length.unwrap_or(0))),
+        }
+    }
+
+    /// Returns the framing of a response to a `method` request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if recipients could disagree on where the response ends.
+    pub fn of_response(
+        method: &Method,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Self, Malformed> {
+        let is_empty = method == Method::HEAD
+            || status.is_informational()
+            || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        if is_empty {
+            return Ok(Self::Length(0));
+        }
+        match (is_chunked(headers)?, length(headers)?) {
+            (true, None) => Ok(Self::Chunked),
+            (true, Some(_)) => Err(Malformed::Framing),
+            (false, Some(length)) => Ok(Self::Length(length)),
+            (false, None) => Ok(Self::UntilClose),
+        }
+    }
+}
+
+/// Takes the data of one body off a connection's input, piece by piece.
+#[derive(Clone, Debug)]
+pub struct Decoder(State);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    UntilClose,
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailers,
+    Done,
+}
+
+impl Decoder {
+    /// Returns a decoder of a body with this framing.
+    pub fn new(framing: Framing) -> Self {
+        Self(match framing {
+            Framing::Length(0) => State::Done,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        })
+    }
+
+    /// Returns whether the whole body has been taken.
+    pub fn is_done(&self) -> bool {
+        self.0 == State::Done
+    }
+
+    /// Takes note of an orderly end of the connection, and returns whether the body is complete.
+    pub fn end(&mut self) -> bool {
+        if self.0 == State::UntilClose {
+            self.0 = State::Done;
+        }
+        self.is_done()
+    }
+
+    /// Takes the next piece of data off the front of `input`, or returns `None` if there is none
+    /// before more input or the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the chunks are malformed.
+    pub fn decode(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
+        loop {
+            match self.0 {
+                State::Done => return Ok(None),
+                State::UntilClose => {
+                    return Ok((!input.is_empty()).then(|| input.split().freeze()));
+                }
+                State::Length(left) => {
+                    let Some(data) = take(input, left) else { return Ok(None) };
+                    let left = left - data.len() as u64;
+                    self.0 = if left == 0 { State::Done } else { State::Length(left) };
+                    return Ok(Some(data));
+                }
+                State::ChunkData(left) => {
+                    let Some(data) = take(input, left) else { return Ok(None) };
+                    let left = left - data.len() as u64;
+                    self.0 = if left == 0 { State::ChunkEnd } else { State::ChunkData(left) };
+                    return Ok(Some(data));
+                }
+                State::ChunkSize => {
+                    let Some(line) = take_line(input)? else { return Ok(None) };
+                    self.0 = match chunk_size(&line)? {
+                        0 => State::Trailers,
+                        size => State::ChunkData(size),
+                    };
+                }
+                State::ChunkEnd => {
+                    let Some(line) = take_line(input)? else { return Ok(None) };
+                    if !line.is_empty() {
+                        return Err(Malformed::Chunk);
+                    }
+                    self.0 = State::ChunkSize;
+                }
+                State::Trailers => {
+                    let Some(line) = take_line(input)? else { return Ok(None) };
+                    if line.is_empty() {
+                        self.0 = State::Done;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Appends `data` as one chunk; nothing for no data, since an empty chunk would end the body.
+pub fn write_chunk(output: &mut Vec<u8>, data: &[u8]) {
+    if data.is_empty() {
+        return;
+    }
+    output.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    output.extend_from_slice(data);
+    output.extend_from_slice(b"\r\n");
+}
+
+/// The chunk that ends a body without trailers.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+fn take(input: &mut BytesMut, at_most: u64) -> Option<Bytes> {
+    let length = input.len().min(usize::try_from(at_most).unwrap_or(usize::MAX));
+    (length > 0).then(|| input.split_to(length).freeze())
+}
+
+/// Takes a line that ends with CR LF; a bare LF is malformed, since others may read on past it.
+fn take_line(input: &mut BytesMut) -> Result<Option<BytesMut>, Malformed> {
+    let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
+        return if input.len() > MAX_LINE { Err(Malformed::Chunk) } else { Ok(None) };
+    };
+    if end == 0 || input[end - 1] != b'\r' || end > MAX_LINE {
+        return Err(Malformed::Chunk);
+    }
+    let line = input.split_to(end - 1);
+    input.advance(2);
+    Ok(Some(line))
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, Malformed> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = digits.trim_ascii_end();
+    let is_hex = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
+    let text = std::str::from_utf8(digits).ok().filter(|_| is_hex && digits.len() <= 15);
+    text.and_then(|text| u64::from_str_radix(text, 16).ok()).ok_or(Malformed::Chunk)
+}
+
+fn is_chunked(headers: &HeaderMap) -> Result<bool, Malformed> {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(Malformed::Framing),
+    }
+}
+
+fn length(headers: &HeaderMap) -> Result<Option<u64>, Malformed> {
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    match (lengths.next(), lengths.next()) {
+        (None, _) => Ok(None),
+        (Some(length), None) => {
+            let digits = length.as_bytes();
+            let is_number = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
+            let text = length.to_str().ok().filter(|_| is_number);
+            let length = text.and_then(|text| text.parse().ok());
+            length.map(Some).ok_or(Malformed::Framing)
+        }
+        _ => Err(Malformed::Framing),
+    }
+}
--- /dev/null
+++ b/crates/orioleroute-wire/src/http1/socket.rs
@@ -0,0 +1,128 @@
+//! A TCP connection with the input that has not been parsed yet.
+
+use std::future::poll_fn;
+use std::io::{ErrorKind, Result};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use monoio::io::IntoPollIo;
+use monoio::io::poll_io::{AsyncRead, AsyncWrite, ReadBuf};
+use monoio::net::TcpStream;
+use monoio::net::tcp::stream_poll::TcpStreamPoll;
+
+use crate::connect::connect;
+
+/// Room for one read, in bytes.
+const READ_BYTES: usize = 4 << 10;
+
+/// A connected socket.
+pub struct Socket {
+    io: TcpStreamPoll,
+    /// What has arrived and was not taken yet.
+    pub input: BytesMut,
+}
+
+impl Socket {
+    /// Connects to `peer` within `limit`, with probes that notice a silent peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer refuses or does not answer in time.
+    pub async fn connect(peer: SocketAddr, limit: Duration) -> Result<Self> {
+        let stream = connect(peer, limit).await?;
+        Self::new(stream)
+    }
+
+    /// Wraps a connection that was accepted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket cannot be configured.
+    pub fn accepted(stream: TcpStream) -> Result<Self> {
+        stream.set_nodelay(true)?;
+        Self::new(stream)
+    }
+
+    fn new(stream: TcpStream) -> Result<Self> {
+        Ok(Self { io: stream.into_poll_io()?, input: BytesMut::new() })
+    }
+
+    /// Reads more input, and returns how many bytes came; 0 is the end of the peer's side.
+    ///
+    /// Dropping the future loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is lost.
+    pub async fn fill(&mut self) -> Result<usize> {
+        poll_fn(|context| self.poll_fill(context)).await
+    }
+
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is lost.
+    pub async fn write(&mut self, mut bytes: &[u8]) -> Result<()> {
+        while !bytes.is_empty() {
+            let io = &mut self.io;
+            let written = poll_fn(|context| Pin::new(&mut *io).poll_write(context, bytes)).await?;
+            if written == 0 {
+                return Err(ErrorKind::WriteZero.into());
+            }
+            bytes = &bytes[written..];
+        }
+        Ok(())
+    }
+
+    /// Writes some of `output` or reads some input, whichever is possible first, and returns how
+    /// many bytes were read, or `None` if some were written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is lost.
+    pub async fn write_or_fill(&mut self, output: &mut Bytes) -> Result<Option<usize>> {
+        poll_fn(|context| {
+            if !output.is_empty()
+                && let Poll::Ready(written) = Pin::new(&mut self.io).poll_write(context, output)
+            {
+                output.advance(written?);
+                return Poll::Ready(Ok(None));
+            }
+            self.poll_fill(context).map_ok(Some)
+        })
+        .await
+    }
+
+    /// Returns whether the peer has neither closed the connection nor sent anything unasked.
+    pub fn is_quiet(&mut self) -> bool {
+        let mut context = Context::from_waker(Waker::noop());
+        self.input.is_empty() && self.poll_fill(&mut context).is_pending()
+    }
+
+    /// Ends this side of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is lost.
+    pub async fn shutdown(&mut self) -> Result<()> {
+        poll_fn(|context| Pin::new(&mut self.io).poll_shutdown(context)).await
+    }
+
+    fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<Result<usize>> {
+        self.input.reserve(READ_BYTES);
+        let mut buffer = [0_u8; READ_BYTES];
+        let mut read = ReadBuf::new(&mut buffer);
+        match Pin::new(&mut self.io).poll_read(context, &mut read) {
+            Poll::Ready(Ok(())) => {
+                self.input.extend_from_slice(read.filled());
+                Poll::Ready(Ok(read.filled().len()))
+            }
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
--- a/crates/orioleroute-wire/src/lib.rs
+++ b/crates/orioleroute-wire/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Everything runs on one `monoio` thread with its epoll driver. [`server`] decodes requests and
 //! writes answers, [`client`] keeps connections open and relays streamed bodies chunk by chunk,
-//! and [`rpc`] carries typed peer messages as JSON-RPC notifications. Why streamed bodies bypass
+//! [`http1`] passes messages on as a proxy does, and [`rpc`] carries typed peer messages as JSON-RPC notifications. Why streamed bodies bypass
 //! the library's encoder is told in `docs/DESIGN.md`, section "HTTP".
 //!
 //! ```no_run
@@ -17,7 +17,9 @@
 //! ```
 
 pub mod client;
+mod connect;
 mod error;
+pub mod http1;
 mod intake;
 pub mod rpc;
 pub mod runtime;
--- a/crates/orioleroute/src/lib.rs
+++ b/crates/orioleroute/src/lib.rs
@@ -16,6 +16,9 @@
 //! * [`request`], [`retry`] and [`claim`]: a caller's request from arrival to its one final answer,
 //!   how often attempts are repeated, and what lets it run at most once.
 //!
+//! * [`ingress`] and [`scheduler`]: the same jobs where the configuration is accepted elsewhere and
+//!   requests come by host and path; see `docs/PLATFORM.md`.
+//!
 //! # Examples
 //!
 //! Embedding the core means feeding it events and carrying out what it returns:
@@ -53,6 +56,7 @@
 pub mod fleet;
 pub mod hash;
 pub mod holders;
+pub mod ingress;
 pub mod instance;
 pub mod key;
 pub mod limits;
@@ -66,6 +70,7 @@
 pub mod request;
 pub mod retry;
 pub mod routing;
+pub mod scheduler;
 pub mod table;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/crates/orioleroute/src/scheduler/admission.rs
@@ -0,0 +1,59 @@
+//! Which requests are refused, when, and when their clients are to come back.
+//!
+//! Load pattern: a burst beyond what the engines can read. A request that would start only after
+//! its objective is worth a fraction, and every request behind it becomes late in turn; it is
+//! refused on arrival, so that its client can come back when the queue is short, or go elsewhere.
+//! A late request is taken only while the engines would otherwise have little to do.
+
+use super::Request;
+use super::message::Reason;
+use crate::prelude::*;
+
+/// The queue up to which a request that would be late is taken all the same.
+const IDLE_QUEUE: Duration = Duration::from_millis(150);
+
+/// The part of the time to the objective that the expected start may take: the rest is for the
+/// error of the estimate.
+const START_SHARE: f64 = 0.9;
+
+/// The bounds of the time after which a refused client is told to come back.
+const RETRY_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(2_000));
+
+/// A request that is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When a place is likely.
+    pub retry_after: Duration,
+}
+
+/// Decides whether a request waits, given how long it will take to its first event and how much of
+/// that it waits for others.
+///
+/// # Errors
+///
+/// Fails with the refusal to send at once.
+pub fn admit(
+    request: &Request,
+    expected_start: Duration,
+    queue: Duration,
+    now: Instant,
+) -> Result<(), Refusal> {
+    let start = now + expected_start;
+    if start >= request.deadline {
+        return Err(Refusal { reason: Reason::TooLate, retry_after: retry_after(queue) });
+    }
+    let left = request.objective.since(now).mul_f64(START_SHARE);
+    if expected_start > left && queue > IDLE_QUEUE {
+        return Err(Refusal { reason: Reason::Overloaded, retry_after: retry_after(queue) });
+    }
+    Ok(())
+}
+
+/// Returns when a refused client is to come back: once what waits now has been read.
+pub fn retry_after(queue: Duration) -> Duration {
+    let (least, most) = RETRY_BOUNDS;
+    queue.clamp(least, most)
+}
--- /dev/null
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -0,0 +1,778 @@
+//! The scheduler of one availability zone: it alone orders the zone's model engines, and places
+//! requests on them.
+//!
+//! Instances ask it for a place and send the request to the engine themselves. That keeps waiting,
+//! batching and eviction in one head without relaying answers through it. The decisions stand in
+//! [`queue`], [`admission`] and [`placement`]; this module keeps the state between them. Nothing
+//! here reads a clock or a socket. `docs/PLATFORM.md` weighs the alternatives.
+
+pub mod admission;
+pub mod message;
+pub mod order;
+pub mod placement;
+pub mod queue;
+pub mod runner;
+
+use slotmap::SlotMap;
+
+use crate::hash;
+use crate::ingress::Configuration;
+use crate::ingress::configuration::Engine;
+use crate::ingress::upstream::{Announcement, Description, State};
+use crate::prelude::*;
+use message::{Grant, Placement, Reason, RunResult, ToInstance};
+use order::{Action, Order, Outcome, Report};
+use placement::{Candidate, ColdLoads, Step};
+use runner::{Base, Certainty, Place, PlaceState, Runner};
+
+/// How long after an answer was lost a report is asked for: it is some hundred milliseconds old.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
+
+/// The time between looks whether a load has ended that was expected to.
+const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(15);
+
+/// The time between looks whether a base model is there.
+const MODEL_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
+/// How long a new scheduler waits for reports, which lag, to show its predecessor's last orders.
+const TAKEOVER_DELAY: Duration = Duration::from_millis(400);
+
+/// The adapters that may come from the weight store at once before each takes longer, over all
+/// zones.
+const COLD_LOAD_LIMIT: usize = 8;
+
+/// The instance that asked, as its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Client(pub u64);
+
+/// A request of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestKey {
+    /// Who asked.
+    pub client: Client,
+    /// Its number for the request.
+    pub ticket: u64,
+}
+
+/// A request that needs a place.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its service.
+    pub service: Arc<str>,
+    /// The base model.
+    pub model: Arc<str>,
+    /// The adapter.
+    pub adapter: Option<Arc<str>>,
+    /// The oldest version of the adapter that will do.
+    pub version: Option<u64>,
+    /// The tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// The most tokens of the output.
+    pub output_tokens: u32,
+    /// The parts of the prompt as an engine caches them.
+    pub parts: Vec<CachedPart>,
+    /// The rank; 0 is served first.
+    pub priority: u8,
+    /// When the client leaves.
+    pub deadline: Instant,
+    /// When the answer is late.
+    pub objective: Instant,
+    /// Engines that have failed the request.
+    pub excluded: Vec<Arc<str>>,
+}
+
+/// A part of a prompt, read by a certain adapter.
+#[derive(Clone, Copy, Debug)]
+pub struct CachedPart {
+    /// Identifies the part and the adapter.
+    pub key: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What the scheduler wants done.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Tell an instance.
+    Tell(Client, ToInstance),
+    /// Give an order to an engine; the answer comes back with [`Scheduler::ordered`].
+    Order(std::net::SocketAddr, Order),
+    /// Ask an engine for its report; it comes back with [`Scheduler::reported`].
+    Report(std::net::SocketAddr, Arc<str>),
+    /// Another scheduler has given orders: this one must stop.
+    Deposed,
+}
+
+/// The scheduler of one availability zone.
+pub struct Scheduler {
+    fencing: u64,
+    configuration: Arc<Configuration>,
+    runners: SlotMap<key::Upstream, Runner>,
+    by_id: Map<Arc<str>, key::Upstream>,
+    waiting: Vec<Waiting>,
+    granted: Map<RequestKey, key::Upstream>,
+    newest: Map<(Arc<str>, Arc<str>), u64>,
+    zones: usize,
+    outputs: Vec<Output>,
+}
+
+struct Waiting {
+    key: RequestKey,
+    request: Request,
+    /// The engine that loads the request's adapter for it.
+    assigned: Option<key::Upstream>,
+}
+
+impl Scheduler {
+    /// Returns a scheduler that orders under the token `fencing`, one of `zones` that share the
+    /// weight store.
+    pub fn new(fencing: u64, configuration: Arc<Configuration>, zones: usize) -> Self {
+        Self {
+            fencing,
+            configuration,
+            runners: SlotMap::with_key(),
+            by_id: Map::default(),
+            waiting: Vec::new(),
+            granted: Map::default(),
+            newest: Map::default(),
+            zones,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Returns the fencing token.
+    pub fn fencing(&self) -> u64 {
+        self.fencing
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the engines.
+    pub fn runners(&self) -> impl Iterator<Item = &Runner> {
+        self.runners.values()
+    }
+
+    /// Takes what is to be done since the last call.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Takes a configuration into force.
+    pub fn configure(&mut self, configuration: Arc<Configuration>) {
+        self.configuration = configuration;
+    }
+
+    /// Takes the zone's model engines as the list has them now.
+    pub fn list<'a>(
+        &mut self,
+        descriptions: impl IntoIterator<Item = &'a Description>,
+        now: Instant,
+    ) {
+        let mut listed: Set<Arc<str>> = Set::default();
+        for description in descriptions {
+            listed.insert(description.id.clone());
+            self.describe(description, now);
+        }
+        let gone: Vec<Arc<str>> =
+            self.by_id.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        for id in gone {
+            self.drop_runner(&id);
+        }
+        self.dispatch(now);
+    }
+
+    /// Takes note of a newer version of an adapter.
+    pub fn announce(&mut self, announcement: &Announcement) {
+        let key = (announcement.model.clone(), announcement.revision.name.clone());
+        let newest = self.newest.entry(key).or_default();
+        *newest = (*newest).max(announcement.revision.version);
+    }
+
+    /// Takes a request that needs a place.
+    pub fn place(&mut self, client: Client, placement: Placement, now: Instant) {
+        let key = RequestKey { client, ticket: placement.ticket };
+        let request = self.request(placement, now);
+        let Some(engine) = self.engine(&request.service).cloned() else {
+            return self.refuse(key, Reason::NoEngine, Duration::ZERO);
+        };
+        let Some(candidate) = self.choose(&engine, &request, now) else {
+            return self.refuse(key, Reason::NoEngine, admission::retry_after(Duration::ZERO));
+        };
+        let queue = self.queue_ahead(&request, now);
+        match admission::admit(&request, candidate.start + queue, queue, now) {
+            Ok(()) => {
+                self.waiting.push(Waiting { key, request, assigned: None });
+                self.dispatch(now);
+            }
+            Err(refusal) => self.refuse(key, refusal.reason, refusal.retry_after),
+        }
+    }
+
+    /// Takes note of a request's first event.
+    pub fn started(&mut self, key: RequestKey, now: Instant) {
+        if let Some(runner) = self.granted.get(&key).and_then(|runner| self.runners.get_mut(*runner))
+        {
+            runner.start(key, now);
+        }
+        self.dispatch(now);
+    }
+
+    /// Takes note that a request needs its place no more.
+    pub fn ended(&mut self, key: RequestKey, result: Option<RunResult>, now: Instant) {
+        if let Some(index) = self.waiting.iter().position(|waiting| waiting.key == key) {
+            let waiting = self.waiting.swap_remove(index);
+            self.unassign(&waiting);
+        }
+        if let Some(upstream) = self.granted.remove(&key) {
+            self.land(upstream, key, result.unwrap_or(RunResult::Abandoned), now);
+        }
+        self.dispatch(now);
+    }
+
+    /// Takes note that an instance is gone: what waits is dropped, what runs may go on.
+    pub fn disconnected(&mut self, client: Client, now: Instant) {
+        let (gone, rest) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition::<Vec<_>, _>(|waiting| waiting.key.client == client);
+        self.waiting = rest;
+        for waiting in &gone {
+            self.unassign(waiting);
+        }
+        self.dispatch(now);
+    }
+
+    /// Refuses all that waits, since another scheduler has taken over.
+    pub fn abandon(&mut self) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            self.refuse(waiting.key, Reason::NotScheduler, Duration::ZERO);
+        }
+    }
+
+    /// Takes the answer to an order.
+    pub fn ordered(&mut self, order: &Order, outcome: Outcome, now: Instant) {
+        let Some(key) = self.by_id.get(&order.upstream).copied() else { return };
+        let runner = &mut self.runners[key];
+        if runner.certainty == Certainty::Ordering {
+            runner.certainty = Certainty::Known;
+        }
+        if outcome == Outcome::Fenced {
+            self.outputs.push(Output::Deposed);
+            return;
+        }
+        match &order.action {
+            Action::LoadModel => model_ordered(runner, &order.model, outcome, now),
+            Action::LoadAdapter { adapter, .. } => adapter_ordered(runner, adapter, outcome, now),
+            Action::UnloadAdapter { adapter } => unload_ordered(runner, adapter, outcome, now),
+        }
+        self.give_orders(key, now);
+        self.dispatch(now);
+    }
+
+    /// Takes an engine's report, or `None` if none came.
+    pub fn reported(&mut self, upstream: &str, report: Option<&Report>, now: Instant) {
+        let Some(key) = self.by_id.get(upstream).copied() else { return };
+        let runner = &mut self.runners[key];
+        if !matches!(runner.certainty, Certainty::Asking) {
+            return;
+        }
+        match report {
+            Some(report) if report.started_ms.is_none_or(|start| start == runner.started_ms) => {
+                runner.certainty = Certainty::Known;
+                runner.adopt_report(report, now);
+            }
+            Some(_) | None => runner.certainty = Certainty::AskAt(now + REPORT_DELAY),
+        }
+        self.release_lost(key);
+        self.give_orders(key, now);
+        self.dispatch(now);
+    }
+
+    /// Lets time pass: looks after loads, reports and requests that nobody ends.
+    pub fn tick(&mut self, now: Instant) {
+        self.expire_flights(now);
+        let keys: Vec<key::Upstream> = self.runners.keys().collect();
+        for key in keys {
+            self.look_after(key, now);
+        }
+        self.dispatch(now);
+    }
+
+    /// Returns when [`Scheduler::tick`] has something to do, if that is known.
+    pub fn next_check(&self) -> Option<Instant> {
+        let checks = self.runners.values().flat_map(|runner| {
+            let loads = runner.places.values().filter_map(|place| match place.state {
+                PlaceState::Loading { check_at, .. } => Some(check_at),
+                PlaceState::Present | PlaceState::Reserved { .. } | PlaceState::Unloading => None,
+            });
+            let base = match runner.base {
+                Base::Loading { check_at, .. } => Some(check_at),
+                Base::Absent | Base::Present(_) => None,
+            };
+            let report = match runner.certainty {
+                Certainty::AskAt(at) => Some(at),
+                Certainty::Known | Certainty::Ordering | Certainty::Asking => None,
+            };
+            loads.chain(base).chain(report)
+        });
+        checks.min()
+    }
+
+    fn request(&self, placement: Placement, now: Instant) -> Request {
+        let adapter = placement.adapter;
+        let newest = adapter.as_ref().and_then(|adapter| {
+            self.newest.get(&(placement.model.clone(), adapter.clone())).copied()
+        });
+        let parts = placement.parts.iter().map(|part| CachedPart {
+            key: hash::digest(&(part.id, &adapter)),
+            tokens: part.tokens,
+        });
+        Request {
+            parts: parts.collect(),
+            service: placement.service,
+            model: placement.model,
+            adapter,
+            version: newest.max(placement.version),
+            prompt_tokens: placement.prompt_tokens,
+            output_tokens: placement.output_tokens,
+            priority: placement.priority,
+            deadline: now + Duration::from_millis(placement.time_left_ms),
+            objective: now + Duration::from_millis(placement.objective_left_ms),
+            excluded: placement.excluded,
+        }
+    }
+
+    fn describe(&mut self, description: &Description, now: Instant) {
+        if let Some(key) = self.by_id.get(&description.id).copied() {
+            let runner = &mut self.runners[key];
+            if runner.started_ms == description.started_ms {
+                runner.is_draining = description.state == State::Draining;
+                return;
+            }
+            self.drop_runner(&description.id);
+        }
+        let mut runner = Runner::new(description, now);
+        runner.certainty = Certainty::AskAt(now + TAKEOVER_DELAY);
+        let key = self.runners.insert(runner);
+        self.by_id.insert(description.id.clone(), key);
+    }
+
+    fn drop_runner(&mut self, id: &Arc<str>) {
+        let Some(key) = self.by_id.remove(id) else { return };
+        self.runners.remove(key);
+        self.granted.retain(|_, runner| *runner != key);
+        for waiting in &mut self.waiting {
+            if waiting.assigned == Some(key) {
+                waiting.assigned = None;
+            }
+        }
+    }
+
+    fn engine(&self, service: &str) -> Option<&Engine> {
+        self.configuration.services.get(service)?.engine.as_ref()
+    }
+
+    fn choose(&self, engine: &Engine, request: &Request, now: Instant) -> Option<Candidate> {
+        placement::choose(&self.runners, engine, request, self.cold_loads(), now)
+    }
+
+    fn cold_loads(&self) -> ColdLoads {
+        let places = self.runners.values().flat_map(|runner| runner.places.values());
+        let cold = places
+            .filter(|place| matches!(place.state, PlaceState::Loading { is_cold: true, .. }));
+        ColdLoads { under_way: cold.count(), limit: (COLD_LOAD_LIMIT / self.zones.max(1)).max(1) }
+    }
+
+    /// Returns how long the engines read the prompts that go before a new request.
+    fn queue_ahead(&self, request: &Request, now: Instant) -> Duration {
+        let rank = queue::Rank::of(request, now);
+        let ahead = self.waiting.iter().filter(|waiting| {
+            waiting.request.service == request.service
+                && queue::Rank::of(&waiting.request, now) <= rank
+        });
+        let tokens: u64 = ahead.map(|waiting| u64::from(waiting.request.prompt_tokens)).sum();
+        let usable = self.runners.values().filter(|runner| {
+            runner.service == request.service && !runner.is_draining && runner.model().is_some()
+        });
+        let rate: f64 = usable.map(Runner::rate).sum();
+        Duration::from_secs_f64((tokens as f64 / rate.max(1.0) / 1_000.0).min(MAX_QUEUE_S))
+    }
+
+    /// Goes through the requests that wait, the most urgent first, and does for each what can be
+    /// done now.
+    fn dispatch(&mut self, now: Instant) {
+        self.load_missing_model(now);
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_key(|waiting| queue::Rank::of(&waiting.request, now));
+        for mut item in waiting {
+            if self.advance(&mut item, now) {
+                continue;
+            }
+            self.waiting.push(item);
+        }
+    }
+
+    /// Does for a request that waits what can be done now, and returns whether that was its last.
+    fn advance(&mut self, item: &mut Waiting, now: Instant) -> bool {
+        if item.request.deadline <= now {
+            self.unassign(item);
+            self.refuse(item.key, Reason::TooLate, Duration::ZERO);
+            return true;
+        }
+        if let Some(runner) = item.assigned {
+            return self.advance_assigned(runner, item, now);
+        }
+        let Some(engine) = self.engine(&item.request.service).cloned() else {
+            self.refuse(item.key, Reason::NoEngine, Duration::ZERO);
+            return true;
+        };
+        let Some(candidate) = self.choose(&engine, &item.request, now) else {
+            self.refuse(item.key, Reason::NoEngine, admission::retry_after(Duration::ZERO));
+            return true;
+        };
+        match candidate.step {
+            Step::Use => {
+                self.grant(candidate.runner, item, now);
+                true
+            }
+            Step::Await => {
+                self.assign(candidate.runner, item, now);
+                false
+            }
+            Step::Load { evict } => {
+                self.reserve(candidate.runner, evict, &item.request, now);
+                self.assign(candidate.runner, item, now);
+                self.give_orders(candidate.runner, now);
+                false
+            }
+            Step::Queue => false,
+        }
+    }
+
+    fn advance_assigned(&mut self, key: key::Upstream, item: &mut Waiting, now: Instant) -> bool {
+        let runner = &self.runners[key];
+        let place = item.request.adapter.as_ref().and_then(|adapter| runner.places.get(adapter));
+        let is_lost = runner.is_draining
+            || runner.health.is_ejected(now)
+            || place.is_none_or(|place| !placement::is_current(place, &item.request));
+        if is_lost {
+            self.unassign(item);
+            item.assigned = None;
+            return self.advance(item, now);
+        }
+        let is_present = place.is_some_and(|place| place.state == PlaceState::Present);
+        if is_present && runner.backlog() <= placement::ENGINE_QUEUE {
+            self.unassign(item);
+            self.grant(key, item, now);
+            return true;
+        }
+        false
+    }
+
+    fn assign(&mut self, key: key::Upstream, item: &mut Waiting, now: Instant) {
+        item.assigned = Some(key);
+        if let Some(place) = self.place_of(key, &item.request) {
+            place.users += 1;
+            place.touch(now);
+        }
+    }
+
+    fn unassign(&mut self, item: &Waiting) {
+        if let Some(key) = item.assigned
+            && let Some(place) = self.place_of(key, &item.request)
+        {
+            place.users = place.users.saturating_sub(1);
+        }
+    }
+
+    fn place_of(&mut self, key: key::Upstream, request: &Request) -> Option<&mut Place> {
+        self.runners.get_mut(key)?.places.get_mut(request.adapter.as_ref()?)
+    }
+
+    fn grant(&mut self, key: key::Upstream, item: &Waiting, now: Instant) {
+        let mut version = None;
+        if let Some(place) = self.place_of(key, &item.request) {
+            place.users += 1;
+            if item.assigned.is_none() {
+                place.touch(now);
+            }
+            version = place.version;
+        }
+        let runner = &mut self.runners[key];
+        runner.begin(item.key, &item.request, now);
+        let grant = Grant {
+            ticket: item.key.ticket,
+            upstream: runner.id.clone(),
+            address: runner.address,
+            version,
+        };
+        self.granted.insert(item.key, key);
+        self.outputs.push(Output::Tell(item.key.client, ToInstance::Grant(grant)));
+    }
+
+    fn refuse(&mut self, key: RequestKey, reason: Reason, retry_after: Duration) {
+        let refusal = ToInstance::Refuse {
+            ticket: key.ticket,
+            retry_after_ms: retry_after.as_millis() as u64,
+            reason,
+        };
+        self.outputs.push(Output::Tell(key.client, refusal));
+    }
+
+    /// Takes a request off its engine.
+    fn land(&mut self, upstream: key::Upstream, key: RequestKey, result: RunResult, now: Instant) {
+        let Some(runner) = self.runners.get_mut(upstream) else { return };
+        let Some(flight) = runner.flights.remove(&key) else { return };
+        runner.health.end(result.into(), now);
+        let place = flight.adapter.as_ref().and_then(|adapter| runner.places.get_mut(adapter));
+        if let Some(place) = place {
+            place.users = place.users.saturating_sub(1);
+        }
+        if result == RunResult::Misdirected && runner.certainty == Certainty::Known {
+            // What the engine holds is not what was believed.
+            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+            if let Some(adapter) = &flight.adapter {
+                runner.places.remove(adapter);
+            }
+        }
+    }
+
+    /// Takes a place for the request's adapter, dropping another one if need be.
+    fn reserve(
+        &mut self,
+        key: key::Upstream,
+        evict: Option<Arc<str>>,
+        request: &Request,
+        now: Instant,
+    ) {
+        let Some(adapter) = request.adapter.clone() else { return };
+        let runner = &mut self.runners[key];
+        let is_cold = !runner.is_warm(&adapter);
+        if let Some(victim) = evict {
+            if victim == adapter {
+                runner.outdated.push(victim.clone());
+                runner.places.remove(&victim);
+            } else if let Some(place) = runner.places.get_mut(&victim) {
+                place.state = PlaceState::Unloading;
+            }
+        }
+        let place = Place::new(request.version, PlaceState::Reserved { is_cold }, now);
+        runner.places.insert(adapter, place);
+    }
+
+    /// Gives the next order that an engine is to have, if it can take one now.
+    fn give_orders(&mut self, key: key::Upstream, now: Instant) {
+        let runner = &self.runners[key];
+        let Some(model) = runner.model().cloned() else { return };
+        if runner.certainty != Certainty::Known {
+            return;
+        }
+        if let Some(adapter) = runner.next_unload() {
+            return self.order(key, model, Action::UnloadAdapter { adapter });
+        }
+        let capacity = self.engine(&runner.service).map_or(0, |engine| engine.adapter_places);
+        if runner.places_taken() >= capacity {
+            return;
+        }
+        let cold = self.cold_loads();
+        let runner = &mut self.runners[key];
+        let reserved = runner.places.iter().find_map(|(adapter, place)| match place.state {
+            PlaceState::Reserved { is_cold } => Some((adapter.clone(), is_cold)),
+            _ => None,
+        });
+        let Some((adapter, is_cold)) = reserved else { return };
+        let check_at = now + placement::load_time(runner, &adapter, cold);
+        let Some(place) = runner.places.get_mut(&adapter) else { return };
+        place.state = PlaceState::Loading { check_at, is_cold };
+        let version = place.version;
+        self.order(key, model, Action::LoadAdapter { adapter, version });
+    }
+
+    fn order(&mut self, key: key::Upstream, model: Arc<str>, action: Action) {
+        let fencing = self.fencing;
+        let runner = &mut self.runners[key];
+        runner.certainty = Certainty::Ordering;
+        let order = Order {
+            upstream: runner.id.clone(),
+            model,
+            action,
+            expected_orders: Some(runner.orders),
+            fencing,
+        };
+        self.outputs.push(Output::Order(runner.address, order));
+    }
+
+    /// Loads the base model on an engine that has none, one engine at a time: loads that run beside
+    /// each other are slower in proportion.
+    fn load_missing_model(&mut self, now: Instant) {
+        let is_loading = |runner: &Runner| matches!(runner.base, Base::Loading { .. });
+        if self.runners.values().any(is_loading) {
+            return;
+        }
+        let empty = self.runners.iter().find(|(_, runner)| {
+            runner.base == Base::Absent
+                && runner.certainty == Certainty::Known
+                && !runner.is_draining
+                && !runner.health.is_ejected(now)
+        });
+        let Some((key, runner)) = empty else { return };
+        let Some(model) = self.engine(&runner.service).and_then(|engine| engine.models.first())
+        else {
+            return;
+        };
+        let (model, time) = (model.name.clone(), model.load_time);
+        self.runners[key].base = Base::Loading { model: model.clone(), check_at: now + time };
+        self.order(key, model, Action::LoadModel);
+    }
+
+    fn look_after(&mut self, key: key::Upstream, now: Instant) {
+        let runner = &mut self.runners[key];
+        match runner.certainty {
+            Certainty::AskAt(at) if at <= now => {
+                runner.certainty = Certainty::Asking;
+                let output = Output::Report(runner.address, runner.id.clone());
+                self.outputs.push(output);
+                return;
+            }
+            Certainty::Known => {}
+            Certainty::AskAt(_) | Certainty::Asking | Certainty::Ordering => return,
+        }
+        if let Base::Loading { model, check_at } = &runner.base
+            && *check_at <= now
+        {
+            let model = model.clone();
+            return self.order(key, model, Action::LoadModel);
+        }
+        let due = runner.places.iter().find_map(|(adapter, place)| match place.state {
+            PlaceState::Loading { check_at, .. } if check_at <= now => {
+                Some((adapter.clone(), place.version))
+            }
+            _ => None,
+        });
+        if let (Some((adapter, version)), Some(model)) = (due, runner.model().cloned()) {
+            return self.order(key, model, Action::LoadAdapter { adapter, version });
+        }
+        self.give_orders(key, now);
+    }
+
+    /// Frees requests that wait for a load that is no more.
+    fn release_lost(&mut self, key: key::Upstream) {
+        let runner = &self.runners[key];
+        for waiting in &mut self.waiting {
+            let adapter = waiting.request.adapter.as_ref();
+            let is_there = adapter.is_some_and(|adapter| runner.places.contains_key(adapter));
+            if waiting.assigned == Some(key) && !is_there {
+                waiting.assigned = None;
+            }
+        }
+    }
+
+    fn expire_flights(&mut self, now: Instant) {
+        let due: Vec<(RequestKey, key::Upstream)> = self
+            .granted
+            .iter()
+            .filter(|(key, upstream)| {
+                let flight =
+                    self.runners.get(**upstream).and_then(|runner| runner.flights.get(*key));
+                flight.is_none_or(|flight| flight.expires <= now)
+            })
+            .map(|(key, upstream)| (*key, *upstream))
+            .collect();
+        for (key, upstream) in due {
+            self.granted.remove(&key);
+            self.land(upstream, key, RunResult::Abandoned, now);
+        }
+    }
+}
+
+/// The longest queue that is told apart, in seconds.
+const MAX_QUEUE_S: f64 = 60.0;
+
+fn model_ordered(runner: &mut Runner, model: &Arc<str>, outcome: Outcome, now: Instant) {
+    match outcome {
+        Outcome::Holds => runner.base = Base::Present(model.clone()),
+        Outcome::Accepted => {
+            runner.orders += 1;
+            if let Base::Loading { check_at, .. } = &mut runner.base {
+                *check_at = (*check_at).max(now + MODEL_CHECK_INTERVAL);
+            }
+        }
+        Outcome::Conflict => {
+            if let Base::Loading { check_at, .. } = &mut runner.base {
+                *check_at = now + MODEL_CHECK_INTERVAL;
+            }
+            runner.certainty = Certainty::AskAt(now + MODEL_CHECK_INTERVAL);
+        }
+        Outcome::Refused | Outcome::Unsent => {
+            runner.base = Base::Absent;
+            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+        }
+        Outcome::Unanswered | Outcome::Fenced => {
+            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+        }
+    }
+}
+
+fn adapter_ordered(runner: &mut Runner, adapter: &Arc<str>, outcome: Outcome, now: Instant) {
+    match outcome {
+        Outcome::Holds => {
+            runner.remember(adapter);
+            if let Some(place) = runner.places.get_mut(adapter) {
+                place.state = PlaceState::Present;
+            }
+        }
+        Outcome::Accepted => {
+            runner.orders += 1;
+            if let Some(place) = runner.places.get_mut(adapter)
+                && let PlaceState::Loading { check_at, .. } = &mut place.state
+            {
+                *check_at = (*check_at).max(now + LOAD_CHECK_INTERVAL);
+            }
+        }
+        Outcome::Conflict => {
+            if let Some(place) = runner.places.get_mut(adapter)
+                && let PlaceState::Loading { check_at, .. } = &mut place.state
+            {
+                *check_at = now + LOAD_CHECK_INTERVAL;
+            }
+            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+        }
+        Outcome::Refused | Outcome::Unsent => {
+            runner.places.remove(adapter);
+            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+        }
+        Outcome::Unanswered | Outcome::Fenced => {
+            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+        }
+    }
+}
+
+fn unload_ordered(runner: &mut Runner, adapter: &Arc<str>, outcome: Outcome, now: Instant) {
+    match outcome {
+        Outcome::Holds => {
+            runner.orders += 1;
+            match runner.outdated.iter().position(|outdated| outdated == adapter) {
+                Some(index) => {
+                    runner.outdated.remove(index);
+                }
+                None => {
+                    runner.places.remove(adapter);
+                }
+            }
+        }
+        Outcome::Accepted => {
+            // It waits for requests of which this scheduler does not know.
+            runner.orders += 1;
+            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+        }
+        Outcome::Conflict
+        | Outcome::Refused
+        | Outcome::Unsent
+        | Outcome::Unanswered
+        | Outcome::Fenced => {
+            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+        }
+    }
+}
