--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -267,7 +267,6 @@
             Action::LoadAdapter { adapter, .. } => adapter_ordered(runner, adapter, outcome, now),
             Action::UnloadAdapter { adapter } => unload_ordered(runner, adapter, outcome, now),
         }
-        self.give_orders(key, now);
         self.dispatch(now);
     }
 
@@ -286,7 +285,6 @@
             Some(_) | None => runner.certainty = Certainty::AskAt(now + REPORT_DELAY),
         }
         self.release_lost(key);
-        self.give_orders(key, now);
         self.dispatch(now);
     }
 
@@ -379,10 +377,19 @@
     }
 
     fn cold_loads(&self) -> ColdLoads {
-        let places = self.runners.values().flat_map(|runner| runner.places.values());
-        let cold = places
-            .filter(|place| matches!(place.state, PlaceState::Loading { is_cold: true, .. }));
-        ColdLoads { under_way: cold.count(), limit: (COLD_LOAD_LIMIT / self.zones.max(1)).max(1) }
+        let mut cold = ColdLoads {
+            under_way: 0,
+            waiting: 0,
+            limit: COLD_LOAD_LIMIT.div_ceil(self.zones.max(1)),
+        };
+        for place in self.runners.values().flat_map(|runner| runner.places.values()) {
+            match place.state {
+                PlaceState::Loading { is_cold: true, .. } => cold.under_way += 1,
+                PlaceState::Reserved { is_cold: true } => cold.waiting += 1,
+                _ => {}
+            }
+        }
+        cold
     }
 
     /// Returns how long the engines read the prompts that go before a new request.
@@ -412,6 +419,10 @@
             }
             self.waiting.push(item);
         }
+        let keys: Vec<key::Upstream> = self.runners.keys().collect();
+        for key in keys {
+            self.give_orders(key, now);
+        }
     }
 
     /// Does for a request that waits what can be done now, and returns whether that was its last.
@@ -441,10 +452,9 @@
                 self.assign(candidate.runner, item, now);
                 false
             }
-            Step::Load { evict } => {
-                self.reserve(candidate.runner, evict, &item.request, now);
+            Step::Load { .. } => {
+                self.reserve(candidate.runner, &item.request, now);
                 self.assign(candidate.runner, item, now);
-                self.give_orders(candidate.runner, now);
                 false
             }
             Step::Queue => false,
@@ -480,10 +490,12 @@
     }
 
     fn unassign(&mut self, item: &Waiting) {
-        if let Some(key) = item.assigned
-            && let Some(place) = self.place_of(key, &item.request)
-        {
-            place.users = place.users.saturating_sub(1);
+        let Some(key) = item.assigned else { return };
+        let Some(place) = self.place_of(key, &item.request) else { return };
+        place.users = place.users.saturating_sub(1);
+        let is_unwanted = place.users == 0 && matches!(place.state, PlaceState::Reserved { .. });
+        if is_unwanted && let Some(adapter) = &item.request.adapter {
+            self.runners[key].places.remove(adapter);
         }
     }
 
@@ -539,25 +551,14 @@
         }
     }
 
-    /// Takes a place for the request's adapter, dropping another one if need be.
-    fn reserve(
-        &mut self,
-        key: key::Upstream,
-        evict: Option<Arc<str>>,
-        request: &Request,
-        now: Instant,
-    ) {
+    /// Promises a place to the request's adapter.
+    fn reserve(&mut self, key: key::Upstream, request: &Request, now: Instant) {
         let Some(adapter) = request.adapter.clone() else { return };
         let runner = &mut self.runners[key];
-        let is_cold = !runner.is_warm(&adapter);
-        if let Some(victim) = evict {
-            if victim == adapter {
-                runner.outdated.push(victim.clone());
-                runner.places.remove(&victim);
-            } else if let Some(place) = runner.places.get_mut(&victim) {
-                place.state = PlaceState::Unloading;
-            }
+        if runner.places.remove(&adapter).is_some() {
+            runner.outdated.push(adapter.clone());
         }
+        let is_cold = !runner.is_warm(&adapter);
         let place = Place::new(request.version, PlaceState::Reserved { is_cold }, now);
         runner.places.insert(adapter, place);
     }
@@ -572,24 +573,50 @@
         if let Some(adapter) = runner.next_unload() {
             return self.order(key, model, Action::UnloadAdapter { adapter });
         }
+        let cold = self.cold_loads();
+        let Some((adapter, is_cold)) = self.next_load(key, cold, now) else { return };
         let capacity = self.engine(&runner.service).map_or(0, |engine| engine.adapter_places);
+        let runner = &mut self.runners[key];
         if runner.places_taken() >= capacity {
-            return;
+            let Some((victim, _)) = runner.victim(now) else { return };
+            if let Some(place) = runner.places.get_mut(&victim) {
+                place.state = PlaceState::Unloading;
+            }
+            return self.order(key, model, Action::UnloadAdapter { adapter: victim });
         }
-        let cold = self.cold_loads();
-        let runner = &mut self.runners[key];
-        let reserved = runner.places.iter().find_map(|(adapter, place)| match place.state {
-            PlaceState::Reserved { is_cold } => Some((adapter.clone(), is_cold)),
-            _ => None,
-        });
-        let Some((adapter, is_cold)) = reserved else { return };
-        let check_at = now + placement::load_time(runner, &adapter, cold);
+        let time = if is_cold { placement::COLD_LOAD } else { placement::WARM_LOAD };
         let Some(place) = runner.places.get_mut(&adapter) else { return };
-        place.state = PlaceState::Loading { check_at, is_cold };
+        place.state = PlaceState::Loading { check_at: now + time, is_cold };
         let version = place.version;
         self.order(key, model, Action::LoadAdapter { adapter, version });
     }
 
+    /// Returns the reserved adapter that an engine is to load next: the one with the most urgent
+    /// request, and none from the weight store while as many come from there as do at full speed.
+    fn next_load(
+        &self,
+        key: key::Upstream,
+        cold: ColdLoads,
+        now: Instant,
+    ) -> Option<(Arc<str>, bool)> {
+        let reserved = self.runners[key].places.iter().filter_map(|(adapter, place)| {
+            match place.state {
+                PlaceState::Reserved { is_cold } => Some((adapter, is_cold)),
+                _ => None,
+            }
+        });
+        let may_load = reserved.filter(|(_, is_cold)| !is_cold || cold.under_way < cold.limit);
+        let urgency = |adapter: &Arc<str>| {
+            let waiting = self.waiting.iter().filter(|waiting| {
+                waiting.assigned == Some(key) && waiting.request.adapter.as_ref() == Some(adapter)
+            });
+            let ranks = waiting.map(|waiting| queue::Rank::of(&waiting.request, now));
+            ranks.min().map_or((1, None), |rank| (0, Some(rank)))
+        };
+        let next = may_load.min_by_key(|(adapter, is_cold)| (*is_cold, urgency(adapter)))?;
+        Some((next.0.clone(), next.1))
+    }
+
     fn order(&mut self, key: key::Upstream, model: Arc<str>, action: Action) {
         let fencing = self.fencing;
         let runner = &mut self.runners[key];
@@ -652,9 +679,8 @@
             _ => None,
         });
         if let (Some((adapter, version)), Some(model)) = (due, runner.model().cloned()) {
-            return self.order(key, model, Action::LoadAdapter { adapter, version });
+            self.order(key, model, Action::LoadAdapter { adapter, version });
         }
-        self.give_orders(key, now);
     }
 
     /// Frees requests that wait for a load that is no more.
--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -46,10 +46,10 @@
     Use,
     /// The adapter is on its way.
     Await,
-    /// The adapter has to be loaded, after another one was dropped if all places are taken.
+    /// The adapter has to be loaded.
     Load {
-        /// The adapter to drop.
-        evict: Option<Arc<str>>,
+        /// Whether it comes from the weight store.
+        is_cold: bool,
     },
     /// The engine has the adapter, or could load it, but is busy for now.
     Queue,
@@ -71,6 +71,8 @@
 pub struct ColdLoads {
     /// Those that are on their way now.
     pub under_way: usize,
+    /// Those that wait for their turn.
+    pub waiting: usize,
     /// Those that may be on their way before each takes longer.
     pub limit: usize,
 }
@@ -156,19 +158,16 @@
     if is_blocked || runner.loading() >= LOADS_PER_ENGINE {
         return (Step::Queue, time + NO_PLACE_WAIT, LOAD_RELUCTANCE);
     }
-    if runner.places.contains_key(adapter) {
-        return (Step::Load { evict: Some(adapter.clone()) }, time, LOAD_RELUCTANCE);
-    }
-    if runner.places_promised() < engine.adapter_places {
-        return (Step::Load { evict: None }, time, LOAD_RELUCTANCE);
-    }
-    match runner.victim(now) {
-        Some((victim, heat)) => {
-            let reluctance = LOAD_RELUCTANCE + EVICTION_COST_PER_HEAT.mul_f64(heat);
-            (Step::Load { evict: Some(victim) }, time, reluctance)
-        }
-        None => (Step::Queue, time + NO_PLACE_WAIT, LOAD_RELUCTANCE),
-    }
+    let is_cold = !runner.is_warm(adapter);
+    let reluctance = match runner.places_free(engine.adapter_places) {
+        Some(0) => match runner.victim(now) {
+            Some((_, heat)) => LOAD_RELUCTANCE + EVICTION_COST_PER_HEAT.mul_f64(heat),
+            None => return (Step::Queue, time + NO_PLACE_WAIT, LOAD_RELUCTANCE),
+        },
+        Some(_) => LOAD_RELUCTANCE,
+        None => return (Step::Queue, time + NO_PLACE_WAIT, LOAD_RELUCTANCE),
+    };
+    (Step::Load { is_cold }, time, reluctance)
 }
 
 /// Returns whether an adapter's version will do for a request.
@@ -185,7 +184,7 @@
     if runner.is_warm(adapter) {
         return WARM_LOAD;
     }
-    let crowd = (cold.under_way + 1) as f64 / cold.limit.max(1) as f64;
+    let crowd = (cold.under_way + cold.waiting + 1) as f64 / cold.limit.max(1) as f64;
     COLD_LOAD.mul_f64(crowd.max(1.0))
 }
 
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -234,10 +234,16 @@
         self.places.values().filter(is_there).count() + self.outdated.len()
     }
 
-    /// Returns how many places will be taken once all that was decided is done.
-    pub fn places_promised(&self) -> usize {
-        let stays = |place: &&Place| place.state != PlaceState::Unloading;
-        self.places.values().filter(stays).count()
+    /// Returns how many of its places are free beside those that were promised, or `None` if even
+    /// dropping all idle adapters would not free another one.
+    pub fn places_free(&self, capacity: usize) -> Option<usize> {
+        let is_reserved = |place: &&Place| matches!(place.state, PlaceState::Reserved { .. });
+        let reserved = self.places.values().filter(is_reserved).count();
+        let is_idle = |place: &&Place| place.state == PlaceState::Present && place.users == 0;
+        let idle = self.places.values().filter(is_idle).count();
+        let taken = self.places_taken();
+        let free = capacity.saturating_sub(taken);
+        (free + idle > reserved).then(|| free.saturating_sub(reserved))
     }
 
     /// Returns the next adapter to drop.
