Count an order once however often its end is asked for

Cause: asking a runner again for a load under way is answered like an order but is none, so the expected number of orders ran ahead and the next order met a conflict that settles only after half a second.

--- a/crates/orioleroute-node/src/gateway/duty.rs
+++ b/crates/orioleroute-node/src/gateway/duty.rs
@@ -15,7 +15,7 @@
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Placement, Reason, ToInstance, ToScheduler};
 use orioleroute::scheduler::order::{Order, Outcome};
-use orioleroute::scheduler::{Client, Output, RequestKey, Scheduler};
+use orioleroute::scheduler::{Client, Decision, Output, RequestKey, Scheduler};
 use orioleroute_platform::engine;
 use orioleroute_platform::store::{Commit, Write};
 use orioleroute_wire::Step;
@@ -306,6 +306,7 @@
     for output in outputs {
         match (output, zone) {
             (Output::Tell(client, message), _) => link::tell(gateway, client, message),
+            (Output::Decided(decision), _) => log_decision(gateway, zone, &decision),
             (Output::Order(address, order), Some(zone)) => {
                 monoio::spawn(give(gateway.clone(), zone.clone(), address, order));
             }
@@ -327,6 +328,17 @@
     }
 }
 
+fn log_decision(gateway: &Rc<Gateway>, zone: Option<&Arc<str>>, decision: &Decision) {
+    let upstream = decision.upstream.as_deref();
+    let outcome = if upstream.is_some() { "granted" } else { "not granted" };
+    metrics::counter!("orioleroute_placements_total", "reason" => decision.reason).increment(1);
+    info!(gateway.log, "placement"; "request" => decision.attempt.as_deref(), "outcome" => outcome,
+        "reason" => decision.reason, "upstream" => upstream, "zone" => zone.map(|zone| &**zone),
+        "waited_ms" => decision.waited.as_millis() as u64,
+        "expected_ms" => decision.expected.as_millis() as u64,
+        "queue_ms" => decision.queue.as_millis() as u64);
+}
+
 /// Gives an order and hands its outcome to the scheduler.
 async fn give(gateway: Rc<Gateway>, zone: Arc<str>, address: SocketAddr, order: Order) {
     let outcome = match gateway.duty.is_suspended.get() || gateway.duty.was_frozen() {
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -42,6 +42,10 @@
 /// When a client comes back whose request was declined by all upstreams that were tried.
 const DECLINED_RETRY: Duration = Duration::from_millis(250);
 
+/// The time that must have gone by since a client's first attempt for it to count as one that has
+/// come back: refusals name at least this time.
+const RETURN_AFTER: Duration = Duration::from_millis(80);
+
 /// A request as it was read.
 pub struct Inbound {
     /// The head.
@@ -81,7 +85,8 @@
         return own_answer(gateway, client, StatusCode::NOT_FOUND, &attempt, None).await;
     };
     let waits = attempt.time_left.unwrap_or(route.timeout).min(route.timeout);
-    let elapsed = route.timeout.saturating_sub(attempt.time_left.unwrap_or(route.timeout));
+    let elapsed = attempt.time_left.map(|left| gateway.elapsed(&route.name, left));
+    let elapsed = elapsed.unwrap_or_default();
     let has_engine = placing::has_engine(&configuration, &service);
     gateway.earn_retry(&service);
     let mut relay = Relay {
@@ -95,6 +100,7 @@
         service,
         version: configuration.version,
         has_engine,
+        is_return: elapsed >= RETURN_AFTER,
         sent: Cell::new(0),
         declines: 0,
         excluded: Vec::new(),
@@ -116,6 +122,8 @@
     /// The version of the configuration that routed it.
     version: u64,
     has_engine: bool,
+    /// Whether the client was refused before and has come back.
+    is_return: bool,
     /// When it has its final answer at the latest.
     limit: Instant,
     /// When its answer is late.
@@ -229,6 +237,8 @@
                     deadline: self.limit,
                     objective: self.objective,
                     excluded: &self.excluded,
+                    attempt: self.attempt.id.as_ref(),
+                    is_return: self.is_return,
                 };
                 placing::find(self.gateway, &need).await
             }
--- a/crates/orioleroute-node/src/gateway/placing.rs
+++ b/crates/orioleroute-node/src/gateway/placing.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use orioleroute::hash;
 use orioleroute::ingress::Configuration;
 use orioleroute::ingress::attempt::Generation;
 use orioleroute::ingress::health::Outcome;
@@ -32,6 +33,10 @@
     pub objective: Instant,
     /// Engines that have failed it.
     pub excluded: &'a [Arc<str>],
+    /// The client's id of the attempt.
+    pub attempt: Option<&'a Arc<str>>,
+    /// Whether the client was refused before and has come back.
+    pub is_return: bool,
 }
 
 /// A place at an engine, given back when dropped.
@@ -102,31 +107,45 @@
     }
 }
 
-/// Asks the schedulers for a place: the one of this instance's zone, then that of another, and if
-/// none answers, takes an engine that is listed with the adapter.
+/// Asks the schedulers for a place: that of this instance's zone, then that of the adapter's home
+/// zone, and if none answers, takes an engine that is listed with the adapter.
+///
+/// Adapters that few ask for are fetched by one zone only, which has them warm when they are next
+/// asked for anywhere.
 pub async fn find(gateway: &Rc<Gateway>, need: &Need<'_>) -> Result<Seat, Refusal> {
     let own: Arc<str> = gateway.settings().zone.as_str().into();
-    let mut refusal = match ask(gateway, &own, need).await {
+    let home = home_zone(gateway, need.generation).unwrap_or_else(|| own.clone());
+    let first = match ask(gateway, &own, need, home == own).await {
         Ok(seat) => return Ok(seat),
         Err(refusal) => refusal,
     };
-    let left = need.objective.since(gateway.now());
-    let is_hopeful = matches!(refusal.reason, Reason::Overloaded | Reason::NoEngine);
-    if is_hopeful && left > ELSEWHERE_TIME {
-        let other = other_zone(gateway, &own, need.generation);
-        if let Some(other) = other {
-            match ask(gateway, &other, need).await {
-                Ok(seat) => return Ok(seat),
-                Err(other) if refusal.reason == Reason::NoEngine => refusal = other,
-                Err(_) => {}
-            }
+    let second = match first.reason {
+        Reason::NotHere => Some(home),
+        Reason::Overloaded | Reason::NoEngine => {
+            let left = need.objective.since(gateway.now());
+            (left > ELSEWHERE_TIME).then(|| other_zone(gateway, &own, home)).flatten()
         }
-    }
+        Reason::TooLate | Reason::NotScheduler => None,
+    };
+    let refusal = match second {
+        Some(zone) => match ask(gateway, &zone, need, true).await {
+            Ok(seat) => return Ok(seat),
+            Err(refusal) => refusal,
+        },
+        None => first,
+    };
+    // The home zone cannot help: the own zone may fetch the adapter after all.
+    let is_left_alone = matches!(refusal.reason, Reason::NotScheduler | Reason::NoEngine);
+    let refusal = match first.reason == Reason::NotHere && is_left_alone {
+        true => match ask(gateway, &own, need, true).await {
+            Ok(seat) => return Ok(seat),
+            Err(refusal) => refusal,
+        },
+        false => refusal,
+    };
     if refusal.reason == Reason::NotScheduler {
-        return listed(gateway, need).ok_or(Refusal {
-            reason: Reason::NoEngine,
-            retry_after: UNSCHEDULED_RETRY,
-        });
+        return listed(gateway, need)
+            .ok_or(Refusal { reason: Reason::NoEngine, retry_after: UNSCHEDULED_RETRY });
     }
     Err(refusal)
 }
@@ -135,7 +154,12 @@
 /// the time until there is a new scheduler.
 const UNSCHEDULED_RETRY: Duration = Duration::from_millis(1_000);
 
-async fn ask(gateway: &Rc<Gateway>, zone: &Arc<str>, need: &Need<'_>) -> Result<Seat, Refusal> {
+async fn ask(
+    gateway: &Rc<Gateway>,
+    zone: &Arc<str>,
+    need: &Need<'_>,
+    may_fetch: bool,
+) -> Result<Seat, Refusal> {
     let unscheduled = Refusal { reason: Reason::NotScheduler, retry_after: Duration::ZERO };
     let address = gateway.duty.office(zone).and_then(|office| {
         gateway.roster().member(&office.holder).map(|member| member.peer_address)
@@ -152,7 +176,8 @@
         version: None,
     };
     let answer = route.expect(gateway, ticket);
-    route.send(gateway, ToScheduler::Place(Box::new(placement(gateway, zone, ticket, need))));
+    let placement = Placement { may_fetch, ..placement(gateway, zone, ticket, need) };
+    route.send(gateway, ToScheduler::Place(Box::new(placement)));
     match answer.await {
         Ok(ToInstance::Grant(Grant { upstream, address, version, .. })) => {
             seat.upstream = upstream;
@@ -189,16 +214,25 @@
         time_left_ms: need.deadline.since(now).as_millis() as u64,
         objective_left_ms: need.objective.since(now).as_millis() as u64,
         excluded: need.excluded.to_vec(),
+        attempt: need.attempt.cloned(),
+        is_return: need.is_return,
+        may_fetch: true,
     }
 }
 
-/// Returns the other zone that an adapter's requests overflow to.
-fn other_zone(gateway: &Gateway, own: &str, generation: &Generation) -> Option<Arc<str>> {
+/// Returns the zone that fetches an adapter which few ask for.
+fn home_zone(gateway: &Gateway, generation: &Generation) -> Option<Arc<str>> {
+    let item = hash::digest(&generation.adapter);
     let zones = gateway.duty.zones();
-    let others = zones.iter().filter(|zone| ***zone != *own);
-    let item = orioleroute::hash::digest(&generation.adapter);
-    orioleroute::hash::winner(item, others.map(|zone| (orioleroute::hash::digest(&**zone), zone)))
-        .cloned()
+    hash::winner(item, zones.iter().map(|zone| (hash::digest(&**zone), zone))).cloned()
+}
+
+/// Returns the zone to which requests overflow: the adapter's home, or else any other.
+fn other_zone(gateway: &Gateway, own: &str, home: Arc<str>) -> Option<Arc<str>> {
+    if *home != *own {
+        return Some(home);
+    }
+    gateway.duty.zones().into_iter().find(|zone| **zone != *own)
 }
 
 /// Returns an engine that is listed with what the request needs, for when no scheduler answers.
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
 use orioleroute::hash::Map;
+use orioleroute::ingress::deadline::Longest;
 use orioleroute::ingress::health::Health;
 use orioleroute::ingress::registry::Registry;
 use orioleroute::ingress::roster::{Member, Roster};
@@ -59,6 +60,7 @@
     health: RefCell<Map<Arc<str>, Health>>,
     retries: RefCell<Map<Arc<str>, retry::Budget>>,
     versions: RefCell<Map<(Arc<str>, Arc<str>), u64>>,
+    deadlines: RefCell<Map<Arc<str>, Longest>>,
     stopping: Cell<Option<Instant>>,
     in_flight: Cell<usize>,
     body_bytes: Cell<usize>,
@@ -93,6 +95,7 @@
             health: RefCell::default(),
             retries: RefCell::default(),
             versions: RefCell::default(),
+            deadlines: RefCell::default(),
             stopping: Cell::new(None),
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
@@ -191,6 +194,12 @@
         self.budget(service).spend(now)
     }
 
+    /// Returns how long a client of a route has been waiting that waits for `time_left` more.
+    pub fn elapsed(&self, route: &Arc<str>, time_left: Duration) -> Duration {
+        let now = self.now();
+        self.deadlines.borrow_mut().entry(route.clone()).or_default().elapsed(time_left, now)
+    }
+
     /// Returns the region of an availability zone.
     pub fn region_of(&self, zone: &str) -> Option<String> {
         let settings = self.settings();
--- a/crates/orioleroute/src/ingress/mod.rs
+++ b/crates/orioleroute/src/ingress/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod configuration;
+pub mod deadline;
 pub mod health;
 pub mod registry;
 pub mod roster;
--- a/crates/orioleroute/src/scheduler/admission.rs
+++ b/crates/orioleroute/src/scheduler/admission.rs
@@ -7,6 +7,7 @@
 
 use super::Request;
 use super::message::Reason;
+use super::placement::Step;
 use crate::prelude::*;
 
 /// The queue up to which a request that would be late is taken all the same.
@@ -16,6 +17,10 @@
 /// error of the estimate.
 const START_SHARE: f64 = 0.9;
 
+/// The part of the time to the deadline that the expected start may take for a client that has come
+/// back: it is late in any case, but to refuse it twice is worse than to be late.
+const RETURN_SHARE: f64 = 0.5;
+
 /// The bounds of the time after which a refused client is told to come back.
 const RETRY_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(2_000));
@@ -37,19 +42,25 @@
 /// Fails with the refusal to send at once.
 pub fn admit(
     request: &Request,
+    step: Step,
     expected_start: Duration,
     queue: Duration,
     now: Instant,
 ) -> Result<(), Refusal> {
-    let start = now + expected_start;
-    if start >= request.deadline {
+    let deadline = request.deadline.since(now);
+    if expected_start >= deadline {
         return Err(Refusal { reason: Reason::TooLate, retry_after: retry_after(queue) });
     }
-    let left = request.objective.since(now).mul_f64(START_SHARE);
-    if expected_start > left && queue > IDLE_QUEUE {
-        return Err(Refusal { reason: Reason::Overloaded, retry_after: retry_after(queue) });
+    let is_on_time = expected_start <= request.objective.since(now).mul_f64(START_SHARE);
+    let is_welcome = match request.is_return {
+        true => expected_start <= deadline.mul_f64(RETURN_SHARE),
+        // A late answer is worth less than what fetching its adapter takes from others.
+        false => queue <= IDLE_QUEUE && !step.is_fetch(),
+    };
+    match is_on_time || is_welcome {
+        true => Ok(()),
+        false => Err(Refusal { reason: Reason::Overloaded, retry_after: retry_after(queue) }),
     }
-    Ok(())
 }
 
 /// Returns when a refused client is to come back: once what waits now has been read.
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -48,6 +48,8 @@
 pub struct Placement {
     /// The instance's number for the request.
     pub ticket: u64,
+    /// The client's id of the attempt, for the log.
+    pub attempt: Option<Arc<str>>,
     /// The availability zone whose engines it asks for.
     pub zone: Arc<str>,
     /// The service.
@@ -72,6 +74,10 @@
     pub objective_left_ms: u64,
     /// Engines that have failed this request.
     pub excluded: Vec<Arc<str>>,
+    /// Whether the client was refused before and has come back.
+    pub is_return: bool,
+    /// Whether its adapter may come from the weight store although other zones might have it.
+    pub may_fetch: bool,
 }
 
 /// A place at an engine.
@@ -122,7 +128,15 @@
 
 /// Why a request is not placed.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, strum::Display, serde::Serialize, serde::Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::IntoStaticStr,
+    serde::Serialize,
+    serde::Deserialize,
 )]
 #[strum(serialize_all = "snake_case")]
 #[serde(rename_all = "snake_case")]
@@ -133,6 +147,8 @@
     TooLate,
     /// No engine can run it.
     NoEngine,
+    /// Its adapter is not here, and is more likely to be in its home zone.
+    NotHere,
     /// This instance does not schedule the availability zone (any more).
     NotScheduler,
 }
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -23,7 +23,7 @@
 use message::{Grant, Placement, Reason, RunResult, ToInstance};
 use order::{Action, Order, Outcome, Report};
 use placement::{Candidate, ColdLoads, Step};
-use runner::{Base, Certainty, Place, PlaceState, Runner};
+use runner::{Base, Certainty, Heat, Place, PlaceState, Runner};
 
 /// How long after an answer was lost a report is asked for: it is some hundred milliseconds old.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
@@ -41,6 +41,16 @@
 /// zones.
 const COLD_LOAD_LIMIT: usize = 8;
 
+/// The requests for an adapter in the last ten seconds from which on a zone fetches it although its
+/// home zone may have it: a fetch costs about as much as ten requests to another region.
+const POPULAR_HEAT: f64 = 3.0;
+
+/// Adapters whose requests are counted at a time.
+const MAX_MISSES: usize = 1_024;
+
+/// The heat below which a count is dropped when there are too many.
+const FORGOTTEN_HEAT: f64 = 0.5;
+
 /// The instance that asked, as its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Client(pub u64);
@@ -79,6 +89,12 @@
     pub objective: Instant,
     /// Engines that have failed the request.
     pub excluded: Vec<Arc<str>>,
+    /// Whether the client was refused before and has come back.
+    pub is_return: bool,
+    /// The client's id of the attempt.
+    pub attempt: Option<Arc<str>>,
+    /// When it was asked for.
+    pub arrived: Instant,
 }
 
 /// A part of a prompt, read by a certain adapter.
@@ -101,6 +117,25 @@
     Report(std::net::SocketAddr, Arc<str>),
     /// Another scheduler has given orders: this one must stop.
     Deposed,
+    /// A request was decided on.
+    Decided(Decision),
+}
+
+/// What was decided on a request, and by what, for the log.
+#[derive(Clone, Debug)]
+pub struct Decision {
+    /// The client's id of the attempt.
+    pub attempt: Option<Arc<str>>,
+    /// What its adapter needed when it was taken, or why it was refused.
+    pub reason: &'static str,
+    /// The engine, if one was granted.
+    pub upstream: Option<Arc<str>>,
+    /// How long it waited.
+    pub waited: Duration,
+    /// How long it was expected to take to the first event when it was taken or refused.
+    pub expected: Duration,
+    /// How long the engines would read what was to go before it.
+    pub queue: Duration,
 }
 
 /// The scheduler of one availability zone.
@@ -112,6 +147,8 @@
     waiting: Vec<Waiting>,
     granted: Map<RequestKey, key::Upstream>,
     newest: Map<(Arc<str>, Arc<str>), u64>,
+    /// How often adapters were asked for that were not here.
+    misses: Map<Arc<str>, Heat>,
     zones: usize,
     outputs: Vec<Output>,
 }
@@ -119,10 +156,20 @@
 struct Waiting {
     key: RequestKey,
     request: Request,
+    /// What was expected when it was taken.
+    forecast: Forecast,
     /// The engine that loads the request's adapter for it.
     assigned: Option<key::Upstream>,
 }
 
+/// What was expected of a request when it was taken.
+#[derive(Clone, Copy)]
+struct Forecast {
+    step: Step,
+    start: Duration,
+    queue: Duration,
+}
+
 impl Scheduler {
     /// Returns a scheduler that orders under the token `fencing`, one of `zones` that share the
     /// weight store.
@@ -135,6 +182,7 @@
             waiting: Vec::new(),
             granted: Map::default(),
             newest: Map::default(),
+            misses: Map::default(),
             zones,
             outputs: Vec::new(),
         }
@@ -194,23 +242,44 @@
     /// Takes a request that needs a place.
     pub fn place(&mut self, client: Client, placement: Placement, now: Instant) {
         let key = RequestKey { client, ticket: placement.ticket };
+        let may_fetch = placement.may_fetch;
         let request = self.request(placement, now);
         let Some(engine) = self.engine(&request.service).cloned() else {
-            return self.refuse(key, Reason::NoEngine, Duration::ZERO);
+            return self.refuse(key, &request, Reason::NoEngine, Duration::ZERO, now);
         };
         let Some(candidate) = self.choose(&engine, &request, now) else {
-            return self.refuse(key, Reason::NoEngine, admission::retry_after(Duration::ZERO));
+            let retry_after = admission::retry_after(Duration::ZERO);
+            return self.refuse(key, &request, Reason::NoEngine, retry_after, now);
         };
+        if !may_fetch && candidate.step.is_fetch() && !self.is_popular(&request, now) {
+            return self.refuse(key, &request, Reason::NotHere, Duration::ZERO, now);
+        }
         let queue = self.queue_ahead(&request, now);
-        match admission::admit(&request, candidate.start + queue, queue, now) {
+        let forecast = Forecast { step: candidate.step, start: candidate.start + queue, queue };
+        match admission::admit(&request, forecast.step, forecast.start, queue, now) {
             Ok(()) => {
-                self.waiting.push(Waiting { key, request, assigned: None });
+                self.waiting.push(Waiting { key, request, forecast, assigned: None });
                 self.dispatch(now);
             }
-            Err(refusal) => self.refuse(key, refusal.reason, refusal.retry_after),
+            Err(refusal) => {
+                self.decide(&request, refusal.reason.into(), None, forecast, now);
+                self.tell_refusal(key, refusal.reason, refusal.retry_after);
+            }
         }
     }
 
+    /// Counts a request for an adapter that is not here, and returns whether there have been so many
+    /// lately that the zone is to fetch it itself.
+    fn is_popular(&mut self, request: &Request, now: Instant) -> bool {
+        let Some(adapter) = &request.adapter else { return true };
+        if self.misses.len() > MAX_MISSES {
+            self.misses.retain(|_, misses| misses.heat(now) >= FORGOTTEN_HEAT);
+        }
+        let misses = self.misses.entry(adapter.clone()).or_default();
+        misses.touch(now);
+        misses.heat(now) >= POPULAR_HEAT
+    }
+
     /// Takes note of a request's first event.
     pub fn started(&mut self, key: RequestKey, now: Instant) {
         if let Some(runner) = self.granted.get(&key).and_then(|runner| self.runners.get_mut(*runner))
@@ -247,7 +316,7 @@
     /// Refuses all that waits, since another scheduler has taken over.
     pub fn abandon(&mut self) {
         for waiting in std::mem::take(&mut self.waiting) {
-            self.refuse(waiting.key, Reason::NotScheduler, Duration::ZERO);
+            self.tell_refusal(waiting.key, Reason::NotScheduler, Duration::ZERO);
         }
     }
 
@@ -339,6 +408,9 @@
             deadline: now + Duration::from_millis(placement.time_left_ms),
             objective: now + Duration::from_millis(placement.objective_left_ms),
             excluded: placement.excluded,
+            is_return: placement.is_return,
+            attempt: placement.attempt,
+            arrived: now,
         }
     }
 
@@ -429,18 +501,19 @@
     fn advance(&mut self, item: &mut Waiting, now: Instant) -> bool {
         if item.request.deadline <= now {
             self.unassign(item);
-            self.refuse(item.key, Reason::TooLate, Duration::ZERO);
+            self.refuse(item.key, &item.request, Reason::TooLate, Duration::ZERO, now);
             return true;
         }
         if let Some(runner) = item.assigned {
             return self.advance_assigned(runner, item, now);
         }
         let Some(engine) = self.engine(&item.request.service).cloned() else {
-            self.refuse(item.key, Reason::NoEngine, Duration::ZERO);
+            self.refuse(item.key, &item.request, Reason::NoEngine, Duration::ZERO, now);
             return true;
         };
         let Some(candidate) = self.choose(&engine, &item.request, now) else {
-            self.refuse(item.key, Reason::NoEngine, admission::retry_after(Duration::ZERO));
+            let retry_after = admission::retry_after(Duration::ZERO);
+            self.refuse(item.key, &item.request, Reason::NoEngine, retry_after, now);
             return true;
         };
         match candidate.step {
@@ -457,7 +530,7 @@
                 self.assign(candidate.runner, item, now);
                 false
             }
-            Step::Queue => false,
+            Step::Queue(_) => false,
         }
     }
 
@@ -520,11 +593,26 @@
             address: runner.address,
             version,
         };
+        let upstream = Some(runner.id.clone());
         self.granted.insert(item.key, key);
+        self.decide(&item.request, item.forecast.step.name(), upstream, item.forecast, now);
         self.outputs.push(Output::Tell(item.key.client, ToInstance::Grant(grant)));
     }
 
-    fn refuse(&mut self, key: RequestKey, reason: Reason, retry_after: Duration) {
+    fn refuse(
+        &mut self,
+        key: RequestKey,
+        request: &Request,
+        reason: Reason,
+        retry_after: Duration,
+        now: Instant,
+    ) {
+        let forecast = Forecast { step: Step::Use, start: Duration::ZERO, queue: Duration::ZERO };
+        self.decide(request, reason.into(), None, forecast, now);
+        self.tell_refusal(key, reason, retry_after);
+    }
+
+    fn tell_refusal(&mut self, key: RequestKey, reason: Reason, retry_after: Duration) {
         let refusal = ToInstance::Refuse {
             ticket: key.ticket,
             retry_after_ms: retry_after.as_millis() as u64,
@@ -533,6 +621,24 @@
         self.outputs.push(Output::Tell(key.client, refusal));
     }
 
+    fn decide(
+        &mut self,
+        request: &Request,
+        reason: &'static str,
+        upstream: Option<Arc<str>>,
+        forecast: Forecast,
+        now: Instant,
+    ) {
+        self.outputs.push(Output::Decided(Decision {
+            attempt: request.attempt.clone(),
+            reason,
+            upstream,
+            waited: now.since(request.arrived),
+            expected: forecast.start,
+            queue: forecast.queue,
+        }));
+    }
+
     /// Takes a request off its engine.
     fn land(&mut self, upstream: key::Upstream, key: RequestKey, result: RunResult, now: Instant) {
         let Some(runner) = self.runners.get_mut(upstream) else { return };
@@ -586,7 +692,7 @@
         }
         let time = if is_cold { placement::COLD_LOAD } else { placement::WARM_LOAD };
         let Some(place) = runner.places.get_mut(&adapter) else { return };
-        place.state = PlaceState::Loading { check_at: now + time, is_cold };
+        place.state = PlaceState::Loading { check_at: now + time, is_cold, is_accepted: false };
         let version = place.version;
         self.order(key, model, Action::LoadAdapter { adapter, version });
     }
@@ -650,7 +756,9 @@
             return;
         };
         let (model, time) = (model.name.clone(), model.load_time);
-        self.runners[key].base = Base::Loading { model: model.clone(), check_at: now + time };
+        let check_at = now + time;
+        let base = Base::Loading { model: model.clone(), check_at, is_accepted: false };
+        self.runners[key].base = base;
         self.order(key, model, Action::LoadModel);
     }
 
@@ -666,7 +774,7 @@
             Certainty::Known => {}
             Certainty::AskAt(_) | Certainty::Asking | Certainty::Ordering => return,
         }
-        if let Base::Loading { model, check_at } = &runner.base
+        if let Base::Loading { model, check_at, .. } = &runner.base
             && *check_at <= now
         {
             let model = model.clone();
@@ -720,8 +828,8 @@
     match outcome {
         Outcome::Holds => runner.base = Base::Present(model.clone()),
         Outcome::Accepted => {
-            runner.orders += 1;
-            if let Base::Loading { check_at, .. } = &mut runner.base {
+            if let Base::Loading { check_at, is_accepted, .. } = &mut runner.base {
+                runner.orders += u64::from(!std::mem::replace(is_accepted, true));
                 *check_at = (*check_at).max(now + MODEL_CHECK_INTERVAL);
             }
         }
@@ -750,10 +858,10 @@
             }
         }
         Outcome::Accepted => {
-            runner.orders += 1;
             if let Some(place) = runner.places.get_mut(adapter)
-                && let PlaceState::Loading { check_at, .. } = &mut place.state
+                && let PlaceState::Loading { check_at, is_accepted, .. } = &mut place.state
             {
+                runner.orders += u64::from(!std::mem::replace(is_accepted, true));
                 *check_at = (*check_at).max(now + LOAD_CHECK_INTERVAL);
             }
         }
--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -40,7 +40,7 @@
 const NO_DISTANCE: Duration = Duration::ZERO;
 
 /// What has to happen before a request can run at an engine.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
     /// Nothing: it can be sent.
     Use,
@@ -51,8 +51,44 @@
         /// Whether it comes from the weight store.
         is_cold: bool,
     },
-    /// The engine has the adapter, or could load it, but is busy for now.
-    Queue,
+    /// Something at the engine stands in the way for now.
+    Queue(Obstacle),
+}
+
+/// What stands in the way of a request at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Obstacle {
+    /// It has prompts to read.
+    Prompts,
+    /// It has no slot or cache left.
+    Full,
+    /// All its places for adapters are in use.
+    Places,
+    /// It loads as many adapters at once as it may.
+    Loads,
+    /// What it holds is not known for certain.
+    Unsettled,
+    /// It holds an older version of the adapter, which is in use.
+    OldVersion,
+}
+
+impl Step {
+    /// Returns whether the adapter has to come from the weight store.
+    pub fn is_fetch(self) -> bool {
+        self == Self::Load { is_cold: true }
+    }
+
+    /// Returns the name of the step in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Use => "held",
+            Self::Await => "loading",
+            Self::Load { is_cold: true } => "fetch",
+            Self::Load { is_cold: false } => "reload",
+            Self::Queue(obstacle) => obstacle.into(),
+        }
+    }
 }
 
 /// An engine that can run a request.
@@ -118,8 +154,10 @@
     let (mut step, load, reluctance) = adapter_step(runner, engine, request, cold, now);
     let own = runner.reading_time(u64::from(runner.uncached_tokens(request)));
     let start = backlog.max(load) + own;
-    if backlog > ENGINE_QUEUE || !has_room(runner, engine, request) {
-        step = Step::Queue;
+    if backlog > ENGINE_QUEUE {
+        step = Step::Queue(Obstacle::Prompts);
+    } else if !has_room(runner, engine, request) {
+        step = Step::Queue(Obstacle::Full);
     }
     let penalty = Duration::from_secs_f64(runner.health.cost(runner.slots, NO_DISTANCE));
     Some((start + reluctance + penalty, Candidate { runner: key, step, start }))
@@ -145,27 +183,33 @@
             PlaceState::Reserved { .. } => {
                 return (Step::Await, load_time(runner, adapter, cold), Duration::ZERO);
             }
-            PlaceState::Unloading => return (Step::Queue, NO_PLACE_WAIT, LOAD_RELUCTANCE),
+            PlaceState::Unloading => {
+                return (Step::Queue(Obstacle::Places), NO_PLACE_WAIT, LOAD_RELUCTANCE);
+            }
         },
         // An older version of it has to go first.
         Some(place) if place.users > 0 || place.state != PlaceState::Present => {
-            return (Step::Queue, NO_PLACE_WAIT, LOAD_RELUCTANCE);
+            return (Step::Queue(Obstacle::OldVersion), NO_PLACE_WAIT, LOAD_RELUCTANCE);
         }
         Some(_) | None => {}
     }
     let time = load_time(runner, adapter, cold);
     let is_blocked = !matches!(runner.certainty, Certainty::Known | Certainty::Ordering);
-    if is_blocked || runner.loading() >= LOADS_PER_ENGINE {
-        return (Step::Queue, time + NO_PLACE_WAIT, LOAD_RELUCTANCE);
+    let queued = |obstacle| (Step::Queue(obstacle), time + NO_PLACE_WAIT, LOAD_RELUCTANCE);
+    if is_blocked {
+        return queued(Obstacle::Unsettled);
+    }
+    if runner.loading() >= LOADS_PER_ENGINE {
+        return queued(Obstacle::Loads);
     }
     let is_cold = !runner.is_warm(adapter);
     let reluctance = match runner.places_free(engine.adapter_places) {
         Some(0) => match runner.victim(now) {
             Some((_, heat)) => LOAD_RELUCTANCE + EVICTION_COST_PER_HEAT.mul_f64(heat),
-            None => return (Step::Queue, time + NO_PLACE_WAIT, LOAD_RELUCTANCE),
+            None => return queued(Obstacle::Places),
         },
         Some(_) => LOAD_RELUCTANCE,
-        None => return (Step::Queue, time + NO_PLACE_WAIT, LOAD_RELUCTANCE),
+        None => return queued(Obstacle::Places),
     };
     (Step::Load { is_cold }, time, reluctance)
 }
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -73,6 +73,8 @@
         model: Arc<str>,
         /// When to look whether it is there.
         check_at: Instant,
+        /// Whether the engine has accepted the order; asking again does not count as another one.
+        is_accepted: bool,
     },
     /// It holds this one.
     Present(Arc<str>),
@@ -100,8 +102,27 @@
     pub state: PlaceState,
     /// The requests that use it or wait for it.
     pub users: u32,
-    heat: f64,
-    heated: Instant,
+    heat: Heat,
+}
+
+/// How much an adapter is asked for: about its requests in the last ten seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Heat {
+    value: f64,
+    since: Instant,
+}
+
+impl Heat {
+    /// Returns the heat at the time `now`.
+    pub fn heat(&self, now: Instant) -> f64 {
+        self.value * (-now.since(self.since).as_secs_f64() / HEAT_DECAY.as_secs_f64()).exp()
+    }
+
+    /// Counts a request.
+    pub fn touch(&mut self, now: Instant) {
+        self.value = self.heat(now) + 1.0;
+        self.since = now;
+    }
 }
 
 /// Whether an adapter can be used.
@@ -115,6 +136,8 @@
         check_at: Instant,
         /// Whether it comes from the weight store.
         is_cold: bool,
+        /// Whether the engine has accepted the order; asking again does not count as another one.
+        is_accepted: bool,
     },
     /// It is to be loaded once the engine takes the order and has a place for it.
     Reserved {
@@ -145,18 +168,17 @@
 impl Place {
     /// Returns a place for an adapter that is used now.
     pub fn new(version: Option<u64>, state: PlaceState, now: Instant) -> Self {
-        Self { version, state, users: 0, heat: 0.0, heated: now }
+        Self { version, state, users: 0, heat: Heat { value: 0.0, since: now } }
     }
 
-    /// Returns the adapter's popularity: about its requests in the last ten seconds.
+    /// Returns the adapter's popularity at this engine.
     pub fn heat(&self, now: Instant) -> f64 {
-        self.heat * (-now.since(self.heated).as_secs_f64() / HEAT_DECAY.as_secs_f64()).exp()
+        self.heat.heat(now)
     }
 
     /// Counts a request for the adapter.
     pub fn touch(&mut self, now: Instant) {
-        self.heat = self.heat(now) + 1.0;
-        self.heated = now;
+        self.heat.touch(now);
     }
 }
 
@@ -196,7 +218,7 @@
             self.base = base;
         }
         for revision in &report.pending {
-            let state = PlaceState::Loading { check_at: now, is_cold: true };
+            let state = PlaceState::Loading { check_at: now, is_cold: true, is_accepted: true };
             let place = self.places.entry(revision.name.clone());
             place.or_insert_with(|| Place::new(Some(revision.version), state, now));
         }
