--- a/crates/orioleroute-node/src/gateway/duty.rs
+++ b/crates/orioleroute-node/src/gateway/duty.rs
@@ -243,7 +243,7 @@
 }
 
 /// Gives the offices of this instance up, so that others need not wait for its silence.
-pub async fn resign(gateway: &Rc<Gateway>) {
+pub async fn resign(gateway: Rc<Gateway>) {
     let held: Vec<(Arc<str>, u64)> = {
         let schedulers = gateway.duty.schedulers.borrow();
         schedulers.iter().map(|(zone, held)| (zone.clone(), held.fencing())).collect()
@@ -260,7 +260,7 @@
             }
         }
     }
-    review(gateway);
+    review(&gateway);
 }
 
 fn place(gateway: &Rc<Gateway>, client: Client, placement: Placement) {
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -318,9 +318,10 @@
     monoio::spawn(reload_on_signal(gateway.clone(), reload_receiver));
     let (read, _) = receiver.read(vec![0_u8; 1]).await;
     read?;
-    gateway.begin_stop();
-    super::duty::resign(&gateway).await;
     let since = gateway.now();
+    gateway.begin_stop();
+    // The store may be away, which must not hold the process up.
+    monoio::spawn(super::duty::resign(gateway.clone()));
     let grace = gateway.settings().grace;
     loop {
         monoio::time::sleep(STOP_POLL).await;
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -21,8 +21,8 @@
 const RETRY: Duration = Duration::from_millis(250);
 
 /// The time between two watches of the upstreams. Each one's heartbeat ends a watch, so this bounds
-/// the calls; a leaving upstream may be used for ten times as long.
-const UPSTREAM_PACE: Duration = Duration::from_millis(250);
+/// the calls; a leaving upstream may be used for four times as long.
+const UPSTREAM_PACE: Duration = Duration::from_millis(600);
 
 /// The time between two watches of the operator's table, so that a storm of changes is read in few
 /// calls.
--- /dev/null
+++ b/crates/orioleroute-wire/tests/http1.rs
@@ -0,0 +1,203 @@
+//! Heads and bodies as a proxy reads them: what is taken, what is refused, and that the way in which
+//! bytes arrive makes no difference.
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, StatusCode};
+use orioleroute_wire::http1::Malformed;
+use orioleroute_wire::http1::body::{Decoder, Framing, LAST_CHUNK, write_chunk};
+use orioleroute_wire::http1::head::{Request, Response, strip_connection_fields};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const LIMIT: usize = 4_096;
+
+fn request(text: &str) -> Result<Option<Request>, Malformed> {
+    Request::parse(&mut BytesMut::from(text), LIMIT)
+}
+
+fn response(text: &str) -> Result<Option<Response>, Malformed> {
+    Response::parse(&mut BytesMut::from(text), &Method::GET, LIMIT)
+}
+
+/// Decodes a body that arrives in pieces, and returns its data and what follows it.
+fn decode(framing: Framing, pieces: &[&[u8]]) -> Result<(Vec<u8>, Vec<u8>, bool), Malformed> {
+    let mut decoder = Decoder::new(framing);
+    let mut input = BytesMut::new();
+    let mut data = Vec::new();
+    for piece in pieces {
+        input.extend_from_slice(piece);
+        while let Some(part) = decoder.decode(&mut input)? {
+            data.extend_from_slice(&part);
+        }
+    }
+    Ok((data, input.to_vec(), decoder.is_done()))
+}
+
+#[rstest]
+#[case::length_and_chunks("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", Malformed::Framing)]
+#[case::two_lengths("Content-Length: 3\r\nContent-Length: 4\r\n", Malformed::Framing)]
+#[case::same_length_twice("Content-Length: 3\r\nContent-Length: 3\r\n", Malformed::Framing)]
+#[case::signed_length("Content-Length: +3\r\n", Malformed::Framing)]
+#[case::list_of_lengths("Content-Length: 3, 3\r\n", Malformed::Framing)]
+#[case::unknown_coding("Transfer-Encoding: gzip, chunked\r\n", Malformed::Framing)]
+#[case::chunked_twice("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Malformed::Framing)]
+#[case::second_host("Host: b\r\n", Malformed::Host)]
+#[case::space_before_colon("Content-Length : 3\r\n", Malformed::Head)]
+#[case::folded_field("X-A: b\r\n c\r\n", Malformed::Head)]
+fn requests_that_others_may_read_differently_are_refused(
+    #[case] fields: &str,
+    #[case] expected: Malformed,
+) {
+    let parsed = request(&format!("POST / HTTP/1.1\r\nHost: a\r\n{fields}\r\n"));
+
+    assert_eq!(parsed.err(), Some(expected));
+}
+
+#[rstest]
+#[case::no_host("GET / HTTP/1.1\r\n\r\n", Malformed::Host)]
+#[case::no_path("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", Malformed::Target)]
+#[case::chunks_in_1_0("POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", Malformed::Framing)]
+fn requests_without_what_they_need_are_refused(#[case] text: &str, #[case] expected: Malformed) {
+    let parsed = request(text);
+
+    assert_eq!(parsed.err(), Some(expected));
+}
+
+#[test]
+fn a_head_beyond_the_limit_is_refused_before_it_is_complete() {
+    let text = format!("GET / HTTP/1.1\r\nHost: a\r\nX-A: {}", "b".repeat(LIMIT));
+
+    let parsed = request(&text);
+
+    assert_eq!(parsed.err(), Some(Malformed::HeadTooLarge(LIMIT)));
+}
+
+#[test]
+fn the_target_is_kept_byte_for_byte() {
+    let parsed = request("GET /a%2Fb//c?x=%20&x HTTP/1.1\r\nHost: a\r\n\r\n").unwrap().unwrap();
+
+    assert_eq!(parsed.target, "/a%2Fb//c?x=%20&x");
+    assert_eq!(parsed.path(), "/a%2Fb//c");
+}
+
+#[rstest]
+#[case::proper(b"3;name=value\r\nabc\r\n0\r\n\r\nrest", Ok((b"abc".to_vec(), b"rest".to_vec(), true)))]
+#[case::trailers(b"1\r\na\r\n0\r\nX-A: b\r\n\r\n", Ok((b"a".to_vec(), vec![], true)))]
+#[case::unfinished(b"3\r\nab", Ok((b"ab".to_vec(), vec![], false)))]
+#[case::bare_line_feed(b"3\nabc\r\n0\r\n\r\n", Err(Malformed::Chunk))]
+#[case::longer_than_said(b"3\r\nabcd\r\n0\r\n\r\n", Err(Malformed::Chunk))]
+#[case::signed_size(b"+3\r\nabc\r\n0\r\n\r\n", Err(Malformed::Chunk))]
+#[case::no_size(b"\r\nabc\r\n", Err(Malformed::Chunk))]
+#[case::size_beyond_numbers(b"ffffffffffffffffff\r\n", Err(Malformed::Chunk))]
+fn chunks_follow_the_grammar(
+    #[case] input: &[u8],
+    #[case] expected: Result<(Vec<u8>, Vec<u8>, bool), Malformed>,
+) {
+    let decoded = decode(Framing::Chunked, &[input]);
+
+    assert_eq!(decoded, expected);
+}
+
+#[test]
+fn bytes_after_a_body_are_left_for_the_next_message() {
+    let decoded = decode(Framing::Length(3), &[b"abcGET /"]).unwrap();
+
+    assert_eq!(decoded, (b"abc".to_vec(), b"GET /".to_vec(), true));
+}
+
+#[test]
+fn a_body_without_length_is_complete_only_at_an_orderly_end() {
+    let mut decoder = Decoder::new(Framing::UntilClose);
+    let mut input = BytesMut::from("abc");
+
+    let data = decoder.decode(&mut input).unwrap();
+
+    assert_eq!(data, Some(Bytes::from("abc")));
+    assert!(!decoder.is_done());
+    assert!(decoder.end());
+}
+
+#[test]
+fn an_early_end_is_not_the_end_of_a_body_with_a_length() {
+    let mut decoder = Decoder::new(Framing::Length(4));
+    decoder.decode(&mut BytesMut::from("abc")).unwrap();
+
+    assert!(!decoder.end());
+}
+
+#[test]
+fn interim_responses_are_skipped() {
+    let text = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+
+    let parsed = response(text).unwrap().unwrap();
+
+    assert_eq!((parsed.status, parsed.framing), (StatusCode::OK, Framing::Length(1)));
+}
+
+#[rstest]
+#[case::no_protocol("hello\r\n\r\n")]
+#[case::both_framings("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")]
+#[case::switched("HTTP/1.1 101 Switching Protocols\r\n\r\n")]
+fn what_is_no_answer_is_refused(#[case] text: &str) {
+    assert!(response(text).is_err());
+}
+
+#[test]
+fn fields_of_one_connection_are_not_passed_on() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in
+        [("connection", "x-hop, close"), ("x-hop", "1"), ("keep-alive", "timeout=5"), ("x-end", "2")]
+    {
+        headers.insert(name, value.parse().unwrap());
+    }
+
+    strip_connection_fields(&mut headers);
+
+    assert_eq!(headers.keys().map(|name| name.as_str()).collect::<Vec<_>>(), ["x-end"]);
+}
+
+/// Splits `bytes` at the given points.
+fn split<'a>(bytes: &'a [u8], points: &[prop::sample::Index]) -> Vec<&'a [u8]> {
+    let mut ends: Vec<usize> = points.iter().map(|point| point.index(bytes.len() + 1)).collect();
+    ends.push(bytes.len());
+    ends.sort_unstable();
+    let starts = std::iter::once(0).chain(ends.iter().copied());
+    starts.zip(ends.iter()).map(|(start, end)| &bytes[start..*end]).collect()
+}
+
+proptest! {
+    #[test]
+    fn chunks_decode_alike_however_they_arrive(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..200), 0..6),
+        points in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+    ) {
+        let mut encoded = Vec::new();
+        chunks.iter().for_each(|chunk| write_chunk(&mut encoded, chunk));
+        encoded.extend_from_slice(LAST_CHUNK);
+        encoded.extend_from_slice(b"next");
+
+        let decoded = decode(Framing::Chunked, &split(&encoded, &points));
+
+        prop_assert_eq!(decoded, Ok((chunks.concat(), b"next".to_vec(), true)));
+    }
+
+    #[test]
+    fn damaged_chunks_end_alike_however_they_arrive(
+        bytes in prop::collection::vec(prop::sample::select(b"0123af;\r\n xyz".to_vec()), 0..60),
+        points in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+    ) {
+        let whole = decode(Framing::Chunked, &[&bytes]);
+        let split = decode(Framing::Chunked, &split(&bytes, &points));
+
+        prop_assert_eq!(whole.is_err(), split.is_err());
+        if let (Ok(whole), Ok(split)) = (whole, split) {
+            prop_assert_eq!(whole, split);
+        }
+    }
+
+    #[test]
+    fn heads_of_any_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = Request::parse(&mut BytesMut::from(&bytes[..]), LIMIT);
+        let _ = Response::parse(&mut BytesMut::from(&bytes[..]), &Method::GET, LIMIT);
+    }
+}
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -37,9 +37,9 @@
 /// How long a new scheduler waits for reports, which lag, to show its predecessor's last orders.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(400);
 
-/// The adapters that may come from the weight store at once before each takes longer, over all
-/// zones.
-const COLD_LOAD_LIMIT: usize = 8;
+/// The adapters that may come from the weight store at once, over all zones: half as many again as
+/// come at full speed, so that a zone with few does not leave the store idle.
+const COLD_LOAD_LIMIT: usize = 12;
 
 /// The requests for an adapter in the last ten seconds from which on a zone fetches it although its
 /// home zone may have it: a fetch costs about as much as ten requests to another region.
