--- a/crates/orioleroute-node/src/gateway/directory.rs
+++ b/crates/orioleroute-node/src/gateway/directory.rs
@@ -50,12 +50,9 @@
 }
 
 /// Serves the metrics, forever.
-pub async fn serve_metrics(
-    gateway: Rc<Gateway>,
-    listener: TcpListener,
-    metrics: PrometheusHandle,
-) {
-    let answer = move |_: &Rc<Gateway>, _: &Request| (StatusCode::OK, metrics.render().into_bytes());
+pub async fn serve_metrics(gateway: Rc<Gateway>, listener: TcpListener, metrics: PrometheusHandle) {
+    let answer =
+        move |_: &Rc<Gateway>, _: &Request| (StatusCode::OK, metrics.render().into_bytes());
     serve(gateway, listener, answer, "text/plain; version=0.0.4").await;
 }
 
--- a/crates/orioleroute-node/src/gateway/duty.rs
+++ b/crates/orioleroute-node/src/gateway/duty.rs
@@ -37,14 +37,18 @@
 /// The time after its start in which an instance learns of the others before it takes an office.
 const INTRODUCTION: Duration = Duration::from_millis(1_500);
 
+/// How long an office must look vacant, so that heartbeats that wait while this process was held up
+/// are read first.
+const VACANCY_CONFIRMATION: Duration = Duration::from_millis(300);
+
 /// How much longer each next candidate for an office waits than the one before.
 const CANDIDATE_STEP: Duration = Duration::from_millis(1_000);
 
 /// How much longer an instance waits that hears no other: it is more likely cut off than alone.
 const ISOLATION_DELAY: Duration = Duration::from_millis(5_000);
 
-/// The longest wait for the answer to an order or a report.
-const ENGINE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The longest wait for the answer to an order or a report: ten round trips between regions.
+const ENGINE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How much the clock that counts suspension may run ahead before the process counts as frozen.
 const FREEZE_MARGIN: Duration = Duration::from_millis(200);
@@ -134,7 +138,8 @@
 
     /// Notices that the process was suspended since the last call.
     fn was_frozen(&self) -> bool {
-        let clocks = (clock_gettime(ClockId::CLOCK_BOOTTIME), clock_gettime(ClockId::CLOCK_MONOTONIC));
+        let clocks =
+            (clock_gettime(ClockId::CLOCK_BOOTTIME), clock_gettime(ClockId::CLOCK_MONOTONIC));
         let (Ok(total), Ok(running)) = clocks else { return false };
         let suspended = Duration::from(total).saturating_sub(Duration::from(running));
         let before = self.suspension.replace(Some(suspended));
@@ -159,8 +164,11 @@
                 list(&gateway);
             }
             elect(&gateway);
+            let registry = gateway.registry();
+            gateway.connections.prune(|id| registry.get(id).is_some(), now);
         }
-        let next = gateway.duty.schedulers.borrow().values().filter_map(Scheduler::next_check).min();
+        let next =
+            gateway.duty.schedulers.borrow().values().filter_map(Scheduler::next_check).min();
         let wait = next.map_or(TICK, |next| next.since(gateway.now()));
         monoio::time::sleep(wait.clamp(SHORTEST_TICK, TICK)).await;
     }
@@ -173,10 +181,9 @@
     let mut ended = Vec::new();
     let mut begun = false;
     for (zone, entry) in offices {
-        let is_own = entry
-            .office
-            .as_ref()
-            .is_some_and(|office| office.holder == own.name && office.incarnation == own.incarnation);
+        let is_own = entry.office.as_ref().is_some_and(|office| {
+            office.holder == own.name && office.incarnation == own.incarnation
+        });
         let mut schedulers = gateway.duty.schedulers.borrow_mut();
         let fencing = schedulers.get(&zone).map(Scheduler::fencing);
         match (is_own, fencing) {
@@ -287,10 +294,7 @@
     with_schedulers(gateway, |_, scheduler, now| scheduler.tick(now));
 }
 
-fn with_schedulers(
-    gateway: &Rc<Gateway>,
-    mut act: impl FnMut(&Arc<str>, &mut Scheduler, Instant),
-) {
+fn with_schedulers(gateway: &Rc<Gateway>, mut act: impl FnMut(&Arc<str>, &mut Scheduler, Instant)) {
     let now = gateway.now();
     let mut all = Vec::new();
     for (zone, scheduler) in gateway.duty.schedulers.borrow_mut().iter_mut() {
@@ -453,7 +457,7 @@
     let rank = candidates.iter().position(|(_, _, member)| member.name == own.name).unwrap_or(0);
     let is_isolated = candidates.len() == 1 && roster.peers().next().is_some();
     let isolation = if is_isolated { ISOLATION_DELAY } else { Duration::ZERO };
-    CANDIDATE_STEP * rank as u32 + isolation
+    VACANCY_CONFIRMATION + CANDIDATE_STEP * rank as u32 + isolation
 }
 
 /// Writes this instance's name into an office if nobody else did since it was read.
@@ -508,4 +512,3 @@
     let service = configuration.services.get(&upstream.service);
     service.is_some_and(|service| service.engine.is_some())
 }
-
--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -12,7 +12,7 @@
 
 /// The longest wait for a connection: a round trip between regions takes 24 ms, and a lost packet
 /// costs another second, for which there are other upstreams.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The longest head of an answer, in bytes.
 const MAX_HEAD: usize = 32 << 10;
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -142,7 +142,7 @@
 /// How one try ended.
 enum Try {
     /// An answer is coming.
-    Answered(Seat, Incoming),
+    Answered(Seat, Box<Incoming>),
     /// No upstream was found.
     Unplaced(Refusal),
     /// The upstream did not run the request.
@@ -173,7 +173,7 @@
                 () = monoio::time::sleep(remaining) => return self.time_out(client).await,
             };
             let next = match tried {
-                Try::Answered(seat, incoming) => self.pass_on(client, seat, incoming).await,
+                Try::Answered(seat, incoming) => self.pass_on(client, seat, *incoming).await,
                 Try::Unplaced(refusal) => Some(self.refuse(client, refusal).await),
                 Try::NotRun(seat, result) => self.declined(client, seat, result).await,
                 Try::Lost(seat, cause) => self.lost(client, seat, &cause).await,
@@ -214,7 +214,7 @@
         let id = self.attempt.id.as_deref();
         let verdict = ingress::verdict(incoming.head.status, &incoming.head.headers, id);
         match verdict {
-            Verdict::Answer => Try::Answered(seat, incoming),
+            Verdict::Answer => Try::Answered(seat, Box::new(incoming)),
             Verdict::Foreign => Try::Lost(seat, "an answer to another request".into()),
             Verdict::NotRun | Verdict::Misdirected => {
                 self.sent.set(self.sent.get() - 1);
@@ -422,8 +422,8 @@
         seat.end(result);
         self.declines += 1;
         let is_free = result == RunResult::Unreachable;
-        let may_go_on = self.declines < MAX_DECLINES
-            && (is_free || self.gateway.spend_retry(&self.service));
+        let may_go_on =
+            self.declines < MAX_DECLINES && (is_free || self.gateway.spend_retry(&self.service));
         if may_go_on {
             return None;
         }
--- a/crates/orioleroute-node/src/gateway/link.rs
+++ b/crates/orioleroute-node/src/gateway/link.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use bytes::BytesMut;
-use local_sync::{mpsc, oneshot};
+use local_sync::mpsc;
 use monoio::net::TcpListener;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::Client;
@@ -31,6 +31,10 @@
 /// How long a scheduler that could not be reached is not tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
+/// How long a scheduler that did not answer in time is left alone, so that only few requests wait for
+/// one that is cut off.
+const SUSPICION: Duration = Duration::from_millis(400);
+
 /// The outgoing and incoming connections of one instance.
 #[derive(Default)]
 pub struct Links {
@@ -44,12 +48,14 @@
 
 /// The requests whose scheduler has not answered yet.
 #[derive(Default)]
-struct Answers(RefCell<Map<u64, oneshot::Sender<ToInstance>>>);
+struct Answers(RefCell<Map<u64, mpsc::unbounded::Tx<ToInstance>>>);
 
 /// A connection to a scheduler at another instance.
 pub struct Link {
     queue: mpsc::unbounded::Tx<ToScheduler>,
     answers: Answers,
+    /// When the scheduler last failed to answer in time.
+    suspected: Cell<Option<Instant>>,
 }
 
 /// The way to a scheduler.
@@ -71,21 +77,29 @@
 }
 
 impl Answers {
-    fn expect(&self, ticket: u64) -> oneshot::Receiver<ToInstance> {
-        let (sender, receiver) = oneshot::channel();
+    fn expect(&self, ticket: u64) -> mpsc::unbounded::Rx<ToInstance> {
+        let (sender, receiver) = mpsc::unbounded::channel();
         self.0.borrow_mut().insert(ticket, sender);
         receiver
     }
 
     fn deliver(&self, message: ToInstance) {
-        let ticket = match &message {
-            ToInstance::Grant(grant) => grant.ticket,
-            ToInstance::Refuse { ticket, .. } => *ticket,
+        let (ticket, is_final) = match &message {
+            ToInstance::Queued { ticket } => (*ticket, false),
+            ToInstance::Grant(grant) => (grant.ticket, true),
+            ToInstance::Refuse { ticket, .. } => (*ticket, true),
         };
-        if let Some(sender) = self.0.borrow_mut().remove(&ticket) {
+        if let Some(sender) = self.0.borrow().get(&ticket) {
             // The request may have been given up meanwhile, which its own message tells.
             let _ = sender.send(message);
         }
+        if is_final {
+            self.forget(ticket);
+        }
+    }
+
+    fn forget(&self, ticket: u64) {
+        self.0.borrow_mut().remove(&ticket);
     }
 }
 
@@ -97,14 +111,16 @@
         }
         let links = &gateway.links;
         if let Some(link) = links.outgoing.borrow().get(&address) {
-            return Some(Self::Remote(link.clone()));
+            let suspected = link.suspected.get();
+            let is_suspect = suspected.is_some_and(|since| gateway.now().since(since) < SUSPICION);
+            return (!is_suspect).then(|| Self::Remote(link.clone()));
         }
         let failed = links.failed.borrow().get(&address).copied();
         if failed.is_some_and(|failed| gateway.now().since(failed) < RETRY) {
             return None;
         }
         let (queue, messages) = mpsc::unbounded::channel();
-        let link = Rc::new(Link { queue, answers: Answers::default() });
+        let link = Rc::new(Link { queue, answers: Answers::default(), suspected: Cell::new(None) });
         links.outgoing.borrow_mut().insert(address, link.clone());
         monoio::spawn(run_outgoing(gateway.clone(), address, link.clone(), messages));
         Some(Self::Remote(link))
@@ -119,8 +135,23 @@
         }
     }
 
+    /// Forgets a request of which nothing more is expected.
+    pub fn forget(&self, gateway: &Rc<Gateway>, ticket: u64) {
+        match self {
+            Self::Local => gateway.links.local.forget(ticket),
+            Self::Remote(link) => link.answers.forget(ticket),
+        }
+    }
+
+    /// Takes note that the scheduler did not answer in time: it is left alone for a while.
+    pub fn suspect(&self, gateway: &Rc<Gateway>) {
+        if let Self::Remote(link) = self {
+            link.suspected.set(Some(gateway.now()));
+        }
+    }
+
     /// Returns what will hold the answer to a request for a place; it fails if the link does.
-    pub fn expect(&self, gateway: &Rc<Gateway>, ticket: u64) -> oneshot::Receiver<ToInstance> {
+    pub fn expect(&self, gateway: &Rc<Gateway>, ticket: u64) -> mpsc::unbounded::Rx<ToInstance> {
         match self {
             Self::Local => gateway.links.local.expect(ticket),
             Self::Remote(link) => link.answers.expect(ticket),
--- a/crates/orioleroute-node/src/gateway/placing.rs
+++ b/crates/orioleroute-node/src/gateway/placing.rs
@@ -7,11 +7,14 @@
 use orioleroute::ingress::Configuration;
 use orioleroute::ingress::attempt::Generation;
 use orioleroute::ingress::health::Outcome;
+use orioleroute::ingress::roster::SUSPECT_AFTER;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{
     Grant, Placement, Reason, RunResult, ToInstance, ToScheduler,
 };
 
+use slog::debug;
+
 use super::link;
 use super::state::Gateway;
 
@@ -121,11 +124,16 @@
     };
     let second = match first.reason {
         Reason::NotHere => Some(home),
+        // Without a scheduler the own zone's engines still serve what they hold.
+        Reason::NotScheduler => match listed(gateway, need, Some(&own)) {
+            Some(seat) => return Ok(seat),
+            None => other_zone(gateway, &own, home),
+        },
         Reason::Overloaded | Reason::NoEngine => {
             let left = need.objective.since(gateway.now());
             (left > ELSEWHERE_TIME).then(|| other_zone(gateway, &own, home)).flatten()
         }
-        Reason::TooLate | Reason::NotScheduler => None,
+        Reason::TooLate => None,
     };
     let refusal = match second {
         Some(zone) => match ask(gateway, &zone, need, true).await {
@@ -144,7 +152,7 @@
         false => refusal,
     };
     if refusal.reason == Reason::NotScheduler {
-        return listed(gateway, need)
+        return listed(gateway, need, None)
             .ok_or(Refusal { reason: Reason::NoEngine, retry_after: UNSCHEDULED_RETRY });
     }
     Err(refusal)
@@ -161,11 +169,12 @@
     may_fetch: bool,
 ) -> Result<Seat, Refusal> {
     let unscheduled = Refusal { reason: Reason::NotScheduler, retry_after: Duration::ZERO };
-    let address = gateway.duty.office(zone).and_then(|office| {
-        gateway.roster().member(&office.holder).map(|member| member.peer_address)
-    });
+    let holder = gateway.duty.office(zone).map(|office| office.holder);
+    let address = holder
+        .as_ref()
+        .and_then(|holder| gateway.roster().member(holder).map(|member| member.peer_address));
     let route = address.and_then(|address| link::Route::to(gateway, address));
-    let Some(route) = route else { return Err(unscheduled) };
+    let (Some(route), Some(holder)) = (route, holder) else { return Err(unscheduled) };
     let ticket = gateway.links.next_ticket();
     // A seat that is dropped before the scheduler's answer withdraws the request.
     let mut seat = Seat {
@@ -175,27 +184,50 @@
         address: gateway.settings().peer_address,
         version: None,
     };
-    let answer = route.expect(gateway, ticket);
+    let mut answers = route.expect(gateway, ticket);
     let placement = Placement { may_fetch, ..placement(gateway, zone, ticket, need) };
     route.send(gateway, ToScheduler::Place(Box::new(placement)));
-    match answer.await {
-        Ok(ToInstance::Grant(Grant { upstream, address, version, .. })) => {
-            seat.upstream = upstream;
-            seat.address = address;
-            seat.version = version;
-            Ok(seat)
-        }
-        Ok(ToInstance::Refuse { retry_after_ms, reason, .. }) => {
-            seat.way = Way::Ended;
-            Err(Refusal { reason, retry_after: Duration::from_millis(retry_after_ms) })
-        }
-        Err(_) => {
-            seat.way = Way::Ended;
-            Err(unscheduled)
+    let mut patience = FIRST_ANSWER;
+    loop {
+        match monoio::time::timeout(patience, answers.recv()).await {
+            Ok(Some(ToInstance::Queued { .. })) => patience = QUEUE_CHECK,
+            Ok(Some(ToInstance::Grant(Grant { upstream, address, version, .. }))) => {
+                seat.upstream = upstream;
+                seat.address = address;
+                seat.version = version;
+                return Ok(seat);
+            }
+            Ok(Some(ToInstance::Refuse { retry_after_ms, reason, .. })) => {
+                seat.way = Way::Ended;
+                return Err(Refusal { reason, retry_after: Duration::from_millis(retry_after_ms) });
+            }
+            Ok(None) => {
+                seat.way = Way::Ended;
+                return Err(unscheduled);
+            }
+            Err(_) => {
+                let silence = gateway.roster().silence(&holder, gateway.now());
+                let is_waiting = patience == QUEUE_CHECK;
+                if is_waiting && silence.is_some_and(|silence| silence < SUSPECT_AFTER) {
+                    continue;
+                }
+                debug!(gateway.log, "scheduler silent"; "request" => need.attempt.map(|id| &**id),
+                    "zone" => &**zone, "scheduler" => &*holder);
+                route.suspect(gateway);
+                route.forget(gateway, ticket);
+                return Err(unscheduled);
+            }
         }
     }
 }
 
+/// The longest wait for a scheduler's first answer: a round trip between regions takes 24 ms, and a
+/// busy processor some tens of milliseconds.
+const FIRST_ANSWER: Duration = Duration::from_millis(150);
+
+/// How often an instance looks whether the scheduler with which a request waits still lives.
+const QUEUE_CHECK: Duration = Duration::from_millis(300);
+
 fn placement(gateway: &Gateway, zone: &Arc<str>, ticket: u64, need: &Need<'_>) -> Placement {
     let now = gateway.now();
     let generation = need.generation;
@@ -235,17 +267,20 @@
     gateway.duty.zones().into_iter().find(|zone| **zone != *own)
 }
 
-/// Returns an engine that is listed with what the request needs, for when no scheduler answers.
-fn listed(gateway: &Rc<Gateway>, need: &Need<'_>) -> Option<Seat> {
+/// Returns an engine, of one zone or any, that is listed with what the request needs, for when no
+/// scheduler answers.
+fn listed(gateway: &Rc<Gateway>, need: &Need<'_>, zone: Option<&str>) -> Option<Seat> {
     let now = gateway.now();
     let generation = need.generation;
     let registry = gateway.registry();
     let health = gateway.health();
     let usable = registry.ready(need.service).filter(|upstream| {
-        let has_adapter = generation.adapter.as_ref().is_none_or(|adapter| {
-            upstream.has_adapter(&generation.model, adapter)
-        });
+        let has_adapter = generation
+            .adapter
+            .as_ref()
+            .is_none_or(|adapter| upstream.has_adapter(&generation.model, adapter));
         has_adapter
+            && zone.is_none_or(|zone| *zone == *upstream.zone)
             && upstream.has_model(&generation.model)
             && !need.excluded.contains(&upstream.id)
             && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
@@ -261,11 +296,7 @@
 }
 
 /// Takes the upstream of a plain service with the least expected cost.
-pub fn plain(
-    gateway: &Rc<Gateway>,
-    service: &str,
-    excluded: &[Arc<str>],
-) -> Result<Seat, Refusal> {
+pub fn plain(gateway: &Rc<Gateway>, service: &str, excluded: &[Arc<str>]) -> Result<Seat, Refusal> {
     let now = gateway.now();
     let best = {
         let registry = gateway.registry();
@@ -312,7 +343,13 @@
 fn unscheduled_seat(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Seat {
     gateway.health().entry(upstream.clone()).or_default().begin();
     let begun = gateway.now();
-    Seat { gateway: gateway.clone(), way: Way::Unscheduled { begun }, upstream, address, version: None }
+    Seat {
+        gateway: gateway.clone(),
+        way: Way::Unscheduled { begun },
+        upstream,
+        address,
+        version: None,
+    }
 }
 
 /// Returns whether a service's upstreams are model engines.
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -8,12 +8,12 @@
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
 use orioleroute::hash::Map;
+use orioleroute::ingress::Configuration;
 use orioleroute::ingress::deadline::Longest;
 use orioleroute::ingress::health::Health;
 use orioleroute::ingress::registry::Registry;
 use orioleroute::ingress::roster::{Member, Roster};
 use orioleroute::ingress::upstream::Announcement;
-use orioleroute::ingress::Configuration;
 use orioleroute::prelude::*;
 use orioleroute::retry;
 use orioleroute_platform::store::Store;
@@ -37,6 +37,9 @@
 /// How often a stopping instance looks whether it has answered everything.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
+/// A base model and an adapter on it.
+type AdapterName = (Arc<str>, Arc<str>);
+
 /// One instance.
 pub struct Gateway {
     /// The log.
@@ -59,7 +62,7 @@
     roster: RefCell<Roster>,
     health: RefCell<Map<Arc<str>, Health>>,
     retries: RefCell<Map<Arc<str>, retry::Budget>>,
-    versions: RefCell<Map<(Arc<str>, Arc<str>), u64>>,
+    versions: RefCell<Map<AdapterName, u64>>,
     deadlines: RefCell<Map<Arc<str>, Longest>>,
     stopping: Cell<Option<Instant>>,
     in_flight: Cell<usize>,
@@ -173,7 +176,7 @@
     /// Returns all announcements so far.
     pub fn announcements(&self) -> Vec<Announcement> {
         let versions = self.versions.borrow();
-        let announcement = |((model, adapter), version): (&(Arc<str>, Arc<str>), &u64)| {
+        let announcement = |((model, adapter), version): (&AdapterName, &u64)| {
             let revision = orioleroute::ingress::upstream::Revision {
                 name: adapter.clone(),
                 version: *version,
@@ -288,11 +291,8 @@
 
 /// Repetitions of one instance. All instances together may make a fifth of the requests and some;
 /// an instance does not know how many others there are, so it keeps to a share of that.
-const RETRIES: retry::Limits = retry::Limits {
-    requests_per_retry: 8,
-    burst: 4,
-    time_per_retry: Duration::from_secs(4),
-};
+const RETRIES: retry::Limits =
+    retry::Limits { requests_per_retry: 8, burst: 4, time_per_retry: Duration::from_secs(4) };
 
 /// A request that is being answered.
 pub struct Guard(Rc<Gateway>);
@@ -327,7 +327,8 @@
         monoio::time::sleep(STOP_POLL).await;
         let elapsed = gateway.now().since(since);
         let is_idle = gateway.in_flight.get() == 0;
-        if (is_idle && elapsed > grace.mul_f64(IDLE_SHARE)) || elapsed > grace.mul_f64(RUNNING_SHARE)
+        if (is_idle && elapsed > grace.mul_f64(IDLE_SHARE))
+            || elapsed > grace.mul_f64(RUNNING_SHARE)
         {
             break;
         }
--- a/crates/orioleroute-wire/tests/http1.rs
+++ b/crates/orioleroute-wire/tests/http1.rs
@@ -34,13 +34,19 @@
 }
 
 #[rstest]
-#[case::length_and_chunks("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", Malformed::Framing)]
+#[case::length_and_chunks(
+    "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+    Malformed::Framing
+)]
 #[case::two_lengths("Content-Length: 3\r\nContent-Length: 4\r\n", Malformed::Framing)]
 #[case::same_length_twice("Content-Length: 3\r\nContent-Length: 3\r\n", Malformed::Framing)]
 #[case::signed_length("Content-Length: +3\r\n", Malformed::Framing)]
 #[case::list_of_lengths("Content-Length: 3, 3\r\n", Malformed::Framing)]
 #[case::unknown_coding("Transfer-Encoding: gzip, chunked\r\n", Malformed::Framing)]
-#[case::chunked_twice("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Malformed::Framing)]
+#[case::chunked_twice(
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    Malformed::Framing
+)]
 #[case::second_host("Host: b\r\n", Malformed::Host)]
 #[case::space_before_colon("Content-Length : 3\r\n", Malformed::Head)]
 #[case::folded_field("X-A: b\r\n c\r\n", Malformed::Head)]
@@ -56,7 +62,10 @@
 #[rstest]
 #[case::no_host("GET / HTTP/1.1\r\n\r\n", Malformed::Host)]
 #[case::no_path("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", Malformed::Target)]
-#[case::chunks_in_1_0("POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", Malformed::Framing)]
+#[case::chunks_in_1_0(
+    "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+    Malformed::Framing
+)]
 fn requests_without_what_they_need_are_refused(#[case] text: &str, #[case] expected: Malformed) {
     let parsed = request(text);
 
@@ -127,7 +136,8 @@
 
 #[test]
 fn interim_responses_are_skipped() {
-    let text = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+    let text =
+        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
 
     let parsed = response(text).unwrap().unwrap();
 
@@ -145,9 +155,12 @@
 #[test]
 fn fields_of_one_connection_are_not_passed_on() {
     let mut headers = HeaderMap::new();
-    for (name, value) in
-        [("connection", "x-hop, close"), ("x-hop", "1"), ("keep-alive", "timeout=5"), ("x-end", "2")]
-    {
+    for (name, value) in [
+        ("connection", "x-hop, close"),
+        ("x-hop", "1"),
+        ("keep-alive", "timeout=5"),
+        ("x-end", "2"),
+    ] {
         headers.insert(name, value.parse().unwrap());
     }
 
--- a/crates/orioleroute/src/ingress/registry.rs
+++ b/crates/orioleroute/src/ingress/registry.rs
@@ -44,9 +44,8 @@
 
     /// Returns the upstreams of a service that take requests.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Description> {
-        self.iter().filter(move |upstream| {
-            &*upstream.service == service && upstream.state == State::Ready
-        })
+        self.iter()
+            .filter(move |upstream| &*upstream.service == service && upstream.state == State::Ready)
     }
 
     /// Takes note that the list does not answer.
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -5,14 +5,15 @@
 use crate::prelude::*;
 
 /// How often an instance sends a heartbeat to each other one.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The silence after which an instance is left out of answers to clients: two lost heartbeats and
 /// the delay of a busy processor.
-pub const SUSPECT_AFTER: Duration = Duration::from_millis(1_600);
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(1_300);
 
-/// The silence after which an instance counts as failed, and another may take its duties over.
-pub const FAILED_AFTER: Duration = Duration::from_millis(3_000);
+/// The silence after which an instance counts as failed, and another may take its duties over: four
+/// more lost heartbeats.
+pub const FAILED_AFTER: Duration = Duration::from_millis(2_600);
 
 /// The most addresses in an answer to a client.
 pub const MAX_ADDRESSES: usize = 64;
@@ -85,8 +86,12 @@
         match self.peers.get_mut(&member.name) {
             Some(peer) if peer.member == member => {}
             _ => {
-                let peer =
-                    Peer { member: member.clone(), known_since: now, heard: None, is_serving: true };
+                let peer = Peer {
+                    member: member.clone(),
+                    known_since: now,
+                    heard: None,
+                    is_serving: true,
+                };
                 self.peers.insert(member.name, peer);
             }
         }
--- a/crates/orioleroute/src/retry.rs
+++ b/crates/orioleroute/src/retry.rs
@@ -13,10 +13,22 @@
     pub time_per_retry: Duration,
 }
 
+/// Requests that earn one retry where nothing else is agreed.
+pub const REQUESTS_PER_RETRY: u32 = 10;
+
+/// Retries that can be saved up where nothing else is agreed.
+pub const BURST: u32 = 10;
+
+/// The time that earns one retry where nothing else is agreed.
+pub const TIME_PER_RETRY: Duration = Duration::from_secs(1);
+
 /// The limits where nothing else is agreed: the upstreams see at most a tenth more than the
 /// requests, one a second, and the burst.
-pub const LIMITS: Limits =
-    Limits { requests_per_retry: 10, burst: 10, time_per_retry: Duration::from_secs(1) };
+pub const LIMITS: Limits = Limits {
+    requests_per_retry: REQUESTS_PER_RETRY,
+    burst: BURST,
+    time_per_retry: TIME_PER_RETRY,
+};
 
 /// A token bucket that requests and time fill and retries empty.
 ///
--- a/crates/orioleroute/src/scheduler/admission.rs
+++ b/crates/orioleroute/src/scheduler/admission.rs
@@ -63,6 +63,22 @@
     }
 }
 
+/// Returns whether a request that has been taken may go on waiting. One that has become late is
+/// given a little more, since engines that fall behind seldom catch up with it; its client can still
+/// be served by coming back.
+pub fn may_wait(request: &Request, now: Instant) -> bool {
+    let waited = now.since(request.arrived);
+    let whole = request.deadline.since(request.arrived);
+    let to_objective = request.objective.since(request.arrived);
+    waited < (to_objective + LATE_WAIT).max(whole.mul_f64(WAIT_SHARE))
+}
+
+/// How much longer than to its objective a request waits.
+const LATE_WAIT: Duration = Duration::from_millis(300);
+
+/// The part of a client's time that a request may wait in any case.
+const WAIT_SHARE: f64 = 0.25;
+
 /// Returns when a refused client is to come back: once what waits now has been read.
 pub fn retry_after(queue: Duration) -> Duration {
     let (least, most) = RETRY_BOUNDS;
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -30,6 +30,11 @@
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 #[serde(tag = "method", content = "params", rename_all = "snake_case")]
 pub enum ToInstance {
+    /// The request waits; the instance hears of it again.
+    Queued {
+        /// The request.
+        ticket: u64,
+    },
     /// The request may be sent to this engine now.
     Grant(Grant),
     /// The request will not be placed.
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 use crate::hash;
 use crate::ingress::Configuration;
 use crate::ingress::configuration::Engine;
+use crate::ingress::health::Outcome as Health;
 use crate::ingress::upstream::{Announcement, Description, State};
 use crate::prelude::*;
 use message::{Grant, Placement, Reason, RunResult, ToInstance};
@@ -25,8 +26,8 @@
 use placement::{Candidate, ColdLoads, Step};
 use runner::{Base, Certainty, Heat, Place, PlaceState, Runner};
 
-/// How long after an answer was lost a report is asked for: it is some hundred milliseconds old.
-const REPORT_DELAY: Duration = Duration::from_millis(500);
+/// How long after a doubtful order a report is asked for: reports are some hundred milliseconds old.
+const REPORT_DELAY: Duration = Duration::from_millis(350);
 
 /// The time between looks whether a load has ended that was expected to.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(15);
@@ -160,6 +161,8 @@
     forecast: Forecast,
     /// The engine that loads the request's adapter for it.
     assigned: Option<key::Upstream>,
+    /// The engine that it would go to as things stand.
+    target: Option<key::Upstream>,
 }
 
 /// What was expected of a request when it was taken.
@@ -247,6 +250,7 @@
         let Some(engine) = self.engine(&request.service).cloned() else {
             return self.refuse(key, &request, Reason::NoEngine, Duration::ZERO, now);
         };
+        self.count_queues(Some(queue::Rank::of(&request, now)), now);
         let Some(candidate) = self.choose(&engine, &request, now) else {
             let retry_after = admission::retry_after(Duration::ZERO);
             return self.refuse(key, &request, Reason::NoEngine, retry_after, now);
@@ -254,12 +258,16 @@
         if !may_fetch && candidate.step.is_fetch() && !self.is_popular(&request, now) {
             return self.refuse(key, &request, Reason::NotHere, Duration::ZERO, now);
         }
-        let queue = self.queue_ahead(&request, now);
-        let forecast = Forecast { step: candidate.step, start: candidate.start + queue, queue };
+        let queue = self.runners[candidate.runner].queue();
+        let forecast = Forecast { step: candidate.step, start: candidate.start, queue };
         match admission::admit(&request, forecast.step, forecast.start, queue, now) {
             Ok(()) => {
-                self.waiting.push(Waiting { key, request, forecast, assigned: None });
+                self.waiting.push(Waiting { key, request, forecast, assigned: None, target: None });
                 self.dispatch(now);
+                if self.waiting.iter().any(|waiting| waiting.key == key) {
+                    let queued = ToInstance::Queued { ticket: key.ticket };
+                    self.outputs.push(Output::Tell(client, queued));
+                }
             }
             Err(refusal) => {
                 self.decide(&request, refusal.reason.into(), None, forecast, now);
@@ -282,7 +290,8 @@
 
     /// Takes note of a request's first event.
     pub fn started(&mut self, key: RequestKey, now: Instant) {
-        if let Some(runner) = self.granted.get(&key).and_then(|runner| self.runners.get_mut(*runner))
+        if let Some(runner) =
+            self.granted.get(&key).and_then(|runner| self.runners.get_mut(*runner))
         {
             runner.start(key, now);
         }
@@ -327,6 +336,10 @@
         if runner.certainty == Certainty::Ordering {
             runner.certainty = Certainty::Known;
         }
+        if matches!(outcome, Outcome::Unanswered | Outcome::Unsent) {
+            runner.health.begin();
+            runner.health.end(Health::Broken, now);
+        }
         if outcome == Outcome::Fenced {
             self.outputs.push(Output::Deposed);
             return;
@@ -437,6 +450,9 @@
             if waiting.assigned == Some(key) {
                 waiting.assigned = None;
             }
+            if waiting.target == Some(key) {
+                waiting.target = None;
+            }
         }
     }
 
@@ -464,19 +480,20 @@
         cold
     }
 
-    /// Returns how long the engines read the prompts that go before a new request.
-    fn queue_ahead(&self, request: &Request, now: Instant) -> Duration {
-        let rank = queue::Rank::of(request, now);
-        let ahead = self.waiting.iter().filter(|waiting| {
-            waiting.request.service == request.service
-                && queue::Rank::of(&waiting.request, now) <= rank
-        });
-        let tokens: u64 = ahead.map(|waiting| u64::from(waiting.request.prompt_tokens)).sum();
-        let usable = self.runners.values().filter(|runner| {
-            runner.service == request.service && !runner.is_draining && runner.model().is_some()
-        });
-        let rate: f64 = usable.map(Runner::rate).sum();
-        Duration::from_secs_f64((tokens as f64 / rate.max(1.0) / 1_000.0).min(MAX_QUEUE_S))
+    /// Counts at each engine the prompts of the requests that wait for it and go before `rank`, or of
+    /// all that wait.
+    fn count_queues(&mut self, rank: Option<queue::Rank>, now: Instant) {
+        for runner in self.runners.values_mut() {
+            runner.queued_tokens = 0;
+        }
+        for waiting in &self.waiting {
+            let goes_before =
+                rank.is_none_or(|rank| queue::Rank::of(&waiting.request, now) <= rank);
+            let target = waiting.target.and_then(|target| self.runners.get_mut(target));
+            if let (true, Some(runner)) = (goes_before, target) {
+                runner.queued_tokens += u64::from(runner.uncached_tokens(&waiting.request));
+            }
+        }
     }
 
     /// Goes through the requests that wait, the most urgent first, and does for each what can be
@@ -484,11 +501,15 @@
     fn dispatch(&mut self, now: Instant) {
         self.load_missing_model(now);
         let mut waiting = std::mem::take(&mut self.waiting);
+        self.count_queues(None, now);
         waiting.sort_by_key(|waiting| queue::Rank::of(&waiting.request, now));
         for mut item in waiting {
             if self.advance(&mut item, now) {
                 continue;
             }
+            if let Some(runner) = item.target.and_then(|target| self.runners.get_mut(target)) {
+                runner.queued_tokens += u64::from(runner.uncached_tokens(&item.request));
+            }
             self.waiting.push(item);
         }
         let keys: Vec<key::Upstream> = self.runners.keys().collect();
@@ -504,6 +525,12 @@
             self.refuse(item.key, &item.request, Reason::TooLate, Duration::ZERO, now);
             return true;
         }
+        if !admission::may_wait(&item.request, now) {
+            self.unassign(item);
+            let retry_after = admission::retry_after(item.forecast.queue);
+            self.refuse(item.key, &item.request, Reason::TooLate, retry_after, now);
+            return true;
+        }
         if let Some(runner) = item.assigned {
             return self.advance_assigned(runner, item, now);
         }
@@ -516,6 +543,7 @@
             self.refuse(item.key, &item.request, Reason::NoEngine, retry_after, now);
             return true;
         };
+        item.target = Some(candidate.runner);
         match candidate.step {
             Step::Use => {
                 self.grant(candidate.runner, item, now);
@@ -705,12 +733,11 @@
         cold: ColdLoads,
         now: Instant,
     ) -> Option<(Arc<str>, bool)> {
-        let reserved = self.runners[key].places.iter().filter_map(|(adapter, place)| {
-            match place.state {
+        let reserved =
+            self.runners[key].places.iter().filter_map(|(adapter, place)| match place.state {
                 PlaceState::Reserved { is_cold } => Some((adapter, is_cold)),
                 _ => None,
-            }
-        });
+            });
         let may_load = reserved.filter(|(_, is_cold)| !is_cold || cold.under_way < cold.limit);
         let urgency = |adapter: &Arc<str>| {
             let waiting = self.waiting.iter().filter(|waiting| {
@@ -821,9 +848,6 @@
     }
 }
 
-/// The longest queue that is told apart, in seconds.
-const MAX_QUEUE_S: f64 = 60.0;
-
 fn model_ordered(runner: &mut Runner, model: &Arc<str>, outcome: Outcome, now: Instant) {
     match outcome {
         Outcome::Holds => runner.base = Base::Present(model.clone()),
@@ -843,12 +867,19 @@
             runner.base = Base::Absent;
             runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
         }
-        Outcome::Unanswered | Outcome::Fenced => {
-            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+        Outcome::Unanswered => {
+            if let Base::Loading { check_at, .. } = &mut runner.base {
+                *check_at = now + MODEL_CHECK_INTERVAL;
+            }
         }
+        Outcome::Fenced => {}
     }
 }
 
+/// Takes the answer to the load of an adapter.
+///
+/// An order without an answer is given again at once: both expect the same number of earlier orders,
+/// so the engine carries out one of them, and a conflict tells that it was the first.
 fn adapter_ordered(runner: &mut Runner, adapter: &Arc<str>, outcome: Outcome, now: Instant) {
     match outcome {
         Outcome::Holds => {
@@ -877,9 +908,14 @@
             runner.places.remove(adapter);
             runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
         }
-        Outcome::Unanswered | Outcome::Fenced => {
-            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+        Outcome::Unanswered => {
+            if let Some(place) = runner.places.get_mut(adapter)
+                && let PlaceState::Loading { check_at, .. } = &mut place.state
+            {
+                *check_at = now;
+            }
         }
+        Outcome::Fenced => {}
     }
 }
 
@@ -901,12 +937,10 @@
             runner.orders += 1;
             runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
         }
-        Outcome::Conflict
-        | Outcome::Refused
-        | Outcome::Unsent
-        | Outcome::Unanswered
-        | Outcome::Fenced => {
+        Outcome::Conflict | Outcome::Refused | Outcome::Unsent => {
             runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
         }
+        // It is given again, like a load.
+        Outcome::Unanswered | Outcome::Fenced => {}
     }
 }
--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -153,7 +153,7 @@
     let backlog = runner.backlog();
     let (mut step, load, reluctance) = adapter_step(runner, engine, request, cold, now);
     let own = runner.reading_time(u64::from(runner.uncached_tokens(request)));
-    let start = backlog.max(load) + own;
+    let start = runner.queue().max(load) + own;
     if backlog > ENGINE_QUEUE {
         step = Step::Queue(Obstacle::Prompts);
     } else if !has_room(runner, engine, request) {
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -54,6 +54,8 @@
     pub orders: u64,
     /// Whether the state is known well enough to give orders.
     pub certainty: Certainty,
+    /// The prompt tokens of the requests that wait for it at the scheduler.
+    pub queued_tokens: u64,
     /// Adapters of which an older version has to be dropped before the newer one is loaded.
     pub outdated: Vec<Arc<str>>,
     recent: Vec<Arc<str>>,
@@ -198,6 +200,7 @@
             health: Health::default(),
             orders: description.orders,
             certainty: Certainty::AskAt(now),
+            queued_tokens: 0,
             outdated: Vec::new(),
             recent: Vec::new(),
             parts: Map::default(),
@@ -303,6 +306,11 @@
         self.reading_time(tokens)
     }
 
+    /// Returns how long the engine will read prompts before it reads one that has yet to be queued.
+    pub fn queue(&self) -> Duration {
+        self.backlog() + self.reading_time(self.queued_tokens)
+    }
+
     /// Returns how long the engine reads this many prompt tokens.
     pub fn reading_time(&self, tokens: u64) -> Duration {
         Duration::from_secs_f64(tokens as f64 / self.rate / 1_000.0)
@@ -371,9 +379,9 @@
         };
         let mut before = std::mem::take(&mut self.places);
         for revision in models.iter().flat_map(|model| &model.adapters) {
-            let mut place = before.remove(&revision.name).unwrap_or_else(|| {
-                Place::new(Some(revision.version), PlaceState::Present, now)
-            });
+            let mut place = before
+                .remove(&revision.name)
+                .unwrap_or_else(|| Place::new(Some(revision.version), PlaceState::Present, now));
             place.version = Some(revision.version);
             place.state = PlaceState::Present;
             self.places.insert(revision.name.clone(), place);
--- /dev/null
+++ b/crates/orioleroute/tests/scheduler.rs
@@ -0,0 +1,253 @@
+//! Single decisions of the scheduler: places, orders and what becomes of lost ones.
+
+mod scheduling;
+
+use orioleroute::prelude::*;
+use orioleroute::scheduler::message::{Reason, RunResult};
+use orioleroute::scheduler::order::{Action, Outcome, Report};
+use orioleroute::scheduler::{Output, RequestKey, Scheduler};
+use rstest::rstest;
+use scheduling::{
+    CLIENT, PLACES, configuration, description, grants, orders, placement, refusals, scheduler,
+};
+
+fn key(ticket: u64) -> RequestKey {
+    RequestKey { client: CLIENT, ticket }
+}
+
+#[test]
+fn a_request_for_an_adapter_that_is_held_is_granted_at_once() {
+    let (mut scheduler, now) = scheduler(&[description(0, &["a1"])]);
+
+    scheduler.place(CLIENT, placement(1, "a1"), now);
+
+    let outputs = scheduler.take_outputs();
+    assert_eq!(grants(&outputs), [1]);
+    assert!(orders(&outputs).is_empty());
+}
+
+#[test]
+fn a_request_for_a_missing_adapter_is_granted_once_the_load_is_confirmed() {
+    let (mut scheduler, now) = scheduler(&[description(0, &[])]);
+
+    scheduler.place(CLIENT, placement(1, "a1"), now);
+    let load = orders(&scheduler.take_outputs()).remove(0);
+    scheduler.ordered(&load, Outcome::Accepted, now);
+    let later = now + Duration::from_millis(260);
+    scheduler.tick(later);
+    let confirmation = orders(&scheduler.take_outputs()).remove(0);
+    scheduler.ordered(&confirmation, Outcome::Holds, later);
+
+    assert_eq!((load.expected_orders, load.fencing), (Some(0), 7));
+    assert_eq!(grants(&scheduler.take_outputs()), [1]);
+}
+
+#[test]
+fn asking_again_for_a_load_under_way_does_not_count_as_an_order() {
+    let (mut scheduler, mut now) = scheduler(&[description(0, &[])]);
+    scheduler.place(CLIENT, placement(1, "a1"), now);
+    let load = orders(&scheduler.take_outputs()).remove(0);
+    scheduler.ordered(&load, Outcome::Accepted, now);
+
+    for _ in 0..3 {
+        now += Duration::from_millis(300);
+        scheduler.tick(now);
+        let again = orders(&scheduler.take_outputs()).remove(0);
+        assert_eq!(again.expected_orders, Some(1));
+        scheduler.ordered(&again, Outcome::Accepted, now);
+    }
+}
+
+#[test]
+fn an_order_without_an_answer_is_given_again_with_the_same_expectation() {
+    let (mut scheduler, now) = scheduler(&[description(0, &[])]);
+    scheduler.place(CLIENT, placement(1, "a1"), now);
+    let lost = orders(&scheduler.take_outputs()).remove(0);
+
+    scheduler.ordered(&lost, Outcome::Unanswered, now);
+    scheduler.tick(now + Duration::from_millis(1));
+
+    assert_eq!(orders(&scheduler.take_outputs()), [lost]);
+}
+
+#[test]
+fn after_a_conflict_the_report_tells_what_the_engine_holds() {
+    let (mut scheduler, now) = scheduler(&[description(0, &[])]);
+    scheduler.place(CLIENT, placement(1, "a1"), now);
+    let load = orders(&scheduler.take_outputs()).remove(0);
+
+    scheduler.ordered(&load, Outcome::Conflict, now);
+    let later = now + Duration::from_millis(400);
+    scheduler.tick(later);
+    let asks = scheduler.take_outputs();
+    let models = description(0, &["a1"]).models;
+    scheduler.reported("i-0", Some(&Report { orders: 5, models, ..Report::default() }), later);
+
+    assert!(asks.iter().any(|output| matches!(output, Output::Report(..))));
+    assert_eq!(grants(&scheduler.take_outputs()), [1]);
+}
+
+#[test]
+fn a_full_engine_drops_the_idle_adapter_that_is_asked_for_least() {
+    let names = ["a1", "a2", "a3", "a4", "a5", "a6"];
+    let (mut scheduler, mut now) = scheduler(&[description(0, &names)]);
+    let mut ticket = 0;
+    for (index, name) in names.iter().enumerate() {
+        for _ in 0..=(names.len() - index) {
+            ticket += 1;
+            now += Duration::from_millis(200);
+            scheduler.place(CLIENT, placement(ticket, name), now);
+            scheduler.started(key(ticket), now);
+            scheduler.ended(key(ticket), Some(RunResult::Answered), now);
+        }
+    }
+    scheduler.take_outputs();
+
+    scheduler.place(CLIENT, placement(100, "b1"), now);
+
+    let order = orders(&scheduler.take_outputs()).remove(0);
+    assert_eq!(order.action, Action::UnloadAdapter { adapter: "a6".into() });
+}
+
+#[test]
+fn an_adapter_in_use_is_never_dropped() {
+    let names = ["a1", "a2", "a3", "a4", "a5", "a6"];
+    let (mut scheduler, now) = scheduler(&[description(0, &names)]);
+    for (ticket, name) in names.iter().enumerate() {
+        scheduler.place(CLIENT, placement(ticket as u64, name), now);
+        scheduler.started(key(ticket as u64), now);
+    }
+    scheduler.take_outputs();
+
+    scheduler.place(CLIENT, placement(100, "b1"), now);
+
+    assert!(orders(&scheduler.take_outputs()).is_empty());
+}
+
+#[test]
+fn a_newer_version_is_loaded_before_a_request_runs() {
+    let (mut scheduler, now) = scheduler(&[description(0, &["a1"])]);
+    let request = placement_of_version(2);
+
+    scheduler.place(CLIENT, request, now);
+    let unload = orders(&scheduler.take_outputs()).remove(0);
+    scheduler.ordered(&unload, Outcome::Holds, now);
+    let load = orders(&scheduler.take_outputs()).remove(0);
+
+    assert_eq!(unload.action, Action::UnloadAdapter { adapter: "a1".into() });
+    assert_eq!(load.action, Action::LoadAdapter { adapter: "a1".into(), version: Some(2) });
+}
+
+fn placement_of_version(version: u64) -> orioleroute::scheduler::message::Placement {
+    let mut request = placement(1, "a1");
+    request.version = Some(version);
+    request
+}
+
+#[test]
+fn a_refused_fence_ends_the_scheduler() {
+    let (mut scheduler, now) = scheduler(&[description(0, &[])]);
+    scheduler.place(CLIENT, placement(1, "a1"), now);
+    let load = orders(&scheduler.take_outputs()).remove(0);
+
+    scheduler.ordered(&load, Outcome::Fenced, now);
+
+    let outputs = scheduler.take_outputs();
+    assert!(outputs.iter().any(|output| matches!(output, Output::Deposed)));
+}
+
+#[test]
+fn a_rare_adapter_is_left_to_its_home_zone() {
+    let (mut scheduler, now) = scheduler(&[description(0, &[])]);
+    let mut request = placement(1, "a1");
+    request.may_fetch = false;
+
+    scheduler.place(CLIENT, request, now);
+
+    assert_eq!(refusals(&scheduler.take_outputs()), [(1, Reason::NotHere)]);
+}
+
+#[test]
+fn an_adapter_that_many_ask_for_is_fetched_although_another_zone_is_its_home() {
+    let (mut scheduler, now) = scheduler(&[description(0, &[])]);
+    for ticket in 1..=4 {
+        let mut request = placement(ticket, "a1");
+        request.may_fetch = false;
+        scheduler.place(CLIENT, request, now);
+    }
+
+    assert!(!orders(&scheduler.take_outputs()).is_empty());
+}
+
+#[rstest]
+#[case::leaving(true)]
+#[case::gone(false)]
+fn an_engine_that_leaves_gets_no_requests(#[case] is_listed: bool) {
+    let (mut scheduler, now) = scheduler(&[description(0, &["a1"]), description(1, &["a1"])]);
+    let mut leaving = description(0, &["a1"]);
+    leaving.state = orioleroute::ingress::upstream::State::Draining;
+    let mut list = vec![description(1, &["a1"])];
+    list.extend(is_listed.then_some(leaving));
+
+    scheduler.list(&list, now);
+    for ticket in 1..=8 {
+        scheduler.place(CLIENT, placement(ticket, "a1"), now);
+    }
+
+    let outputs = scheduler.take_outputs();
+    let upstreams = outputs.iter().filter_map(|output| match output {
+        Output::Decided(decision) => decision.upstream.clone(),
+        _ => None,
+    });
+    assert!(upstreams.collect::<Vec<_>>().iter().all(|upstream| &**upstream == "i-1"));
+}
+
+#[test]
+fn a_withdrawn_request_frees_the_place_that_was_promised_to_its_adapter() {
+    let (mut scheduler, now) = scheduler(&[description(0, &[])]);
+    for ticket in 0..(PLACES as u64 + 4) {
+        scheduler.place(CLIENT, placement(ticket, &format!("b{ticket}")), now);
+        scheduler.ended(key(ticket), None, now);
+    }
+    scheduler.take_outputs();
+
+    let runner = scheduler.runners().next().unwrap();
+
+    assert!(runner.places.len() <= 4, "{} places are taken", runner.places.len());
+}
+
+#[test]
+fn an_empty_engine_gets_its_base_model_back() {
+    let mut empty = description(0, &[]);
+    empty.models.clear();
+    let now = Instant::from_millis(1_000);
+    let mut scheduler = Scheduler::new(7, configuration(), 1);
+    scheduler.list(&[empty], Instant::ZERO);
+    scheduler.tick(now);
+
+    scheduler.reported("i-0", Some(&Report::default()), now);
+
+    let given = orders(&scheduler.take_outputs());
+    assert_eq!(given.iter().map(|order| &order.action).collect::<Vec<_>>(), [&Action::LoadModel]);
+}
+
+#[test]
+fn base_models_are_loaded_one_after_another() {
+    let empties: Vec<_> = (0..3)
+        .map(|number| {
+            let mut empty = description(number, &[]);
+            empty.models.clear();
+            empty
+        })
+        .collect();
+    let now = Instant::from_millis(1_000);
+    let mut scheduler = Scheduler::new(7, configuration(), 1);
+    scheduler.list(&empties, Instant::ZERO);
+    scheduler.tick(now);
+
+    for empty in &empties {
+        scheduler.reported(&empty.id, Some(&Report::default()), now);
+    }
+
+    assert_eq!(orders(&scheduler.take_outputs()).len(), 1);
+}
--- /dev/null
+++ b/crates/orioleroute/tests/scheduling/mod.rs
@@ -0,0 +1,314 @@
+//! Fixtures of the scheduler's tests, and a replay of loads against a model of engines.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use orioleroute::ingress::Configuration;
+use orioleroute::ingress::configuration::{Engine, Limits, Model, Service};
+use orioleroute::ingress::upstream::{self, Description, Revision, State};
+use orioleroute::prelude::*;
+use orioleroute::scheduler::message::{Placement, Reason, RunResult, ToInstance};
+use orioleroute::scheduler::order::{Action, Order, Outcome, Report};
+use orioleroute::scheduler::{Client, Output, RequestKey, Scheduler};
+
+pub const CLIENT: Client = Client(1);
+pub const PLACES: usize = 6;
+
+/// The prompt tokens that a model engine reads in a millisecond.
+pub const RATE: f64 = 20.0;
+
+const FETCH: Duration = Duration::from_millis(250);
+const RELOAD: Duration = Duration::from_millis(25);
+
+/// The fetches that run at full speed at once.
+const FULL_SPEED: usize = 8;
+
+pub fn configuration() -> Arc<Configuration> {
+    let model = Model {
+        name: "m".into(),
+        weights_mb: 65_000.0,
+        adapter_mb: 12.0,
+        load_time: Duration::from_secs(3),
+    };
+    let engine = Engine {
+        slots: 64,
+        cache_tokens: 150_000,
+        adapter_places: PLACES,
+        weights_mb: 66_500.0,
+        models: vec![model],
+    };
+    let service = Service { name: "notices".into(), connections: 370, engine: Some(engine) };
+    Arc::new(Configuration::new(1, [], [service], Limits::default()))
+}
+
+pub fn description(number: usize, adapters: &[&str]) -> Description {
+    let held = adapters.iter().map(|name| Revision { name: (*name).into(), version: 1 });
+    Description {
+        id: format!("i-{number}").into(),
+        service: "notices".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number as u16)),
+        zone: "a".into(),
+        slots: 64,
+        state: State::Ready,
+        started_ms: 1,
+        orders: 0,
+        models: vec![upstream::Model { name: "m".into(), adapters: held.collect() }],
+    }
+}
+
+pub fn placement(ticket: u64, adapter: &str) -> Placement {
+    Placement {
+        ticket,
+        attempt: Some(format!("{ticket:x}").into()),
+        zone: "a".into(),
+        service: "notices".into(),
+        model: "m".into(),
+        adapter: Some(adapter.into()),
+        version: None,
+        prompt_tokens: 2_000,
+        output_tokens: 24,
+        parts: Vec::new(),
+        priority: 1,
+        time_left_ms: 4_000,
+        objective_left_ms: 800,
+        excluded: Vec::new(),
+        is_return: false,
+        may_fetch: true,
+    }
+}
+
+/// Returns a scheduler of these engines that has read their reports, and the time then.
+pub fn scheduler(descriptions: &[Description]) -> (Scheduler, Instant) {
+    let mut scheduler = Scheduler::new(7, configuration(), 1);
+    scheduler.list(descriptions, Instant::ZERO);
+    let now = Instant::from_millis(1_000);
+    scheduler.tick(now);
+    for description in descriptions {
+        let report = Report { models: description.models.clone(), ..Report::default() };
+        scheduler.reported(&description.id, Some(&report), now);
+    }
+    scheduler.take_outputs();
+    (scheduler, now)
+}
+
+pub fn orders(outputs: &[Output]) -> Vec<Order> {
+    let orders = outputs.iter().filter_map(|output| match output {
+        Output::Order(_, order) => Some(order.clone()),
+        _ => None,
+    });
+    orders.collect()
+}
+
+pub fn grants(outputs: &[Output]) -> Vec<u64> {
+    let grants = outputs.iter().filter_map(|output| match output {
+        Output::Tell(_, ToInstance::Grant(grant)) => Some(grant.ticket),
+        _ => None,
+    });
+    grants.collect()
+}
+
+pub fn refusals(outputs: &[Output]) -> Vec<(u64, Reason)> {
+    let refusals = outputs.iter().filter_map(|output| match output {
+        Output::Tell(_, ToInstance::Refuse { ticket, reason, .. }) => Some((*ticket, *reason)),
+        _ => None,
+    });
+    refusals.collect()
+}
+
+/// A request of a replayed load.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    pub placement: Placement,
+}
+
+/// How a replayed load was served.
+#[derive(Clone, Debug, Default)]
+pub struct Result {
+    pub asked: usize,
+    pub in_time: usize,
+    pub late: usize,
+    pub refused_at_once: usize,
+    pub refused_later: usize,
+    pub longest_refusal: Duration,
+    pub fetches: usize,
+    pub in_time_of: BTreeMap<u8, usize>,
+    pub asked_of: BTreeMap<u8, usize>,
+}
+
+impl Result {
+    /// Returns the share of a priority's requests that were served in time.
+    pub fn share(&self, priority: u8) -> f64 {
+        let served = self.in_time_of.get(&priority).copied().unwrap_or_default();
+        served as f64 / self.asked_of.get(&priority).copied().unwrap_or_default().max(1) as f64
+    }
+}
+
+/// An engine as the platform describes it: prompts are read one after another, and a run lasts for
+/// the rest of a second after its first token.
+struct ModelEngine {
+    held: BTreeSet<Arc<str>>,
+    known: BTreeSet<Arc<str>>,
+    loading: BTreeMap<Arc<str>, (f64, bool)>,
+    orders: u64,
+    prompts: Vec<(RequestKey, f64)>,
+    running: Vec<(RequestKey, Instant)>,
+}
+
+/// Replays a load on so many engines, in steps of a millisecond.
+pub fn replay(engines: usize, arrivals: &[Arrival]) -> Result {
+    let descriptions: Vec<Description> =
+        (0..engines).map(|number| description(number, &[])).collect();
+    let (mut scheduler, mut now) = scheduler(&descriptions);
+    let start = now;
+    let mut models: Vec<ModelEngine> = (0..engines)
+        .map(|_| ModelEngine {
+            held: BTreeSet::new(),
+            known: BTreeSet::new(),
+            loading: BTreeMap::new(),
+            orders: 0,
+            prompts: Vec::new(),
+            running: Vec::new(),
+        })
+        .collect();
+    let mut result = Result::default();
+    let mut pending: BTreeMap<u64, Arrival> = BTreeMap::new();
+    let mut arrivals = arrivals.to_vec();
+    arrivals.sort_by_key(|arrival| arrival.at);
+    let mut arrivals = arrivals.into_iter().peekable();
+    while arrivals.peek().is_some() || !pending.is_empty() {
+        now += Duration::from_millis(1);
+        let elapsed = Instant::ZERO + now.since(start);
+        while let Some(arrival) = arrivals.next_if(|arrival| arrival.at <= elapsed) {
+            result.asked += 1;
+            *result.asked_of.entry(arrival.placement.priority).or_default() += 1;
+            pending.insert(arrival.placement.ticket, arrival.clone());
+            scheduler.place(CLIENT, arrival.placement, now);
+        }
+        step_engines(&mut models, &mut scheduler, &mut pending, &mut result, now, elapsed);
+        if scheduler.next_check().is_some_and(|check| check <= now) {
+            scheduler.tick(now);
+        }
+        carry_out(&mut models, &mut scheduler, &mut pending, &mut result, now, elapsed);
+    }
+    result
+}
+
+fn step_engines(
+    models: &mut [ModelEngine],
+    scheduler: &mut Scheduler,
+    pending: &mut BTreeMap<u64, Arrival>,
+    result: &mut Result,
+    now: Instant,
+    elapsed: Instant,
+) {
+    let fetching = models.iter().flat_map(|model| model.loading.values());
+    let fetching = fetching.filter(|(_, is_fetch)| *is_fetch).count();
+    let slowdown = (fetching as f64 / FULL_SPEED as f64).max(1.0);
+    for model in models {
+        for (adapter, (left, is_fetch)) in &mut model.loading {
+            *left -= if *is_fetch { 1.0 / slowdown } else { 1.0 };
+            if *left <= 0.0 {
+                model.held.insert(adapter.clone());
+                model.known.insert(adapter.clone());
+            }
+        }
+        model.loading.retain(|_, (left, _)| *left > 0.0);
+        if let Some((key, left)) = model.prompts.first_mut() {
+            *left -= RATE;
+            if *left <= 0.0 {
+                let key = *key;
+                model.prompts.remove(0);
+                model.running.push((key, now + Duration::from_millis(400)));
+                scheduler.started(key, now);
+                let Some(arrival) = pending.remove(&key.ticket) else { continue };
+                let objective = Duration::from_millis(arrival.placement.objective_left_ms);
+                match elapsed.since(arrival.at) <= objective {
+                    true => {
+                        result.in_time += 1;
+                        *result.in_time_of.entry(arrival.placement.priority).or_default() += 1;
+                    }
+                    false => result.late += 1,
+                }
+            }
+        }
+        let (ended, running) =
+            std::mem::take(&mut model.running).into_iter().partition(|(_, end)| *end <= now);
+        model.running = running;
+        let ended: Vec<(RequestKey, Instant)> = ended;
+        for (key, _) in ended {
+            scheduler.ended(key, Some(RunResult::Answered), now);
+        }
+    }
+}
+
+fn carry_out(
+    models: &mut [ModelEngine],
+    scheduler: &mut Scheduler,
+    pending: &mut BTreeMap<u64, Arrival>,
+    result: &mut Result,
+    now: Instant,
+    elapsed: Instant,
+) {
+    loop {
+        let outputs = scheduler.take_outputs();
+        if outputs.is_empty() {
+            return;
+        }
+        for output in outputs {
+            match output {
+                Output::Order(_, order) => {
+                    let outcome = obey(&mut models[number(&order.upstream)], &order, result);
+                    scheduler.ordered(&order, outcome, now);
+                }
+                Output::Tell(client, ToInstance::Grant(grant)) => {
+                    let key = RequestKey { client, ticket: grant.ticket };
+                    let tokens = f64::from(pending[&grant.ticket].placement.prompt_tokens);
+                    models[number(&grant.upstream)].prompts.push((key, tokens));
+                }
+                Output::Tell(_, ToInstance::Refuse { ticket, .. }) => {
+                    let Some(arrival) = pending.remove(&ticket) else { continue };
+                    let held = elapsed.since(arrival.at);
+                    result.longest_refusal = result.longest_refusal.max(held);
+                    match held < Duration::from_millis(5) {
+                        true => result.refused_at_once += 1,
+                        false => result.refused_later += 1,
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn number(upstream: &str) -> usize {
+    upstream.trim_start_matches("i-").parse().unwrap()
+}
+
+fn obey(model: &mut ModelEngine, order: &Order, result: &mut Result) -> Outcome {
+    match &order.action {
+        Action::LoadAdapter { adapter, .. } if model.loading.contains_key(adapter) => {
+            Outcome::Accepted
+        }
+        _ if order.expected_orders != Some(model.orders) => Outcome::Conflict,
+        Action::LoadAdapter { adapter, .. } if model.held.contains(adapter) => Outcome::Holds,
+        Action::LoadAdapter { adapter, .. } => {
+            let taken = model.held.len() + model.loading.len();
+            assert!(taken < PLACES, "an engine was ordered to load more than fits");
+            assert!(model.loading.len() < 4, "an engine was ordered more loads than it takes");
+            model.orders += 1;
+            let is_fetch = !model.known.contains(adapter);
+            result.fetches += usize::from(is_fetch);
+            let time = if is_fetch { FETCH } else { RELOAD };
+            model.loading.insert(adapter.clone(), (time.as_millis() as f64, is_fetch));
+            Outcome::Accepted
+        }
+        Action::UnloadAdapter { adapter } => {
+            model.held.remove(adapter);
+            model.orders += 1;
+            Outcome::Holds
+        }
+        Action::LoadModel => Outcome::Holds,
+    }
+}
