--- a/crates/orioleroute-node/src/log.rs
+++ b/crates/orioleroute-node/src/log.rs
@@ -31,20 +31,21 @@
 
 /// Returns the logger of an instance on a platform, whose lines go to standard output.
 ///
-/// Writing never blocks the loop: lines beyond the queue are dropped and counted.
+/// Writing never blocks the loop: lines beyond the queue are dropped and counted, and a reader that
+/// has gone away is not missed.
 pub fn to_stdout(settings: &gateway::Settings) -> Logger {
     let drain = match settings.log_format {
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stdout()).fuse();
+            let drain = slog_json::Json::default(std::io::stdout()).ignore_res();
             slog_async::Async::new(drain).chan_size(QUEUE_LINES).build()
         }
         LogFormat::Text => {
             let decorator = slog_term::PlainDecorator::new(std::io::stdout());
-            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
             slog_async::Async::new(drain).chan_size(QUEUE_LINES).build()
         }
     };
-    let drain = slog::LevelFilter::new(drain, settings.log_level).fuse();
+    let drain = slog::LevelFilter::new(drain, settings.log_level).ignore_res();
     Logger::root(
         drain,
         o!("instance" => settings.name.clone(), "region" => settings.region.clone()),
--- a/crates/orioleroute/src/retry.rs
+++ b/crates/orioleroute/src/retry.rs
@@ -24,11 +24,8 @@
 
 /// The limits where nothing else is agreed: the upstreams see at most a tenth more than the
 /// requests, one a second, and the burst.
-pub const LIMITS: Limits = Limits {
-    requests_per_retry: REQUESTS_PER_RETRY,
-    burst: BURST,
-    time_per_retry: TIME_PER_RETRY,
-};
+pub const LIMITS: Limits =
+    Limits { requests_per_retry: REQUESTS_PER_RETRY, burst: BURST, time_per_retry: TIME_PER_RETRY };
 
 /// A token bucket that requests and time fill and retries empty.
 ///
--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -21,7 +21,11 @@
 
 /// The advantage that a copy elsewhere must have over waiting for an engine that has the adapter:
 /// a load pushes another adapter out, which somebody will miss.
-const LOAD_RELUCTANCE: Duration = Duration::from_millis(60);
+const LOAD_RELUCTANCE: Duration = Duration::from_millis(40);
+
+/// The advantage that a copy from the weight store must have, which also takes a share of what the
+/// store gives to all engines.
+const FETCH_RELUCTANCE: Duration = Duration::from_millis(150);
 
 /// What pushing out an adapter costs for each request that it had in the last ten seconds.
 const EVICTION_COST_PER_HEAT: Duration = Duration::from_millis(15);
@@ -203,12 +207,13 @@
         return queued(Obstacle::Loads);
     }
     let is_cold = !runner.is_warm(adapter);
+    let copying = if is_cold { FETCH_RELUCTANCE } else { LOAD_RELUCTANCE };
     let reluctance = match runner.places_free(engine.adapter_places) {
         Some(0) => match runner.victim(now) {
-            Some((_, heat)) => LOAD_RELUCTANCE + EVICTION_COST_PER_HEAT.mul_f64(heat),
+            Some((_, heat)) => copying + EVICTION_COST_PER_HEAT.mul_f64(heat),
             None => return queued(Obstacle::Places),
         },
-        Some(_) => LOAD_RELUCTANCE,
+        Some(_) => copying,
         None => return queued(Obstacle::Places),
     };
     (Step::Load { is_cold }, time, reluctance)
