--- a/crates/orioleroute-node/src/log.rs
+++ b/crates/orioleroute-node/src/log.rs
@@ -1,6 +1,9 @@
 //! The log: JSON lines or terminal lines on standard error.
 
-use slog::{Drain, Logger, o};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Instant;
+
+use slog::{Drain, Level, Logger, OwnedKVList, Record, o};
 
 use crate::gateway;
 use crate::settings::{LogFormat, Settings};
@@ -45,9 +48,53 @@
             slog_async::Async::new(drain).chan_size(QUEUE_LINES).build()
         }
     };
+    let drain = Bounded::new(drain.ignore_res(), settings.log_lines);
     let drain = slog::LevelFilter::new(drain, settings.log_level).ignore_res();
     Logger::root(
         drain,
         o!("instance" => settings.name.clone(), "region" => settings.region.clone()),
     )
 }
+
+/// A drain that lets so many lines through in a second and counts the rest.
+///
+/// Lines that are at least warnings have as much room again, so that a flood of decisions does not
+/// hide what went wrong.
+struct Bounded<D> {
+    drain: D,
+    limit: u32,
+    started: Instant,
+    second: AtomicU64,
+    lines: AtomicU32,
+}
+
+impl<D> Bounded<D> {
+    fn new(drain: D, limit: u32) -> Self {
+        let (second, lines) = (AtomicU64::new(0), AtomicU32::new(0));
+        Self { drain, limit, started: Instant::now(), second, lines }
+    }
+
+    /// Returns whether a line may pass, after starting the count anew in each second.
+    fn admits(&self, level: Level) -> bool {
+        let second = self.started.elapsed().as_secs();
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        let lines = self.lines.fetch_add(1, Ordering::Relaxed);
+        let limit = if level.is_at_least(Level::Warning) { self.limit * 2 } else { self.limit };
+        lines < limit
+    }
+}
+
+impl<D: Drain<Ok = (), Err = slog::Never>> Drain for Bounded<D> {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        if self.admits(record.level()) {
+            return self.drain.log(record, values);
+        }
+        metrics::counter!("orioleroute_log_lines_left_out_total").increment(1);
+        Ok(())
+    }
+}
