Hear of other regions less often, deal duties out by capacity, and tell late clients to come back later

Cause: heartbeats to every instance grow with the square of their number; the smallest instance could become a scheduler; a refused client that is late in any case came back into the same burst.

--- a/crates/orioleroute-node/src/gateway/duty.rs
+++ b/crates/orioleroute-node/src/gateway/duty.rs
@@ -212,6 +212,7 @@
     if begun {
         list(gateway);
     }
+    elect(gateway);
 }
 
 /// Tells the schedulers which engines there are.
@@ -398,15 +399,22 @@
 fn elect(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     let Some(configuration) = gateway.configuration() else { return };
-    if gateway.is_stopping() || now < Instant::ZERO + INTRODUCTION {
+    if gateway.is_stopping() {
         return;
     }
+    let own = gateway.roster().own().name.clone();
+    let is_introduced = now >= Instant::ZERO + INTRODUCTION;
     let zones: Set<Arc<str>> = {
         let registry = gateway.registry();
         let engines = registry.iter().filter(|upstream| has_engine(&configuration, upstream));
         engines.map(|upstream| upstream.zone.clone()).collect()
     };
     for zone in zones {
+        // What a former start of this instance held needs no introduction.
+        let was_own = gateway.duty.office(&zone).is_some_and(|office| office.holder == own);
+        if !is_introduced && !was_own {
+            continue;
+        }
         let is_vacant = is_vacant(gateway, &zone, now);
         let mut vacant_since = gateway.duty.vacant_since.borrow_mut();
         match is_vacant {
@@ -440,9 +448,11 @@
 fn delay(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> Duration {
     let roster = gateway.roster();
     let own = roster.own();
-    if gateway.duty.office(zone).is_some_and(|office| office.holder == own.name) {
+    let office = gateway.duty.office(zone);
+    if office.as_ref().is_some_and(|office| office.holder == own.name) {
         return Duration::ZERO;
     }
+    let confirmation = if office.is_some() { VACANCY_CONFIRMATION } else { Duration::ZERO };
     let item = hash::digest(zone);
     let mut candidates: Vec<_> = roster
         .peers()
@@ -450,14 +460,17 @@
         .chain(std::iter::once(own))
         .map(|member| {
             let is_outside = *member.zone != *zone;
-            (is_outside, std::cmp::Reverse(hash::weight(item, hash::digest(&*member.name))), member)
+            let score = hash::score(item, hash::digest(&*member.name), member.capacity.max(1));
+            (is_outside, score, member)
         })
         .collect();
-    candidates.sort_by_key(|(is_outside, weight, _)| (*is_outside, *weight));
+    candidates.sort_by(|(outside, score, _), (other_outside, other_score, _)| {
+        outside.cmp(other_outside).then(other_score.total_cmp(score))
+    });
     let rank = candidates.iter().position(|(_, _, member)| member.name == own.name).unwrap_or(0);
     let is_isolated = candidates.len() == 1 && roster.peers().next().is_some();
     let isolation = if is_isolated { ISOLATION_DELAY } else { Duration::ZERO };
-    VACANCY_CONFIRMATION + CANDIDATE_STEP * rank as u32 + isolation
+    confirmation + CANDIDATE_STEP * rank as u32 + isolation
 }
 
 /// Writes this instance's name into an office if nobody else did since it was read.
--- a/crates/orioleroute-node/src/gateway/heartbeat.rs
+++ b/crates/orioleroute-node/src/gateway/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats between instances, as datagrams.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use monoio::net::udp::UdpSocket;
@@ -29,14 +30,22 @@
 }
 
 async fn send(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut round = 0_u32;
     loop {
+        round = round.wrapping_add(1);
         let heartbeat = gateway.roster().heartbeat();
-        let peers: Vec<_> = gateway.roster().peers().map(|peer| peer.peer_address).collect();
         let bytes = serde_json::to_vec(&heartbeat).unwrap_or_default();
-        for address in peers {
+        for address in due(&gateway, round) {
             // A datagram that cannot be sent is like one that is lost: the next one follows.
             let _ = socket.send_to(bytes.clone(), address).await;
         }
         monoio::time::sleep(HEARTBEAT_INTERVAL).await;
     }
 }
+
+/// Returns where heartbeats go in this round.
+fn due(gateway: &Gateway, round: u32) -> Vec<SocketAddr> {
+    let roster = gateway.roster();
+    let due = roster.peers().filter(|peer| round.is_multiple_of(roster.intervals(peer)));
+    due.map(|peer| peer.peer_address).collect()
+}
--- a/crates/orioleroute-node/src/gateway/placing.rs
+++ b/crates/orioleroute-node/src/gateway/placing.rs
@@ -7,7 +7,6 @@
 use orioleroute::ingress::Configuration;
 use orioleroute::ingress::attempt::Generation;
 use orioleroute::ingress::health::Outcome;
-use orioleroute::ingress::roster::SUSPECT_AFTER;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{
     Grant, Placement, Reason, RunResult, ToInstance, ToScheduler,
@@ -206,9 +205,8 @@
                 return Err(unscheduled);
             }
             Err(_) => {
-                let silence = gateway.roster().silence(&holder, gateway.now());
                 let is_waiting = patience == QUEUE_CHECK;
-                if is_waiting && silence.is_some_and(|silence| silence < SUSPECT_AFTER) {
+                if is_waiting && gateway.roster().is_responsive(&holder, gateway.now()) {
                     continue;
                 }
                 debug!(gateway.log, "scheduler silent"; "request" => need.attempt.map(|id| &**id),
--- a/crates/orioleroute-node/src/gateway/settings.rs
+++ b/crates/orioleroute-node/src/gateway/settings.rs
@@ -44,6 +44,8 @@
     pub grace: Duration,
     /// How long clients may keep an answer to the question for addresses.
     pub resolution_life: Duration,
+    /// The share of a processor core that the instance has, by which duties are dealt out.
+    pub processor_share: f64,
     /// The connections of clients that are open at a time.
     pub connections: usize,
     /// The bytes of request bodies that are held at a time.
@@ -71,6 +73,7 @@
     setting("store-address", "IP:PORT", "the platform's store", None),
     setting("grace-ms", "MILLISECONDS", "from the termination signal to the end", Some("8000")),
     setting("resolution-life-ms", "MILLISECONDS", "how long addresses are kept", Some("2000")),
+    setting("processor-share", "SHARE", "share of a processor core", Some("1")),
     setting("connections", "COUNT", "open connections of clients", Some("2000")),
     setting("body-memory", "BYTES", "request bodies held at a time", Some("67108864")),
     setting("log-format", "json|text", "form of log lines", Some("json")),
@@ -110,6 +113,7 @@
         let store_address = source.value("store-address");
         let grace = source.millis("grace-ms");
         let resolution_life = source.millis("resolution-life-ms");
+        let processor_share = source.value("processor-share");
         let connections = source.value("connections");
         let body_memory = source.value("body-memory");
         let log_format = source.value("log-format");
@@ -128,6 +132,7 @@
             store_address: store_address?,
             grace: grace?,
             resolution_life: resolution_life?,
+            processor_share: processor_share?,
             connections: connections?,
             body_memory: body_memory?,
             log_format: log_format?,
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -81,6 +81,7 @@
             zone: settings.zone.as_str().into(),
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
+            capacity: (settings.processor_share * 100.0) as u32,
         };
         Self {
             log: log::to_stdout(&settings),
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -4,16 +4,19 @@
 
 use crate::prelude::*;
 
-/// How often an instance sends a heartbeat to each other one.
+/// How often an instance sends a heartbeat to each other one of its region.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// The silence after which an instance is left out of answers to clients: two lost heartbeats and
-/// the delay of a busy processor.
-pub const SUSPECT_AFTER: Duration = Duration::from_millis(1_300);
+/// Heartbeats in the own region for each one to another region, where bytes cost more and nobody waits
+/// for an instance to fail.
+pub const FAR_INTERVALS: u32 = 5;
 
-/// The silence after which an instance counts as failed, and another may take its duties over: four
-/// more lost heartbeats.
-pub const FAILED_AFTER: Duration = Duration::from_millis(2_600);
+/// The intervals without a heartbeat after which an instance is left out of answers to clients: two lost
+/// ones and the delay of a busy processor.
+const SUSPECT_INTERVALS: f64 = 3.25;
+
+/// The intervals after which an instance counts as failed, and another may take its duties over.
+const FAILED_INTERVALS: f64 = 6.5;
 
 /// The most addresses in an answer to a client.
 pub const MAX_ADDRESSES: usize = 64;
@@ -33,6 +36,8 @@
     pub caller_address: SocketAddr,
     /// Where other instances connect, and where they send heartbeats.
     pub peer_address: SocketAddr,
+    /// What it can carry, in hundredths of a processor core.
+    pub capacity: u32,
 }
 
 /// What an instance tells the others at regular times.
@@ -132,28 +137,39 @@
         self.peers.get(name).map(|peer| &peer.member)
     }
 
-    /// Returns how long an instance has been silent, or `None` for one that is not listed.
-    pub fn silence(&self, name: &str, now: Instant) -> Option<Duration> {
-        if *name == *self.own.name {
-            return Some(Duration::ZERO);
-        }
-        let peer = self.peers.get(name)?;
-        Some(now.since(peer.heard.unwrap_or(peer.known_since)))
+    /// Returns whether an instance is listed and has not been silent for so long that it has failed.
+    pub fn is_alive(&self, name: &str, now: Instant) -> bool {
+        self.is_heard(name, FAILED_INTERVALS, now)
     }
 
-    /// Returns whether an instance that is listed has been heard lately.
-    pub fn is_alive(&self, name: &str, now: Instant) -> bool {
-        self.silence(name, now).is_some_and(|silence| silence < FAILED_AFTER)
+    /// Returns whether an instance is listed and has been heard lately.
+    pub fn is_responsive(&self, name: &str, now: Instant) -> bool {
+        self.is_heard(name, SUSPECT_INTERVALS, now)
+    }
+
+    /// Returns how many heartbeat intervals pass between two heartbeats to a member.
+    pub fn intervals(&self, member: &Member) -> u32 {
+        if member.region == self.own.region { 1 } else { FAR_INTERVALS }
+    }
+
+    fn is_heard(&self, name: &str, intervals: f64, now: Instant) -> bool {
+        let is_own = *name == *self.own.name;
+        is_own || self.peers.get(name).is_some_and(|peer| self.hears(peer, intervals, now))
+    }
+
+    fn hears(&self, peer: &Peer, intervals: f64, now: Instant) -> bool {
+        let interval = HEARTBEAT_INTERVAL * self.intervals(&peer.member);
+        now.since(peer.heard.unwrap_or(peer.known_since)) < interval.mul_f64(intervals)
     }
 
     /// Returns the addresses for a client in `region` and `zone`: the serving instances of its
     /// region, else those of all regions, and this instance when no other is known.
     pub fn addresses(&self, region: &str, now: Instant) -> Vec<SocketAddr> {
         let own = self.is_serving.then_some(&self.own);
-        let peers = self.peers.values().filter(|peer| {
-            let silence = now.since(peer.heard.unwrap_or(peer.known_since));
-            peer.is_serving && silence < SUSPECT_AFTER
-        });
+        let peers = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_serving && self.hears(peer, SUSPECT_INTERVALS, now));
         let serving: Vec<&Member> = own.into_iter().chain(peers.map(|peer| &peer.member)).collect();
         let near = serving.iter().filter(|member| *member.region == *region);
         let mut addresses: Vec<SocketAddr> = near.map(|member| member.caller_address).collect();
--- a/crates/orioleroute/src/scheduler/admission.rs
+++ b/crates/orioleroute/src/scheduler/admission.rs
@@ -8,6 +8,7 @@
 use super::Request;
 use super::message::Reason;
 use super::placement::Step;
+use crate::hash;
 use crate::prelude::*;
 
 /// The queue up to which a request that would be late is taken all the same.
@@ -21,10 +22,6 @@
 /// back: it is late in any case, but to refuse it twice is worse than to be late.
 const RETURN_SHARE: f64 = 0.5;
 
-/// The bounds of the time after which a refused client is told to come back.
-const RETRY_BOUNDS: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(2_000));
-
 /// A request that is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -49,7 +46,8 @@
 ) -> Result<(), Refusal> {
     let deadline = request.deadline.since(now);
     if expected_start >= deadline {
-        return Err(Refusal { reason: Reason::TooLate, retry_after: retry_after(queue) });
+        let retry_after = retry_after(request, queue, now);
+        return Err(Refusal { reason: Reason::TooLate, retry_after });
     }
     let is_on_time = expected_start <= request.objective.since(now).mul_f64(START_SHARE);
     let is_welcome = match request.is_return {
@@ -59,7 +57,10 @@
     };
     match is_on_time || is_welcome {
         true => Ok(()),
-        false => Err(Refusal { reason: Reason::Overloaded, retry_after: retry_after(queue) }),
+        false => {
+            let retry_after = retry_after(request, queue, now);
+            Err(Refusal { reason: Reason::Overloaded, retry_after })
+        }
     }
 }
 
@@ -79,8 +80,28 @@
 /// The part of a client's time that a request may wait in any case.
 const WAIT_SHARE: f64 = 0.25;
 
-/// Returns when a refused client is to come back: once what waits now has been read.
-pub fn retry_after(queue: Duration) -> Duration {
-    let (least, most) = RETRY_BOUNDS;
-    queue.clamp(least, most)
+/// Returns when a refused client is to come back: once what waits now has been read, if it can then
+/// still be on time; else as late as clients take advice, spread out, since bursts last for seconds
+/// and it is late in any case.
+pub fn retry_after(request: &Request, queue: Duration, now: Instant) -> Duration {
+    let soon = queue.max(SOONEST_RETRY);
+    if soon <= request.objective.since(now).mul_f64(HOPEFUL_SHARE) {
+        return soon;
+    }
+    let spread = hash::digest(&request.attempt) as f64 / u64::MAX as f64;
+    let share = RETRY_SHARE * (1.0 - RETRY_SPREAD * spread);
+    request.deadline.since(now).mul_f64(share).max(SOONEST_RETRY)
 }
+
+/// The soonest time after which a refused client is told to come back.
+const SOONEST_RETRY: Duration = Duration::from_millis(100);
+
+/// The part of the time to the objective after which a client may come back and still be on time.
+const HOPEFUL_SHARE: f64 = 0.4;
+
+/// The part of its time after which a client comes back at the latest: clients take advice up to a
+/// third.
+const RETRY_SHARE: f64 = 0.32;
+
+/// The part of that time over which clients are spread.
+const RETRY_SPREAD: f64 = 0.5;
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -252,7 +252,7 @@
         };
         self.count_queues(Some(queue::Rank::of(&request, now)), now);
         let Some(candidate) = self.choose(&engine, &request, now) else {
-            let retry_after = admission::retry_after(Duration::ZERO);
+            let retry_after = admission::retry_after(&request, Duration::ZERO, now);
             return self.refuse(key, &request, Reason::NoEngine, retry_after, now);
         };
         if !may_fetch && candidate.step.is_fetch() && !self.is_popular(&request, now) {
@@ -527,7 +527,7 @@
         }
         if !admission::may_wait(&item.request, now) {
             self.unassign(item);
-            let retry_after = admission::retry_after(item.forecast.queue);
+            let retry_after = admission::retry_after(&item.request, item.forecast.queue, now);
             self.refuse(item.key, &item.request, Reason::TooLate, retry_after, now);
             return true;
         }
@@ -539,7 +539,7 @@
             return true;
         };
         let Some(candidate) = self.choose(&engine, &item.request, now) else {
-            let retry_after = admission::retry_after(Duration::ZERO);
+            let retry_after = admission::retry_after(&item.request, Duration::ZERO, now);
             self.refuse(item.key, &item.request, Reason::NoEngine, retry_after, now);
             return true;
         };
