--- a/crates/orioleroute-node/src/gateway/duty.rs
+++ b/crates/orioleroute-node/src/gateway/duty.rs
@@ -37,6 +37,10 @@
 /// The time after its start in which an instance learns of the others before it takes an office.
 const INTRODUCTION: Duration = Duration::from_millis(1_500);
 
+/// How long an instance of a zone must have been there before another zone's gives its office up: it has
+/// read the tables by then, and flapping instances get no duties.
+const HANDOVER_DELAY: Duration = Duration::from_millis(3_500);
+
 /// How long an office must look vacant, so that heartbeats that wait while this process was held up
 /// are read first.
 const VACANCY_CONFIRMATION: Duration = Duration::from_millis(300);
@@ -71,6 +75,7 @@
     offices: RefCell<Map<Arc<str>, Entry>>,
     schedulers: RefCell<Map<Arc<str>, Scheduler>>,
     vacant_since: RefCell<Map<Arc<str>, Instant>>,
+    owed_since: RefCell<Map<Arc<str>, Instant>>,
     /// Set while this process has been frozen and has not read the store since.
     is_suspended: Cell<bool>,
     suspension: Cell<Option<Duration>>,
@@ -190,8 +195,7 @@
             (true, Some(fencing)) if fencing == entry.version => {}
             (true, _) => {
                 let Some(configuration) = gateway.configuration() else { continue };
-                let zones = gateway.settings().zones.len();
-                let mut scheduler = Scheduler::new(entry.version, configuration, zones);
+                let mut scheduler = Scheduler::new(entry.version, configuration);
                 gateway.announcements().iter().for_each(|each| scheduler.announce(each));
                 info!(gateway.log, "scheduling begins"; "zone" => &*zone, "fencing" => entry.version);
                 schedulers.insert(zone, scheduler);
@@ -252,20 +256,24 @@
 
 /// Gives the offices of this instance up, so that others need not wait for its silence.
 pub async fn resign(gateway: Rc<Gateway>) {
-    let held: Vec<(Arc<str>, u64)> = {
-        let schedulers = gateway.duty.schedulers.borrow();
-        schedulers.iter().map(|(zone, held)| (zone.clone(), held.fencing())).collect()
-    };
-    for (zone, version) in held {
-        let key = format!("{OFFICES}{zone}");
-        let write = Write { table: CLUSTER, key, expected: Some(version), value: None };
-        match gateway.store.commit(&[write]).await {
-            Ok(Commit::Done(version)) => gateway.duty.vacate(&zone, version),
-            Ok(Commit::Conflict) => {}
-            Err(error) => {
-                warn!(gateway.log, "office not given up"; "zone" => &*zone,
-                    "error" => error.to_string());
-            }
+    let held: Vec<Arc<str>> = gateway.duty.schedulers.borrow().keys().cloned().collect();
+    for zone in held {
+        resign_zone(gateway.clone(), zone).await;
+    }
+}
+
+/// Gives one office up.
+async fn resign_zone(gateway: Rc<Gateway>, zone: Arc<str>) {
+    let fencing = gateway.duty.schedulers.borrow().get(&zone).map(Scheduler::fencing);
+    let Some(version) = fencing else { return };
+    let key = format!("{OFFICES}{zone}");
+    let write = Write { table: CLUSTER, key, expected: Some(version), value: None };
+    match gateway.store.commit(&[write]).await {
+        Ok(Commit::Done(version)) => gateway.duty.vacate(&zone, version),
+        Ok(Commit::Conflict) => {}
+        Err(error) => {
+            warn!(gateway.log, "office not given up"; "zone" => &*zone,
+                "error" => error.to_string());
         }
     }
     review(&gateway);
@@ -415,6 +423,10 @@
         if !is_introduced && !was_own {
             continue;
         }
+        if hands_over(gateway, &zone, now) {
+            monoio::spawn(resign_zone(gateway.clone(), zone));
+            continue;
+        }
         let is_vacant = is_vacant(gateway, &zone, now);
         let mut vacant_since = gateway.duty.vacant_since.borrow_mut();
         match is_vacant {
@@ -433,6 +445,27 @@
     }
 }
 
+/// Returns whether this instance schedules a zone that is not its own although an instance of that zone
+/// has long been there to do it.
+fn hands_over(gateway: &Rc<Gateway>, zone: &Arc<str>, now: Instant) -> bool {
+    let roster = gateway.roster();
+    let is_held = gateway.duty.schedulers.borrow().contains_key(zone);
+    let is_outside = *roster.own().zone != **zone;
+    let mut successors = roster.serving(now).into_iter();
+    let is_owed = is_held && is_outside && successors.any(|member| member.zone == *zone);
+    let mut owed_since = gateway.duty.owed_since.borrow_mut();
+    if !is_owed {
+        owed_since.remove(zone);
+        return false;
+    }
+    let since = *owed_since.entry(zone.clone()).or_insert(now);
+    if now.since(since) < HANDOVER_DELAY {
+        return false;
+    }
+    owed_since.insert(zone.clone(), now);
+    true
+}
+
 fn is_vacant(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> bool {
     let roster = gateway.roster();
     match gateway.duty.office(zone) {
@@ -455,9 +488,8 @@
     let confirmation = if office.is_some() { VACANCY_CONFIRMATION } else { Duration::ZERO };
     let item = hash::digest(zone);
     let mut candidates: Vec<_> = roster
-        .peers()
-        .filter(|peer| roster.is_alive(&peer.name, now))
-        .chain(std::iter::once(own))
+        .serving(now)
+        .into_iter()
         .map(|member| {
             let is_outside = *member.zone != *zone;
             let score = hash::score(item, hash::digest(&*member.name), member.capacity.max(1));
--- a/crates/orioleroute-node/src/gateway/placing.rs
+++ b/crates/orioleroute-node/src/gateway/placing.rs
@@ -272,11 +272,14 @@
     let generation = need.generation;
     let registry = gateway.registry();
     let health = gateway.health();
+    let wanted = generation
+        .adapter
+        .as_ref()
+        .map(|adapter| (adapter, gateway.version(&generation.model, adapter).unwrap_or_default()));
     let usable = registry.ready(need.service).filter(|upstream| {
-        let has_adapter = generation
-            .adapter
-            .as_ref()
-            .is_none_or(|adapter| upstream.has_adapter(&generation.model, adapter));
+        let has_adapter = wanted.is_none_or(|(adapter, newest)| {
+            upstream.version(&generation.model, adapter).is_some_and(|held| held >= newest)
+        });
         has_adapter
             && zone.is_none_or(|zone| *zone == *upstream.zone)
             && upstream.has_model(&generation.model)
@@ -289,8 +292,12 @@
     });
     let (_, best) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
     let (upstream, address) = (best.id.clone(), best.address);
+    let version = wanted.and_then(|(adapter, _)| best.version(&generation.model, adapter));
     drop((registry, health));
-    Some(unscheduled_seat(gateway, upstream, address))
+    // What the list says may be a second old; the engine checks the version.
+    let mut seat = unscheduled_seat(gateway, upstream, address);
+    seat.version = version;
+    Some(seat)
 }
 
 /// Takes the upstream of a plain service with the least expected cost.
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -24,6 +24,17 @@
 /// the calls; a leaving upstream may be used for four times as long.
 const UPSTREAM_PACE: Duration = Duration::from_millis(600);
 
+/// How much longer that time is for each instance beyond [`FEW_INSTANCES`], since all of them together
+/// load the store.
+const PACE_PER_INSTANCE: Duration = Duration::from_millis(15);
+
+/// The instances up to which the time is not lengthened.
+const FEW_INSTANCES: usize = 10;
+
+/// The longest time between two watches of the upstreams: with the delay of an answer well below the
+/// time for which a leaving upstream still takes requests.
+const LONGEST_PACE: Duration = Duration::from_millis(1_300);
+
 /// The time between two watches of the operator's table, so that a storm of changes is read in few
 /// calls.
 const OPERATOR_PACE: Duration = Duration::from_millis(50);
@@ -52,7 +63,7 @@
             }
         }
     };
-    follow(&gateway, records::OPERATOR, OPERATOR_PACE, apply, |_| {}).await;
+    follow(&gateway, records::OPERATOR, |_| OPERATOR_PACE, apply, |_| {}).await;
 }
 
 /// Keeps the upstreams up to date.
@@ -77,7 +88,7 @@
         duty::list(gateway);
     };
     let lose = |gateway: &Rc<Gateway>| gateway.registry().lose(gateway.now());
-    follow(&gateway, records::UPSTREAMS, UPSTREAM_PACE, apply, lose).await;
+    follow(&gateway, records::UPSTREAMS, upstream_pace, apply, lose).await;
 }
 
 /// Announces this instance, and keeps the others and the schedulers up to date.
@@ -92,14 +103,14 @@
         }
         duty::review(gateway);
     };
-    follow(&gateway, CLUSTER, RETRY, apply, |_| {}).await;
+    follow(&gateway, CLUSTER, |_| RETRY, apply, |_| {}).await;
 }
 
 /// Reads a table and then follows its changes, forever.
 async fn follow(
     gateway: &Rc<Gateway>,
     table: &'static str,
-    pace: Duration,
+    pace: impl Fn(&Gateway) -> Duration,
     apply: impl Fn(&Rc<Gateway>, Vec<Row>, bool),
     lose: impl Fn(&Rc<Gateway>),
 ) {
@@ -119,7 +130,7 @@
                 version = Some(newest);
                 if is_whole || !rows.is_empty() {
                     apply(gateway, rows, is_whole);
-                    monoio::time::sleep(pace).await;
+                    monoio::time::sleep(pace(gateway)).await;
                 }
             }
             Err(Error::Compacted) => {
@@ -137,6 +148,11 @@
     }
 }
 
+fn upstream_pace(gateway: &Gateway) -> Duration {
+    let more = gateway.roster().peers().count().saturating_sub(FEW_INSTANCES) as u32;
+    (UPSTREAM_PACE + PACE_PER_INSTANCE * more).min(LONGEST_PACE)
+}
+
 fn upstream_change(gateway: &Rc<Gateway>, row: Row) -> Change {
     let id: Arc<str> = row.key.as_str().into();
     let Some(value) = row.value else { return Change::Removed(id) };
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -142,6 +142,17 @@
         self.is_heard(name, FAILED_INTERVALS, now)
     }
 
+    /// Returns the instances that can take duties on: those that serve and have not failed, this one
+    /// included if it serves.
+    pub fn serving(&self, now: Instant) -> Vec<&Member> {
+        let peers = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_serving && self.hears(peer, FAILED_INTERVALS, now));
+        let own = self.is_serving.then_some(&self.own);
+        own.into_iter().chain(peers.map(|peer| &peer.member)).collect()
+    }
+
     /// Returns whether an instance is listed and has been heard lately.
     pub fn is_responsive(&self, name: &str, now: Instant) -> bool {
         self.is_heard(name, SUSPECT_INTERVALS, now)
--- a/crates/orioleroute/src/ingress/upstream.rs
+++ b/crates/orioleroute/src/ingress/upstream.rs
@@ -33,10 +33,12 @@
         self.models.iter().any(|model| &*model.name == name)
     }
 
-    /// Returns whether it holds the adapter on the base model.
-    pub fn has_adapter(&self, model: &str, adapter: &str) -> bool {
+    /// Returns the version in which it holds the adapter on the base model.
+    pub fn version(&self, model: &str, adapter: &str) -> Option<u64> {
         let mut models = self.models.iter().filter(|held| &*held.name == model);
-        models.any(|held| held.adapters.iter().any(|revision| &*revision.name == adapter))
+        let revisions = models.next().map(|held| held.adapters.as_slice()).unwrap_or_default();
+        let held = revisions.iter().find(|revision| &*revision.name == adapter);
+        held.map(|revision| revision.version)
     }
 }
 
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 //! here reads a clock or a socket. `docs/PLATFORM.md` weighs the alternatives.
 
 pub mod admission;
+pub mod fetches;
 pub mod message;
 pub mod order;
 pub mod placement;
@@ -38,10 +39,6 @@
 /// How long a new scheduler waits for reports, which lag, to show its predecessor's last orders.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(400);
 
-/// The adapters that may come from the weight store at once, over all zones: half as many again as
-/// come at full speed, so that a zone with few does not leave the store idle.
-const COLD_LOAD_LIMIT: usize = 12;
-
 /// The requests for an adapter in the last ten seconds from which on a zone fetches it although its
 /// home zone may have it: a fetch costs about as much as ten requests to another region.
 const POPULAR_HEAT: f64 = 3.0;
@@ -150,7 +147,7 @@
     newest: Map<(Arc<str>, Arc<str>), u64>,
     /// How often adapters were asked for that were not here.
     misses: Map<Arc<str>, Heat>,
-    zones: usize,
+    fetches: fetches::Window,
     outputs: Vec<Output>,
 }
 
@@ -174,9 +171,8 @@
 }
 
 impl Scheduler {
-    /// Returns a scheduler that orders under the token `fencing`, one of `zones` that share the
-    /// weight store.
-    pub fn new(fencing: u64, configuration: Arc<Configuration>, zones: usize) -> Self {
+    /// Returns a scheduler that orders under the token `fencing`.
+    pub fn new(fencing: u64, configuration: Arc<Configuration>) -> Self {
         Self {
             fencing,
             configuration,
@@ -186,7 +182,7 @@
             granted: Map::default(),
             newest: Map::default(),
             misses: Map::default(),
-            zones,
+            fetches: fetches::Window::default(),
             outputs: Vec::new(),
         }
     }
@@ -344,6 +340,8 @@
             self.outputs.push(Output::Deposed);
             return;
         }
+        self.observe_fetch(key, order, outcome, now);
+        let runner = &mut self.runners[key];
         match &order.action {
             Action::LoadModel => model_ordered(runner, &order.model, outcome, now),
             Action::LoadAdapter { adapter, .. } => adapter_ordered(runner, adapter, outcome, now),
@@ -456,6 +454,18 @@
         }
     }
 
+    /// Learns from the end of a fetch how many adapters may be on their way.
+    fn observe_fetch(&mut self, key: key::Upstream, order: &Order, outcome: Outcome, now: Instant) {
+        let Action::LoadAdapter { adapter, .. } = &order.action else { return };
+        let place = self.runners[key].places.get(adapter);
+        if let (Outcome::Holds, Some(place)) = (outcome, place)
+            && let PlaceState::Loading { is_cold: true, is_accepted: true, since, .. } = place.state
+        {
+            let under_way = self.cold_loads().under_way;
+            self.fetches.observe(now.since(since), under_way);
+        }
+    }
+
     fn engine(&self, service: &str) -> Option<&Engine> {
         self.configuration.services.get(service)?.engine.as_ref()
     }
@@ -465,11 +475,7 @@
     }
 
     fn cold_loads(&self) -> ColdLoads {
-        let mut cold = ColdLoads {
-            under_way: 0,
-            waiting: 0,
-            limit: COLD_LOAD_LIMIT.div_ceil(self.zones.max(1)),
-        };
+        let mut cold = ColdLoads { under_way: 0, waiting: 0, limit: self.fetches.limit() };
         for place in self.runners.values().flat_map(|runner| runner.places.values()) {
             match place.state {
                 PlaceState::Loading { is_cold: true, .. } => cold.under_way += 1,
@@ -720,7 +726,8 @@
         }
         let time = if is_cold { placement::COLD_LOAD } else { placement::WARM_LOAD };
         let Some(place) = runner.places.get_mut(&adapter) else { return };
-        place.state = PlaceState::Loading { check_at: now + time, is_cold, is_accepted: false };
+        place.state =
+            PlaceState::Loading { check_at: now + time, is_cold, is_accepted: false, since: now };
         let version = place.version;
         self.order(key, model, Action::LoadAdapter { adapter, version });
     }
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -140,6 +140,8 @@
         is_cold: bool,
         /// Whether the engine has accepted the order; asking again does not count as another one.
         is_accepted: bool,
+        /// When it was ordered.
+        since: Instant,
     },
     /// It is to be loaded once the engine takes the order and has a place for it.
     Reserved {
@@ -221,7 +223,8 @@
             self.base = base;
         }
         for revision in &report.pending {
-            let state = PlaceState::Loading { check_at: now, is_cold: true, is_accepted: true };
+            let state =
+                PlaceState::Loading { check_at: now, is_cold: true, is_accepted: true, since: now };
             let place = self.places.entry(revision.name.clone());
             place.or_insert_with(|| Place::new(Some(revision.version), state, now));
         }
--- a/crates/orioleroute/tests/load.rs
+++ b/crates/orioleroute/tests/load.rs
@@ -6,7 +6,7 @@
 use orioleroute::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use scheduling::{Arrival, RATE, placement, replay};
+use scheduling::{Arrival, FULL_SPEED, RATE, placement, replay, replay_with};
 
 const ENGINES: usize = 6;
 const SEED: u64 = 20_261_204;
@@ -119,3 +119,16 @@
     assert!(result.fetches <= 20 * ENGINES, "{result:?}");
     assert!(result.in_time * 10 >= result.asked * 9, "{result:?}");
 }
+
+#[test]
+fn a_weight_store_that_gives_more_at_once_is_used_for_more() {
+    let load =
+        Load { from_ms: 0, to_ms: 3_000, per_s: 240.0, first: 0, adapters: 3_000, priority: 1 };
+    let arrivals = arrivals(&[load]);
+
+    let usual = replay_with(4 * ENGINES, FULL_SPEED, &arrivals);
+    let larger = replay_with(4 * ENGINES, 3 * FULL_SPEED, &arrivals);
+
+    assert!(larger.fetches * 10 >= usual.fetches * 13, "{usual:?} {larger:?}");
+    assert!(larger.in_time > usual.in_time, "{usual:?} {larger:?}");
+}
--- a/crates/orioleroute/tests/scheduler.rs
+++ b/crates/orioleroute/tests/scheduler.rs
@@ -221,7 +221,7 @@
     let mut empty = description(0, &[]);
     empty.models.clear();
     let now = Instant::from_millis(1_000);
-    let mut scheduler = Scheduler::new(7, configuration(), 1);
+    let mut scheduler = Scheduler::new(7, configuration());
     scheduler.list(&[empty], Instant::ZERO);
     scheduler.tick(now);
 
@@ -241,7 +241,7 @@
         })
         .collect();
     let now = Instant::from_millis(1_000);
-    let mut scheduler = Scheduler::new(7, configuration(), 1);
+    let mut scheduler = Scheduler::new(7, configuration());
     scheduler.list(&empties, Instant::ZERO);
     scheduler.tick(now);
 
--- a/crates/orioleroute/tests/scheduling/mod.rs
+++ b/crates/orioleroute/tests/scheduling/mod.rs
@@ -22,7 +22,10 @@
 const RELOAD: Duration = Duration::from_millis(25);
 
 /// The fetches that run at full speed at once.
-const FULL_SPEED: usize = 8;
+pub const FULL_SPEED: usize = 8;
+
+/// When a scheduler has read its engines' reports, and a replay begins.
+pub const START: Instant = Instant::from_millis(1_000);
 
 pub fn configuration() -> Arc<Configuration> {
     let model = Model {
@@ -80,9 +83,9 @@
 
 /// Returns a scheduler of these engines that has read their reports, and the time then.
 pub fn scheduler(descriptions: &[Description]) -> (Scheduler, Instant) {
-    let mut scheduler = Scheduler::new(7, configuration(), 1);
+    let mut scheduler = Scheduler::new(7, configuration());
     scheduler.list(descriptions, Instant::ZERO);
-    let now = Instant::from_millis(1_000);
+    let now = START;
     scheduler.tick(now);
     for description in descriptions {
         let report = Report { models: description.models.clone(), ..Report::default() };
@@ -158,6 +161,11 @@
 
 /// Replays a load on so many engines, in steps of a millisecond.
 pub fn replay(engines: usize, arrivals: &[Arrival]) -> Result {
+    replay_with(engines, FULL_SPEED, arrivals)
+}
+
+/// Replays a load beside a weight store that gives so many adapters at full speed at once.
+pub fn replay_with(engines: usize, full_speed: usize, arrivals: &[Arrival]) -> Result {
     let descriptions: Vec<Description> =
         (0..engines).map(|number| description(number, &[])).collect();
     let (mut scheduler, mut now) = scheduler(&descriptions);
@@ -186,7 +194,8 @@
             pending.insert(arrival.placement.ticket, arrival.clone());
             scheduler.place(CLIENT, arrival.placement, now);
         }
-        step_engines(&mut models, &mut scheduler, &mut pending, &mut result, now, elapsed);
+        let slowdown = slowdown(&models, full_speed);
+        step_engines(&mut models, &mut scheduler, &mut pending, &mut result, now, slowdown);
         if scheduler.next_check().is_some_and(|check| check <= now) {
             scheduler.tick(now);
         }
@@ -195,17 +204,21 @@
     result
 }
 
+/// Returns how many times as long a fetch takes now as alone.
+fn slowdown(models: &[ModelEngine], full_speed: usize) -> f64 {
+    let fetching = models.iter().flat_map(|model| model.loading.values());
+    let fetching = fetching.filter(|(_, is_fetch)| *is_fetch).count();
+    (fetching as f64 / full_speed as f64).max(1.0)
+}
+
 fn step_engines(
     models: &mut [ModelEngine],
     scheduler: &mut Scheduler,
     pending: &mut BTreeMap<u64, Arrival>,
     result: &mut Result,
     now: Instant,
-    elapsed: Instant,
+    slowdown: f64,
 ) {
-    let fetching = models.iter().flat_map(|model| model.loading.values());
-    let fetching = fetching.filter(|(_, is_fetch)| *is_fetch).count();
-    let slowdown = (fetching as f64 / FULL_SPEED as f64).max(1.0);
     for model in models {
         for (adapter, (left, is_fetch)) in &mut model.loading {
             *left -= if *is_fetch { 1.0 / slowdown } else { 1.0 };
@@ -224,7 +237,7 @@
                 scheduler.started(key, now);
                 let Some(arrival) = pending.remove(&key.ticket) else { continue };
                 let objective = Duration::from_millis(arrival.placement.objective_left_ms);
-                match elapsed.since(arrival.at) <= objective {
+                match now.since(START + arrival.at.since(Instant::ZERO)) <= objective {
                     true => {
                         result.in_time += 1;
                         *result.in_time_of.entry(arrival.placement.priority).or_default() += 1;
