Split the scheduler and the duties by job

The scheduler's waiting and orders, the elections, and the events of streams have modules of their own; behaviour and checks unchanged (tests of scheduler, load, ingress and platform pass).

--- a/crates/orioleroute-node/src/gateway/duty.rs
+++ b/crates/orioleroute-node/src/gateway/duty.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 
 use nix::time::{ClockId, clock_gettime};
-use orioleroute::hash;
 use orioleroute::ingress::Configuration;
 use orioleroute::ingress::upstream::{Announcement, Description};
 use orioleroute::prelude::*;
@@ -17,16 +16,14 @@
 use orioleroute::scheduler::order::{Order, Outcome};
 use orioleroute::scheduler::{Client, Decision, Output, RequestKey, Scheduler};
 use orioleroute_platform::engine;
-use orioleroute_platform::store::{Commit, Write};
 use orioleroute_wire::Step;
 use slog::{debug, info, warn};
 
-use super::link;
 use super::state::Gateway;
-use super::sync::{CLUSTER, OFFICES};
+use super::{election, link};
 
 /// How often the offices are looked after.
-const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
+pub const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The longest sleep of the loop that lets the schedulers' time pass.
 const TICK: Duration = Duration::from_millis(100);
@@ -34,23 +31,6 @@
 /// The shortest one, so that a load that is overdue does not keep the processor busy.
 const SHORTEST_TICK: Duration = Duration::from_millis(5);
 
-/// The time after its start in which an instance learns of the others before it takes an office.
-const INTRODUCTION: Duration = Duration::from_millis(1_500);
-
-/// How long an instance of a zone must have been there before another zone's gives its office up: it has
-/// read the tables by then, and flapping instances get no duties.
-const HANDOVER_DELAY: Duration = Duration::from_millis(3_500);
-
-/// How long an office must look vacant, so that heartbeats that wait while this process was held up
-/// are read first.
-const VACANCY_CONFIRMATION: Duration = Duration::from_millis(300);
-
-/// How much longer each next candidate for an office waits than the one before.
-const CANDIDATE_STEP: Duration = Duration::from_millis(1_000);
-
-/// How much longer an instance waits that hears no other: it is more likely cut off than alone.
-const ISOLATION_DELAY: Duration = Duration::from_millis(5_000);
-
 /// The longest wait for the answer to an order or a report: ten round trips between regions.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -74,8 +54,8 @@
 pub struct Duty {
     offices: RefCell<Map<Arc<str>, Entry>>,
     schedulers: RefCell<Map<Arc<str>, Scheduler>>,
-    vacant_since: RefCell<Map<Arc<str>, Instant>>,
-    owed_since: RefCell<Map<Arc<str>, Instant>>,
+    /// What the elections remember.
+    pub timers: election::Timers,
     /// Set while this process has been frozen and has not read the store since.
     is_suspended: Cell<bool>,
     suspension: Cell<Option<Duration>>,
@@ -130,6 +110,28 @@
         occupied.map(|(zone, _)| zone.clone()).collect()
     }
 
+    /// Returns the version that the row of a zone's scheduler must have to be written anew, 0 for none.
+    pub fn row_version(&self, zone: &str) -> u64 {
+        let offices = self.offices.borrow();
+        let entry = offices.get(zone).filter(|entry| entry.office.is_some());
+        entry.map_or(0, |entry| entry.version)
+    }
+
+    /// Returns the zones that this instance schedules.
+    pub fn held(&self) -> Vec<Arc<str>> {
+        self.schedulers.borrow().keys().cloned().collect()
+    }
+
+    /// Returns the fencing token under which this instance schedules a zone, if it does.
+    pub fn fencing(&self, zone: &str) -> Option<u64> {
+        self.schedulers.borrow().get(zone).map(Scheduler::fencing)
+    }
+
+    /// Lets orders go out again after the offices have been read.
+    pub fn resume(&self) {
+        self.is_suspended.set(false);
+    }
+
     fn write(&self, zone: &str, entry: Entry) {
         let mut offices = self.offices.borrow_mut();
         match offices.get_mut(zone) {
@@ -159,7 +161,7 @@
         if gateway.duty.was_frozen() {
             warn!(gateway.log, "process was frozen, orders wait for the store");
             gateway.duty.is_suspended.set(true);
-            monoio::spawn(read_offices(gateway.clone()));
+            monoio::spawn(election::read_offices(gateway.clone()));
         }
         let now = gateway.now();
         tick(&gateway);
@@ -168,7 +170,7 @@
             if gateway.registry().expire(now) {
                 list(&gateway);
             }
-            elect(&gateway);
+            election::elect(&gateway);
             let registry = gateway.registry();
             gateway.connections.prune(|id| registry.get(id).is_some(), now);
         }
@@ -216,7 +218,7 @@
     if begun {
         list(gateway);
     }
-    elect(gateway);
+    election::elect(gateway);
 }
 
 /// Tells the schedulers which engines there are.
@@ -254,31 +256,6 @@
     with_schedulers(gateway, |_, scheduler, now| scheduler.disconnected(client, now));
 }
 
-/// Gives the offices of this instance up, so that others need not wait for its silence.
-pub async fn resign(gateway: Rc<Gateway>) {
-    let held: Vec<Arc<str>> = gateway.duty.schedulers.borrow().keys().cloned().collect();
-    for zone in held {
-        resign_zone(gateway.clone(), zone).await;
-    }
-}
-
-/// Gives one office up.
-async fn resign_zone(gateway: Rc<Gateway>, zone: Arc<str>) {
-    let fencing = gateway.duty.schedulers.borrow().get(&zone).map(Scheduler::fencing);
-    let Some(version) = fencing else { return };
-    let key = format!("{OFFICES}{zone}");
-    let write = Write { table: CLUSTER, key, expected: Some(version), value: None };
-    match gateway.store.commit(&[write]).await {
-        Ok(Commit::Done(version)) => gateway.duty.vacate(&zone, version),
-        Ok(Commit::Conflict) => {}
-        Err(error) => {
-            warn!(gateway.log, "office not given up"; "zone" => &*zone,
-                "error" => error.to_string());
-        }
-    }
-    review(&gateway);
-}
-
 fn place(gateway: &Rc<Gateway>, client: Client, placement: Placement) {
     let now = gateway.now();
     let ticket = placement.ticket;
@@ -334,7 +311,7 @@
                     scheduler.abandon();
                     carry_out(gateway, None, scheduler.take_outputs());
                 }
-                monoio::spawn(read_offices(gateway.clone()));
+                monoio::spawn(election::read_offices(gateway.clone()));
             }
             (_, None) => {}
         }
@@ -403,157 +380,8 @@
     carry_out(&gateway, Some(&zone), outputs.unwrap_or_default());
 }
 
-/// Takes offices over whose holder is gone, if this instance is next in line.
-fn elect(gateway: &Rc<Gateway>) {
-    let now = gateway.now();
-    let Some(configuration) = gateway.configuration() else { return };
-    if gateway.is_stopping() {
-        return;
-    }
-    let own = gateway.roster().own().name.clone();
-    let is_introduced = now >= Instant::ZERO + INTRODUCTION;
-    let zones: Set<Arc<str>> = {
-        let registry = gateway.registry();
-        let engines = registry.iter().filter(|upstream| has_engine(&configuration, upstream));
-        engines.map(|upstream| upstream.zone.clone()).collect()
-    };
-    for zone in zones {
-        // What a former start of this instance held needs no introduction.
-        let was_own = gateway.duty.office(&zone).is_some_and(|office| office.holder == own);
-        if !is_introduced && !was_own {
-            continue;
-        }
-        if hands_over(gateway, &zone, now) {
-            monoio::spawn(resign_zone(gateway.clone(), zone));
-            continue;
-        }
-        let is_vacant = is_vacant(gateway, &zone, now);
-        let mut vacant_since = gateway.duty.vacant_since.borrow_mut();
-        match is_vacant {
-            false => {
-                vacant_since.remove(&zone);
-            }
-            true => {
-                let since = *vacant_since.entry(zone.clone()).or_insert(now);
-                if now.since(since) >= delay(gateway, &zone, now) {
-                    vacant_since.insert(zone.clone(), now);
-                    drop(vacant_since);
-                    monoio::spawn(take(gateway.clone(), zone));
-                }
-            }
-        }
-    }
-}
-
-/// Returns whether this instance schedules a zone that is not its own although an instance of that zone
-/// has long been there to do it.
-fn hands_over(gateway: &Rc<Gateway>, zone: &Arc<str>, now: Instant) -> bool {
-    let roster = gateway.roster();
-    let is_held = gateway.duty.schedulers.borrow().contains_key(zone);
-    let is_outside = *roster.own().zone != **zone;
-    let mut successors = roster.serving(now).into_iter();
-    let is_owed = is_held && is_outside && successors.any(|member| member.zone == *zone);
-    let mut owed_since = gateway.duty.owed_since.borrow_mut();
-    if !is_owed {
-        owed_since.remove(zone);
-        return false;
-    }
-    let since = *owed_since.entry(zone.clone()).or_insert(now);
-    if now.since(since) < HANDOVER_DELAY {
-        return false;
-    }
-    owed_since.insert(zone.clone(), now);
-    true
-}
-
-fn is_vacant(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> bool {
-    let roster = gateway.roster();
-    match gateway.duty.office(zone) {
-        None => true,
-        Some(office) if office.holder == roster.own().name => {
-            office.incarnation != roster.own().incarnation
-        }
-        Some(office) => !roster.is_alive(&office.holder, now),
-    }
-}
-
-/// Returns how long this instance leaves a vacant office to others that are closer to it.
-fn delay(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> Duration {
-    let roster = gateway.roster();
-    let own = roster.own();
-    let office = gateway.duty.office(zone);
-    if office.as_ref().is_some_and(|office| office.holder == own.name) {
-        return Duration::ZERO;
-    }
-    let confirmation = if office.is_some() { VACANCY_CONFIRMATION } else { Duration::ZERO };
-    let item = hash::digest(zone);
-    let mut candidates: Vec<_> = roster
-        .serving(now)
-        .into_iter()
-        .map(|member| {
-            let is_outside = *member.zone != *zone;
-            let score = hash::score(item, hash::digest(&*member.name), member.capacity.max(1));
-            (is_outside, score, member)
-        })
-        .collect();
-    candidates.sort_by(|(outside, score, _), (other_outside, other_score, _)| {
-        outside.cmp(other_outside).then(other_score.total_cmp(score))
-    });
-    let rank = candidates.iter().position(|(_, _, member)| member.name == own.name).unwrap_or(0);
-    let is_isolated = candidates.len() == 1 && roster.peers().next().is_some();
-    let isolation = if is_isolated { ISOLATION_DELAY } else { Duration::ZERO };
-    confirmation + CANDIDATE_STEP * rank as u32 + isolation
-}
-
-/// Writes this instance's name into an office if nobody else did since it was read.
-async fn take(gateway: Rc<Gateway>, zone: Arc<str>) {
-    let own = gateway.roster().own().clone();
-    let office = Office { holder: own.name, incarnation: own.incarnation };
-    let entry = gateway.duty.offices.borrow().get(&zone).cloned();
-    let expected = entry.filter(|entry| entry.office.is_some()).map_or(0, |entry| entry.version);
-    let write = Write {
-        table: CLUSTER,
-        key: format!("{OFFICES}{zone}"),
-        expected: Some(expected),
-        value: serde_json::to_vec(&office).ok(),
-    };
-    match gateway.store.commit(&[write]).await {
-        Ok(Commit::Done(version)) => {
-            gateway.duty.occupy(&zone, office, version);
-            review(&gateway);
-        }
-        Ok(Commit::Conflict) => debug!(gateway.log, "office taken by another"; "zone" => &*zone),
-        // If it was written all the same, the watch will show it.
-        Err(error) => {
-            warn!(gateway.log, "office not taken"; "zone" => &*zone, "error" => error.to_string());
-        }
-    }
-}
-
-/// Reads the offices anew, until the store answers.
-async fn read_offices(gateway: Rc<Gateway>) {
-    loop {
-        match gateway.store.read(CLUSTER).await {
-            Ok(read) => {
-                gateway.duty.is_suspended.set(false);
-                for row in read.rows {
-                    let Some(zone) = row.key.strip_prefix(OFFICES) else { continue };
-                    let office = row.value.as_deref().map(serde_json::from_slice::<Office>);
-                    if let Some(Ok(office)) = office {
-                        gateway.duty.occupy(zone, office, row.version);
-                    }
-                }
-                return review(&gateway);
-            }
-            Err(error) => {
-                debug!(gateway.log, "offices unread"; "error" => error.to_string());
-                monoio::time::sleep(REVIEW_INTERVAL).await;
-            }
-        }
-    }
-}
-
-fn has_engine(configuration: &Configuration, upstream: &Description) -> bool {
+/// Returns whether an upstream is a model engine.
+pub fn has_engine(configuration: &Configuration, upstream: &Description) -> bool {
     let service = configuration.services.get(&upstream.service);
     service.is_some_and(|service| service.engine.is_some())
 }
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -19,6 +19,7 @@
 use super::front;
 use super::placing::{self, Need, Refusal, Seat};
 use super::state::Gateway;
+use super::stream;
 
 /// The longest answer that is not a stream, in bytes.
 const MAX_ANSWER: usize = 8 << 20;
@@ -275,7 +276,7 @@
             self.has_retried();
             return None;
         }
-        let is_stream = status.is_success() && is_event_stream(&incoming.head.headers);
+        let is_stream = status.is_success() && stream::is_event_stream(&incoming.head.headers);
         let relayed = match is_stream {
             true => self.relay_stream(client, &seat, &mut incoming).await,
             false => self.relay_whole(client, &mut incoming).await,
@@ -380,9 +381,9 @@
     /// Takes the whole events off the front of `pending`, without those that the client has.
     fn take_events(&mut self, pending: &mut BytesMut) -> BytesMut {
         let mut events = BytesMut::new();
-        while let Some(length) = event_length(pending) {
+        while let Some(length) = stream::event_length(pending) {
             let event = pending.split_to(length);
-            let id = event_id(&event);
+            let id = stream::event_id(&event);
             if id.is_some() && id <= self.last_event {
                 continue;
             }
@@ -569,24 +570,3 @@
     }
     std::future::pending().await
 }
-
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let media = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    media.is_some_and(|media| media.starts_with("text/event-stream"))
-}
-
-/// Returns the length of the first whole event, its empty line included.
-fn event_length(input: &[u8]) -> Option<usize> {
-    let end = input.windows(2).position(|pair| pair == b"\n\n").map(|start| start + 2);
-    let end_crlf = input.windows(4).position(|four| four == b"\r\n\r\n").map(|start| start + 4);
-    match (end, end_crlf) {
-        (Some(end), Some(end_crlf)) => Some(end.min(end_crlf)),
-        (end, end_crlf) => end.or(end_crlf),
-    }
-}
-
-fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
-}
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod directory;
 mod duty;
+mod election;
 mod exchange;
 mod forward;
 mod front;
@@ -15,6 +16,7 @@
 mod placing;
 mod settings;
 mod state;
+mod stream;
 mod sync;
 
 use std::process::ExitCode;
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -322,7 +322,7 @@
     let since = gateway.now();
     gateway.begin_stop();
     // The store may be away, which must not hold the process up.
-    monoio::spawn(super::duty::resign(gateway.clone()));
+    monoio::spawn(super::election::resign(gateway.clone()));
     let grace = gateway.settings().grace;
     loop {
         monoio::time::sleep(STOP_POLL).await;
--- /dev/null
+++ b/crates/orioleroute/src/scheduler/dispatch.rs
@@ -0,0 +1,161 @@
+//! The requests that wait, and what is done for each as soon as it can be.
+
+use super::message::{Grant, Reason, ToInstance};
+use super::placement::{self, Step};
+use super::runner::{Place, PlaceState};
+use super::{Output, Request, Scheduler, Waiting, admission, queue};
+use crate::prelude::*;
+
+impl Scheduler {
+    /// Counts at each engine the prompts of the requests that wait for it and go before `rank`, or of
+    /// all that wait.
+    pub(super) fn count_queues(&mut self, rank: Option<queue::Rank>, now: Instant) {
+        for runner in self.runners.values_mut() {
+            runner.queued_tokens = 0;
+        }
+        for waiting in &self.waiting {
+            let goes_before =
+                rank.is_none_or(|rank| queue::Rank::of(&waiting.request, now) <= rank);
+            let target = waiting.target.and_then(|target| self.runners.get_mut(target));
+            if let (true, Some(runner)) = (goes_before, target) {
+                runner.queued_tokens += u64::from(runner.uncached_tokens(&waiting.request));
+            }
+        }
+    }
+
+    /// Goes through the requests that wait, the most urgent first, and does for each what can be
+    /// done now.
+    pub(super) fn dispatch(&mut self, now: Instant) {
+        self.load_missing_model(now);
+        let mut waiting = std::mem::take(&mut self.waiting);
+        self.count_queues(None, now);
+        waiting.sort_by_key(|waiting| queue::Rank::of(&waiting.request, now));
+        for mut item in waiting {
+            if self.advance(&mut item, now) {
+                continue;
+            }
+            if let Some(runner) = item.target.and_then(|target| self.runners.get_mut(target)) {
+                runner.queued_tokens += u64::from(runner.uncached_tokens(&item.request));
+            }
+            self.waiting.push(item);
+        }
+        let keys: Vec<key::Upstream> = self.runners.keys().collect();
+        for key in keys {
+            self.give_orders(key, now);
+        }
+    }
+
+    /// Does for a request that waits what can be done now, and returns whether that was its last.
+    pub(super) fn advance(&mut self, item: &mut Waiting, now: Instant) -> bool {
+        if item.request.deadline <= now {
+            self.unassign(item);
+            self.refuse(item.key, &item.request, Reason::TooLate, Duration::ZERO, now);
+            return true;
+        }
+        if !admission::may_wait(&item.request, now) {
+            self.unassign(item);
+            let retry_after = admission::retry_after(&item.request, item.forecast.queue, now);
+            self.refuse(item.key, &item.request, Reason::TooLate, retry_after, now);
+            return true;
+        }
+        if let Some(runner) = item.assigned {
+            return self.advance_assigned(runner, item, now);
+        }
+        let Some(engine) = self.engine(&item.request.service).cloned() else {
+            self.refuse(item.key, &item.request, Reason::NoEngine, Duration::ZERO, now);
+            return true;
+        };
+        let Some(candidate) = self.choose(&engine, &item.request, now) else {
+            let retry_after = admission::retry_after(&item.request, Duration::ZERO, now);
+            self.refuse(item.key, &item.request, Reason::NoEngine, retry_after, now);
+            return true;
+        };
+        item.target = Some(candidate.runner);
+        match candidate.step {
+            Step::Use => {
+                self.grant(candidate.runner, item, now);
+                true
+            }
+            Step::Await => {
+                self.assign(candidate.runner, item, now);
+                false
+            }
+            Step::Load { .. } => {
+                self.reserve(candidate.runner, &item.request, now);
+                self.assign(candidate.runner, item, now);
+                false
+            }
+            Step::Queue(_) => false,
+        }
+    }
+
+    pub(super) fn advance_assigned(
+        &mut self,
+        key: key::Upstream,
+        item: &mut Waiting,
+        now: Instant,
+    ) -> bool {
+        let runner = &self.runners[key];
+        let place = item.request.adapter.as_ref().and_then(|adapter| runner.places.get(adapter));
+        let is_lost = runner.is_draining
+            || runner.health.is_ejected(now)
+            || place.is_none_or(|place| !placement::is_current(place, &item.request));
+        if is_lost {
+            self.unassign(item);
+            item.assigned = None;
+            return self.advance(item, now);
+        }
+        let is_present = place.is_some_and(|place| place.state == PlaceState::Present);
+        if is_present && runner.backlog() <= placement::ENGINE_QUEUE {
+            self.unassign(item);
+            self.grant(key, item, now);
+            return true;
+        }
+        false
+    }
+
+    pub(super) fn assign(&mut self, key: key::Upstream, item: &mut Waiting, now: Instant) {
+        item.assigned = Some(key);
+        if let Some(place) = self.place_of(key, &item.request) {
+            place.users += 1;
+            place.touch(now);
+        }
+    }
+
+    pub(super) fn unassign(&mut self, item: &Waiting) {
+        let Some(key) = item.assigned else { return };
+        let Some(place) = self.place_of(key, &item.request) else { return };
+        place.users = place.users.saturating_sub(1);
+        let is_unwanted = place.users == 0 && matches!(place.state, PlaceState::Reserved { .. });
+        if is_unwanted && let Some(adapter) = &item.request.adapter {
+            self.runners[key].places.remove(adapter);
+        }
+    }
+
+    pub(super) fn place_of(&mut self, key: key::Upstream, request: &Request) -> Option<&mut Place> {
+        self.runners.get_mut(key)?.places.get_mut(request.adapter.as_ref()?)
+    }
+
+    pub(super) fn grant(&mut self, key: key::Upstream, item: &Waiting, now: Instant) {
+        let mut version = None;
+        if let Some(place) = self.place_of(key, &item.request) {
+            place.users += 1;
+            if item.assigned.is_none() {
+                place.touch(now);
+            }
+            version = place.version;
+        }
+        let runner = &mut self.runners[key];
+        runner.begin(item.key, &item.request, now);
+        let grant = Grant {
+            ticket: item.key.ticket,
+            upstream: runner.id.clone(),
+            address: runner.address,
+            version,
+        };
+        let upstream = Some(runner.id.clone());
+        self.granted.insert(item.key, key);
+        self.decide(&item.request, item.forecast.step.name(), upstream, item.forecast, now);
+        self.outputs.push(Output::Tell(item.key.client, ToInstance::Grant(grant)));
+    }
+}
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -7,9 +7,11 @@
 //! here reads a clock or a socket. `docs/PLATFORM.md` weighs the alternatives.
 
 pub mod admission;
+mod dispatch;
 pub mod fetches;
 pub mod message;
 pub mod order;
+mod orders;
 pub mod placement;
 pub mod queue;
 pub mod runner;
@@ -22,19 +24,10 @@
 use crate::ingress::health::Outcome as Health;
 use crate::ingress::upstream::{Announcement, Description, State};
 use crate::prelude::*;
-use message::{Grant, Placement, Reason, RunResult, ToInstance};
+use message::{Placement, Reason, RunResult, ToInstance};
 use order::{Action, Order, Outcome, Report};
-use placement::{Candidate, ColdLoads, Step};
-use runner::{Base, Certainty, Heat, Place, PlaceState, Runner};
-
-/// How long after a doubtful order a report is asked for: reports are some hundred milliseconds old.
-const REPORT_DELAY: Duration = Duration::from_millis(350);
-
-/// The time between looks whether a load has ended that was expected to.
-const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(15);
-
-/// The time between looks whether a base model is there.
-const MODEL_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+use placement::{Candidate, Step};
+use runner::{Base, Certainty, Heat, PlaceState, Runner};
 
 /// How long a new scheduler waits for reports, which lag, to show its predecessor's last orders.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(400);
@@ -343,9 +336,13 @@
         self.observe_fetch(key, order, outcome, now);
         let runner = &mut self.runners[key];
         match &order.action {
-            Action::LoadModel => model_ordered(runner, &order.model, outcome, now),
-            Action::LoadAdapter { adapter, .. } => adapter_ordered(runner, adapter, outcome, now),
-            Action::UnloadAdapter { adapter } => unload_ordered(runner, adapter, outcome, now),
+            Action::LoadModel => orders::model_ordered(runner, &order.model, outcome, now),
+            Action::LoadAdapter { adapter, .. } => {
+                orders::adapter_ordered(runner, adapter, outcome, now)
+            }
+            Action::UnloadAdapter { adapter } => {
+                orders::unload_ordered(runner, adapter, outcome, now)
+            }
         }
         self.dispatch(now);
     }
@@ -362,7 +359,7 @@
                 runner.certainty = Certainty::Known;
                 runner.adopt_report(report, now);
             }
-            Some(_) | None => runner.certainty = Certainty::AskAt(now + REPORT_DELAY),
+            Some(_) | None => runner.certainty = Certainty::AskAt(now + orders::REPORT_DELAY),
         }
         self.release_lost(key);
         self.dispatch(now);
@@ -454,18 +451,6 @@
         }
     }
 
-    /// Learns from the end of a fetch how many adapters may be on their way.
-    fn observe_fetch(&mut self, key: key::Upstream, order: &Order, outcome: Outcome, now: Instant) {
-        let Action::LoadAdapter { adapter, .. } = &order.action else { return };
-        let place = self.runners[key].places.get(adapter);
-        if let (Outcome::Holds, Some(place)) = (outcome, place)
-            && let PlaceState::Loading { is_cold: true, is_accepted: true, since, .. } = place.state
-        {
-            let under_way = self.cold_loads().under_way;
-            self.fetches.observe(now.since(since), under_way);
-        }
-    }
-
     fn engine(&self, service: &str) -> Option<&Engine> {
         self.configuration.services.get(service)?.engine.as_ref()
     }
@@ -474,165 +459,6 @@
         placement::choose(&self.runners, engine, request, self.cold_loads(), now)
     }
 
-    fn cold_loads(&self) -> ColdLoads {
-        let mut cold = ColdLoads { under_way: 0, waiting: 0, limit: self.fetches.limit() };
-        for place in self.runners.values().flat_map(|runner| runner.places.values()) {
-            match place.state {
-                PlaceState::Loading { is_cold: true, .. } => cold.under_way += 1,
-                PlaceState::Reserved { is_cold: true } => cold.waiting += 1,
-                _ => {}
-            }
-        }
-        cold
-    }
-
-    /// Counts at each engine the prompts of the requests that wait for it and go before `rank`, or of
-    /// all that wait.
-    fn count_queues(&mut self, rank: Option<queue::Rank>, now: Instant) {
-        for runner in self.runners.values_mut() {
-            runner.queued_tokens = 0;
-        }
-        for waiting in &self.waiting {
-            let goes_before =
-                rank.is_none_or(|rank| queue::Rank::of(&waiting.request, now) <= rank);
-            let target = waiting.target.and_then(|target| self.runners.get_mut(target));
-            if let (true, Some(runner)) = (goes_before, target) {
-                runner.queued_tokens += u64::from(runner.uncached_tokens(&waiting.request));
-            }
-        }
-    }
-
-    /// Goes through the requests that wait, the most urgent first, and does for each what can be
-    /// done now.
-    fn dispatch(&mut self, now: Instant) {
-        self.load_missing_model(now);
-        let mut waiting = std::mem::take(&mut self.waiting);
-        self.count_queues(None, now);
-        waiting.sort_by_key(|waiting| queue::Rank::of(&waiting.request, now));
-        for mut item in waiting {
-            if self.advance(&mut item, now) {
-                continue;
-            }
-            if let Some(runner) = item.target.and_then(|target| self.runners.get_mut(target)) {
-                runner.queued_tokens += u64::from(runner.uncached_tokens(&item.request));
-            }
-            self.waiting.push(item);
-        }
-        let keys: Vec<key::Upstream> = self.runners.keys().collect();
-        for key in keys {
-            self.give_orders(key, now);
-        }
-    }
-
-    /// Does for a request that waits what can be done now, and returns whether that was its last.
-    fn advance(&mut self, item: &mut Waiting, now: Instant) -> bool {
-        if item.request.deadline <= now {
-            self.unassign(item);
-            self.refuse(item.key, &item.request, Reason::TooLate, Duration::ZERO, now);
-            return true;
-        }
-        if !admission::may_wait(&item.request, now) {
-            self.unassign(item);
-            let retry_after = admission::retry_after(&item.request, item.forecast.queue, now);
-            self.refuse(item.key, &item.request, Reason::TooLate, retry_after, now);
-            return true;
-        }
-        if let Some(runner) = item.assigned {
-            return self.advance_assigned(runner, item, now);
-        }
-        let Some(engine) = self.engine(&item.request.service).cloned() else {
-            self.refuse(item.key, &item.request, Reason::NoEngine, Duration::ZERO, now);
-            return true;
-        };
-        let Some(candidate) = self.choose(&engine, &item.request, now) else {
-            let retry_after = admission::retry_after(&item.request, Duration::ZERO, now);
-            self.refuse(item.key, &item.request, Reason::NoEngine, retry_after, now);
-            return true;
-        };
-        item.target = Some(candidate.runner);
-        match candidate.step {
-            Step::Use => {
-                self.grant(candidate.runner, item, now);
-                true
-            }
-            Step::Await => {
-                self.assign(candidate.runner, item, now);
-                false
-            }
-            Step::Load { .. } => {
-                self.reserve(candidate.runner, &item.request, now);
-                self.assign(candidate.runner, item, now);
-                false
-            }
-            Step::Queue(_) => false,
-        }
-    }
-
-    fn advance_assigned(&mut self, key: key::Upstream, item: &mut Waiting, now: Instant) -> bool {
-        let runner = &self.runners[key];
-        let place = item.request.adapter.as_ref().and_then(|adapter| runner.places.get(adapter));
-        let is_lost = runner.is_draining
-            || runner.health.is_ejected(now)
-            || place.is_none_or(|place| !placement::is_current(place, &item.request));
-        if is_lost {
-            self.unassign(item);
-            item.assigned = None;
-            return self.advance(item, now);
-        }
-        let is_present = place.is_some_and(|place| place.state == PlaceState::Present);
-        if is_present && runner.backlog() <= placement::ENGINE_QUEUE {
-            self.unassign(item);
-            self.grant(key, item, now);
-            return true;
-        }
-        false
-    }
-
-    fn assign(&mut self, key: key::Upstream, item: &mut Waiting, now: Instant) {
-        item.assigned = Some(key);
-        if let Some(place) = self.place_of(key, &item.request) {
-            place.users += 1;
-            place.touch(now);
-        }
-    }
-
-    fn unassign(&mut self, item: &Waiting) {
-        let Some(key) = item.assigned else { return };
-        let Some(place) = self.place_of(key, &item.request) else { return };
-        place.users = place.users.saturating_sub(1);
-        let is_unwanted = place.users == 0 && matches!(place.state, PlaceState::Reserved { .. });
-        if is_unwanted && let Some(adapter) = &item.request.adapter {
-            self.runners[key].places.remove(adapter);
-        }
-    }
-
-    fn place_of(&mut self, key: key::Upstream, request: &Request) -> Option<&mut Place> {
-        self.runners.get_mut(key)?.places.get_mut(request.adapter.as_ref()?)
-    }
-
-    fn grant(&mut self, key: key::Upstream, item: &Waiting, now: Instant) {
-        let mut version = None;
-        if let Some(place) = self.place_of(key, &item.request) {
-            place.users += 1;
-            if item.assigned.is_none() {
-                place.touch(now);
-            }
-            version = place.version;
-        }
-        let runner = &mut self.runners[key];
-        runner.begin(item.key, &item.request, now);
-        let grant = Grant {
-            ticket: item.key.ticket,
-            upstream: runner.id.clone(),
-            address: runner.address,
-            version,
-        };
-        let upstream = Some(runner.id.clone());
-        self.granted.insert(item.key, key);
-        self.decide(&item.request, item.forecast.step.name(), upstream, item.forecast, now);
-        self.outputs.push(Output::Tell(item.key.client, ToInstance::Grant(grant)));
-    }
-
     fn refuse(
         &mut self,
         key: RequestKey,
@@ -684,159 +510,13 @@
         }
         if result == RunResult::Misdirected && runner.certainty == Certainty::Known {
             // What the engine holds is not what was believed.
-            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
+            runner.certainty = Certainty::AskAt(now + orders::REPORT_DELAY);
             if let Some(adapter) = &flight.adapter {
                 runner.places.remove(adapter);
             }
         }
     }
 
-    /// Promises a place to the request's adapter.
-    fn reserve(&mut self, key: key::Upstream, request: &Request, now: Instant) {
-        let Some(adapter) = request.adapter.clone() else { return };
-        let runner = &mut self.runners[key];
-        if runner.places.remove(&adapter).is_some() {
-            runner.outdated.push(adapter.clone());
-        }
-        let is_cold = !runner.is_warm(&adapter);
-        let place = Place::new(request.version, PlaceState::Reserved { is_cold }, now);
-        runner.places.insert(adapter, place);
-    }
-
-    /// Gives the next order that an engine is to have, if it can take one now.
-    fn give_orders(&mut self, key: key::Upstream, now: Instant) {
-        let runner = &self.runners[key];
-        let Some(model) = runner.model().cloned() else { return };
-        if runner.certainty != Certainty::Known {
-            return;
-        }
-        if let Some(adapter) = runner.next_unload() {
-            return self.order(key, model, Action::UnloadAdapter { adapter });
-        }
-        let cold = self.cold_loads();
-        let Some((adapter, is_cold)) = self.next_load(key, cold, now) else { return };
-        let capacity = self.engine(&runner.service).map_or(0, |engine| engine.adapter_places);
-        let runner = &mut self.runners[key];
-        if runner.places_taken() >= capacity {
-            let Some((victim, _)) = runner.victim(now) else { return };
-            if let Some(place) = runner.places.get_mut(&victim) {
-                place.state = PlaceState::Unloading;
-            }
-            return self.order(key, model, Action::UnloadAdapter { adapter: victim });
-        }
-        let time = if is_cold { placement::COLD_LOAD } else { placement::WARM_LOAD };
-        let Some(place) = runner.places.get_mut(&adapter) else { return };
-        place.state =
-            PlaceState::Loading { check_at: now + time, is_cold, is_accepted: false, since: now };
-        let version = place.version;
-        self.order(key, model, Action::LoadAdapter { adapter, version });
-    }
-
-    /// Returns the reserved adapter that an engine is to load next: the one with the most urgent
-    /// request, and none from the weight store while as many come from there as do at full speed.
-    fn next_load(
-        &self,
-        key: key::Upstream,
-        cold: ColdLoads,
-        now: Instant,
-    ) -> Option<(Arc<str>, bool)> {
-        let reserved =
-            self.runners[key].places.iter().filter_map(|(adapter, place)| match place.state {
-                PlaceState::Reserved { is_cold } => Some((adapter, is_cold)),
-                _ => None,
-            });
-        let may_load = reserved.filter(|(_, is_cold)| !is_cold || cold.under_way < cold.limit);
-        let urgency = |adapter: &Arc<str>| {
-            let waiting = self.waiting.iter().filter(|waiting| {
-                waiting.assigned == Some(key) && waiting.request.adapter.as_ref() == Some(adapter)
-            });
-            let ranks = waiting.map(|waiting| queue::Rank::of(&waiting.request, now));
-            ranks.min().map_or((1, None), |rank| (0, Some(rank)))
-        };
-        let next = may_load.min_by_key(|(adapter, is_cold)| (*is_cold, urgency(adapter)))?;
-        Some((next.0.clone(), next.1))
-    }
-
-    fn order(&mut self, key: key::Upstream, model: Arc<str>, action: Action) {
-        let fencing = self.fencing;
-        let runner = &mut self.runners[key];
-        runner.certainty = Certainty::Ordering;
-        let order = Order {
-            upstream: runner.id.clone(),
-            model,
-            action,
-            expected_orders: Some(runner.orders),
-            fencing,
-        };
-        self.outputs.push(Output::Order(runner.address, order));
-    }
-
-    /// Loads the base model on an engine that has none, one engine at a time: loads that run beside
-    /// each other are slower in proportion.
-    fn load_missing_model(&mut self, now: Instant) {
-        let is_loading = |runner: &Runner| matches!(runner.base, Base::Loading { .. });
-        if self.runners.values().any(is_loading) {
-            return;
-        }
-        let empty = self.runners.iter().find(|(_, runner)| {
-            runner.base == Base::Absent
-                && runner.certainty == Certainty::Known
-                && !runner.is_draining
-                && !runner.health.is_ejected(now)
-        });
-        let Some((key, runner)) = empty else { return };
-        let Some(model) = self.engine(&runner.service).and_then(|engine| engine.models.first())
-        else {
-            return;
-        };
-        let (model, time) = (model.name.clone(), model.load_time);
-        let check_at = now + time;
-        let base = Base::Loading { model: model.clone(), check_at, is_accepted: false };
-        self.runners[key].base = base;
-        self.order(key, model, Action::LoadModel);
-    }
-
-    fn look_after(&mut self, key: key::Upstream, now: Instant) {
-        let runner = &mut self.runners[key];
-        match runner.certainty {
-            Certainty::AskAt(at) if at <= now => {
-                runner.certainty = Certainty::Asking;
-                let output = Output::Report(runner.address, runner.id.clone());
-                self.outputs.push(output);
-                return;
-            }
-            Certainty::Known => {}
-            Certainty::AskAt(_) | Certainty::Asking | Certainty::Ordering => return,
-        }
-        if let Base::Loading { model, check_at, .. } = &runner.base
-            && *check_at <= now
-        {
-            let model = model.clone();
-            return self.order(key, model, Action::LoadModel);
-        }
-        let due = runner.places.iter().find_map(|(adapter, place)| match place.state {
-            PlaceState::Loading { check_at, .. } if check_at <= now => {
-                Some((adapter.clone(), place.version))
-            }
-            _ => None,
-        });
-        if let (Some((adapter, version)), Some(model)) = (due, runner.model().cloned()) {
-            self.order(key, model, Action::LoadAdapter { adapter, version });
-        }
-    }
-
-    /// Frees requests that wait for a load that is no more.
-    fn release_lost(&mut self, key: key::Upstream) {
-        let runner = &self.runners[key];
-        for waiting in &mut self.waiting {
-            let adapter = waiting.request.adapter.as_ref();
-            let is_there = adapter.is_some_and(|adapter| runner.places.contains_key(adapter));
-            if waiting.assigned == Some(key) && !is_there {
-                waiting.assigned = None;
-            }
-        }
-    }
-
     fn expire_flights(&mut self, now: Instant) {
         let due: Vec<(RequestKey, key::Upstream)> = self
             .granted
@@ -854,100 +534,3 @@
         }
     }
 }
-
-fn model_ordered(runner: &mut Runner, model: &Arc<str>, outcome: Outcome, now: Instant) {
-    match outcome {
-        Outcome::Holds => runner.base = Base::Present(model.clone()),
-        Outcome::Accepted => {
-            if let Base::Loading { check_at, is_accepted, .. } = &mut runner.base {
-                runner.orders += u64::from(!std::mem::replace(is_accepted, true));
-                *check_at = (*check_at).max(now + MODEL_CHECK_INTERVAL);
-            }
-        }
-        Outcome::Conflict => {
-            if let Base::Loading { check_at, .. } = &mut runner.base {
-                *check_at = now + MODEL_CHECK_INTERVAL;
-            }
-            runner.certainty = Certainty::AskAt(now + MODEL_CHECK_INTERVAL);
-        }
-        Outcome::Refused | Outcome::Unsent => {
-            runner.base = Base::Absent;
-            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
-        }
-        Outcome::Unanswered => {
-            if let Base::Loading { check_at, .. } = &mut runner.base {
-                *check_at = now + MODEL_CHECK_INTERVAL;
-            }
-        }
-        Outcome::Fenced => {}
-    }
-}
-
-/// Takes the answer to the load of an adapter.
-///
-/// An order without an answer is given again at once: both expect the same number of earlier orders,
-/// so the engine carries out one of them, and a conflict tells that it was the first.
-fn adapter_ordered(runner: &mut Runner, adapter: &Arc<str>, outcome: Outcome, now: Instant) {
-    match outcome {
-        Outcome::Holds => {
-            runner.remember(adapter);
-            if let Some(place) = runner.places.get_mut(adapter) {
-                place.state = PlaceState::Present;
-            }
-        }
-        Outcome::Accepted => {
-            if let Some(place) = runner.places.get_mut(adapter)
-                && let PlaceState::Loading { check_at, is_accepted, .. } = &mut place.state
-            {
-                runner.orders += u64::from(!std::mem::replace(is_accepted, true));
-                *check_at = (*check_at).max(now + LOAD_CHECK_INTERVAL);
-            }
-        }
-        Outcome::Conflict => {
-            if let Some(place) = runner.places.get_mut(adapter)
-                && let PlaceState::Loading { check_at, .. } = &mut place.state
-            {
-                *check_at = now + LOAD_CHECK_INTERVAL;
-            }
-            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
-        }
-        Outcome::Refused | Outcome::Unsent => {
-            runner.places.remove(adapter);
-            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
-        }
-        Outcome::Unanswered => {
-            if let Some(place) = runner.places.get_mut(adapter)
-                && let PlaceState::Loading { check_at, .. } = &mut place.state
-            {
-                *check_at = now;
-            }
-        }
-        Outcome::Fenced => {}
-    }
-}
-
-fn unload_ordered(runner: &mut Runner, adapter: &Arc<str>, outcome: Outcome, now: Instant) {
-    match outcome {
-        Outcome::Holds => {
-            runner.orders += 1;
-            match runner.outdated.iter().position(|outdated| outdated == adapter) {
-                Some(index) => {
-                    runner.outdated.remove(index);
-                }
-                None => {
-                    runner.places.remove(adapter);
-                }
-            }
-        }
-        Outcome::Accepted => {
-            // It waits for requests of which this scheduler does not know.
-            runner.orders += 1;
-            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
-        }
-        Outcome::Conflict | Outcome::Refused | Outcome::Unsent => {
-            runner.certainty = Certainty::AskAt(now + REPORT_DELAY);
-        }
-        // It is given again, like a load.
-        Outcome::Unanswered | Outcome::Fenced => {}
-    }
-}
