Handle signals from the first moment, and test the settings of the platform's backend

Cause: a SIGHUP before the handlers were installed ended the process; found by a_bad_reload_keeps_the_former_settings_and_says_so, which failed so. Handlers now come first.

--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -27,7 +27,7 @@
 use slog::info;
 
 pub use settings::Settings;
-use state::Gateway;
+use state::{Gateway, Signals};
 
 use crate::meter;
 
@@ -54,6 +54,7 @@
 }
 
 async fn run(settings: Settings) -> std::io::Result<()> {
+    let signals = Signals::install()?;
     let metrics = meter::install();
     let callers = TcpListener::bind(settings.caller_address)?;
     let peers = TcpListener::bind(settings.peer_address)?;
@@ -74,5 +75,5 @@
     monoio::spawn(sync::watch_upstreams(gateway.clone()));
     monoio::spawn(sync::watch_members(gateway.clone()));
     monoio::spawn(duty::run(gateway.clone()));
-    state::run_until_stopped(gateway).await
+    state::run_until_stopped(gateway, signals).await
 }
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -304,20 +304,38 @@
     }
 }
 
-/// Runs until a termination signal has come and all requests are answered or the grace is over.
-pub async fn run_until_stopped(gateway: Rc<Gateway>) -> std::io::Result<()> {
+/// The signals that this process handles, from the moment at which it is made.
+pub struct Signals {
+    termination: UnixStream,
+    reload: UnixStream,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they cannot be installed.
+    pub fn install() -> std::io::Result<Self> {
+        Ok(Self { termination: pipe_of(&[SIGTERM, SIGINT])?, reload: pipe_of(&[SIGHUP])? })
+    }
+}
+
+/// Returns a stream from which a byte can be read for each of the signals that comes.
+fn pipe_of(signals: &[i32]) -> std::io::Result<UnixStream> {
     let (receiver, sender) = std::os::unix::net::UnixStream::pair()?;
-    for signal in [SIGTERM, SIGINT] {
-        signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, sender.try_clone()?)?;
     }
     receiver.set_nonblocking(true)?;
-    let mut receiver = UnixStream::from_std(receiver)?;
-    let (reload_receiver, reload_sender) = std::os::unix::net::UnixStream::pair()?;
-    signal_hook::low_level::pipe::register(SIGHUP, reload_sender)?;
-    reload_receiver.set_nonblocking(true)?;
-    let reload_receiver = UnixStream::from_std(reload_receiver)?;
-    monoio::spawn(reload_on_signal(gateway.clone(), reload_receiver));
-    let (read, _) = receiver.read(vec![0_u8; 1]).await;
+    UnixStream::from_std(receiver)
+}
+
+/// Runs until a termination signal has come and all requests are answered or the grace is over.
+pub async fn run_until_stopped(gateway: Rc<Gateway>, signals: Signals) -> std::io::Result<()> {
+    let Signals { mut termination, reload } = signals;
+    monoio::spawn(reload_on_signal(gateway.clone(), reload));
+    let (read, _) = termination.read(vec![0_u8; 1]).await;
     read?;
     let since = gateway.now();
     gateway.begin_stop();
--- /dev/null
+++ b/crates/orioleroute-node/tests/platform_settings.rs
@@ -0,0 +1,145 @@
+//! Settings of an instance on a platform: flags, variables and the file, checked at the start and at a
+//! reload.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use rstest::rstest;
+use serde_json::Value;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_orioleroute-node");
+
+/// A settings file that is removed with the test.
+struct File(PathBuf);
+
+impl File {
+    fn write(text: &str) -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("orioleroute-{}-{number}.conf", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn settings(more: &str) -> String {
+    let address = "127.0.0.1:0";
+    format!(
+        "# comment\nname = n1\nregion = r\nzone = a\nzones = a=r,b=r\n\
+         caller-address = {address}\nready-address = {address}\ndirectory-address = {address}\n\
+         peer-address = {address}\nmetrics-address = {address}\nstore-address = 127.0.0.1:1\n{more}"
+    )
+}
+
+fn run(file: &File, arguments: &[&str]) -> Output {
+    Command::new(PROGRAM)
+        .args(["--backend", "platform", "--print-settings", "--config"])
+        .arg(&file.0)
+        .args(arguments)
+        .output()
+        .expect("the program starts")
+}
+
+#[test]
+fn the_file_gives_settings_and_a_flag_goes_before_it() {
+    let file = File::write(&settings("connections = 7\n"));
+
+    let from_file = run(&file, &[]);
+    let from_flag = run(&file, &["--connections", "9"]);
+
+    assert!(from_file.status.success());
+    assert!(String::from_utf8_lossy(&from_file.stdout).contains("connections = 7"));
+    assert!(String::from_utf8_lossy(&from_flag.stdout).contains("connections = 9"));
+}
+
+#[rstest]
+#[case::unknown("conections = 7\n", "line 12")]
+#[case::no_value("connections\n", "line 12")]
+#[case::wrong_type("grace-ms = soon\n", "--grace-ms")]
+#[case::wrong_zones("zones = a\n", "--zones")]
+fn faults_in_the_file_are_named_with_their_place(#[case] more: &str, #[case] place: &str) {
+    let file = File::write(&settings(more));
+
+    let output = run(&file, &[]);
+
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{message}");
+    assert!(message.contains(place), "{message}");
+}
+
+#[test]
+fn all_missing_settings_are_named_at_once() {
+    let file = File::write("name = n1\n");
+
+    let output = run(&file, &[]);
+
+    let message = String::from_utf8_lossy(&output.stderr);
+    for flag in ["--region", "--zones", "--store-address"] {
+        assert!(message.contains(flag), "{message}");
+    }
+}
+
+#[test]
+fn a_bad_reload_keeps_the_former_settings_and_says_so() {
+    let file = File::write(&settings(""));
+    let mut child = start(&file);
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    until_logged(&mut lines, "started");
+
+    std::fs::write(&file.0, settings("grace-ms = soon\n")).unwrap();
+    let pid = Pid::from_raw(child.id() as i32);
+    kill(pid, Signal::SIGHUP).unwrap();
+    let rejected = until_logged(&mut lines, "settings rejected, the former stay");
+    std::fs::write(&file.0, settings("grace-ms = 9000\n")).unwrap();
+    kill(pid, Signal::SIGHUP).unwrap();
+    until_logged(&mut lines, "settings reloaded");
+
+    assert!(rejected["error"].as_str().unwrap().contains("--grace-ms"));
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
+
+#[test]
+fn a_reader_of_the_log_that_has_stopped_holds_nothing_up() {
+    let file = File::write(&settings("log-level = debug\n"));
+    let mut child = start(&file);
+    // Nobody reads the pipe; the process has to end in time all the same.
+    std::thread::sleep(Duration::from_millis(500));
+
+    kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM).unwrap();
+
+    let start = Instant::now();
+    while child.try_wait().unwrap().is_none() {
+        assert!(start.elapsed() < Duration::from_secs(12), "the process does not end");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn start(file: &File) -> Child {
+    Command::new(PROGRAM)
+        .args(["--backend", "platform", "--config"])
+        .arg(&file.0)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts")
+}
+
+fn until_logged(lines: &mut impl Iterator<Item = std::io::Result<String>>, text: &str) -> Value {
+    let mut values =
+        lines.map_while(Result::ok).filter_map(|line| serde_json::from_str(&line).ok());
+    values
+        .find(|value: &Value| value["msg"] == text)
+        .unwrap_or_else(|| panic!("{text:?} is not logged"))
+}
