--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -1,4 +1,4 @@
-//! Who schedules which availability zone: taking vacant offices over and giving them up.
+//! Elections: taking over availability zones whose leader is gone, and stepping down.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -8,35 +8,35 @@
 use orioleroute_platform::store::{Commit, Write};
 use slog::{debug, warn};
 
-use super::duty::{self, Office, REVIEW_INTERVAL, review};
+use super::leadership::{self, Leader, REVIEW_INTERVAL, review};
 use super::state::Gateway;
-use super::sync::{CLUSTER, OFFICES};
+use super::sync::{CLUSTER, LEADERS};
 
-/// The time after its start in which an instance learns of the others before it takes an office.
+/// The time after its start in which an instance learns of the others before it takes a zone over.
 const INTRODUCTION: Duration = Duration::from_millis(1_500);
 
-/// How long an office must look vacant, so that heartbeats that wait while this process was held up
+/// How long a leader must look gone, so that heartbeats that wait while this process was held up
 /// are read first.
 const VACANCY_CONFIRMATION: Duration = Duration::from_millis(300);
 
-/// How much longer each next candidate for an office waits than the one before.
+/// How much longer each next candidate for a zone waits than the one before.
 const CANDIDATE_STEP: Duration = Duration::from_millis(1_000);
 
 /// How much longer an instance waits that hears no other: it is more likely cut off than alone.
 const ISOLATION_DELAY: Duration = Duration::from_millis(5_000);
 
-/// How long an instance of a zone must have been there before another zone's gives its office up: it has
-/// read the tables by then, and flapping instances get no duties.
+/// How long an instance of a zone must have been there before another zone's steps down for it: it has
+/// read the tables by then, and a flapping instance does not become leader.
 const HANDOVER_DELAY: Duration = Duration::from_millis(3_500);
 
-/// Since when offices have looked as if they had to change hands.
+/// Since when zones have had no leader, or one from another zone.
 #[derive(Default)]
 pub struct Timers {
     vacant_since: RefCell<Map<Arc<str>, Instant>>,
     owed_since: RefCell<Map<Arc<str>, Instant>>,
 }
 
-/// Takes offices over whose holder is gone, if this instance is next in line.
+/// Takes over zones whose leader is gone, if this instance is next in line.
 pub fn elect(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     let Some(configuration) = gateway.configuration() else { return };
@@ -47,21 +47,22 @@
     let is_introduced = now >= Instant::ZERO + INTRODUCTION;
     let zones: Set<Arc<str>> = {
         let registry = gateway.registry();
-        let engines = registry.iter().filter(|upstream| duty::has_engine(&configuration, upstream));
+        let engines =
+            registry.iter().filter(|upstream| leadership::has_engine(&configuration, upstream));
         engines.map(|upstream| upstream.zone.clone()).collect()
     };
     for zone in zones {
         // What a former start of this instance held needs no introduction.
-        let was_own = gateway.duty.office(&zone).is_some_and(|office| office.holder == own);
+        let was_own = gateway.leadership.leader(&zone).is_some_and(|leader| leader.holder == own);
         if !is_introduced && !was_own {
             continue;
         }
-        if hands_over(gateway, &zone, now) {
-            monoio::spawn(resign_zone(gateway.clone(), zone));
+        if should_hand_over(gateway, &zone, now) {
+            monoio::spawn(step_down_from(gateway.clone(), zone));
             continue;
         }
         let is_vacant = is_vacant(gateway, &zone, now);
-        let mut vacant_since = gateway.duty.timers.vacant_since.borrow_mut();
+        let mut vacant_since = gateway.leadership.timers.vacant_since.borrow_mut();
         match is_vacant {
             false => {
                 vacant_since.remove(&zone);
@@ -80,13 +81,13 @@
 
 /// Returns whether this instance schedules a zone that is not its own although an instance of that zone
 /// has long been there to do it.
-fn hands_over(gateway: &Rc<Gateway>, zone: &Arc<str>, now: Instant) -> bool {
+fn should_hand_over(gateway: &Rc<Gateway>, zone: &Arc<str>, now: Instant) -> bool {
     let roster = gateway.roster();
-    let is_held = gateway.duty.fencing(zone).is_some();
+    let is_held = gateway.leadership.fencing(zone).is_some();
     let is_outside = *roster.own().zone != **zone;
     let mut successors = roster.serving(now).into_iter();
     let is_owed = is_held && is_outside && successors.any(|member| member.zone == *zone);
-    let mut owed_since = gateway.duty.timers.owed_since.borrow_mut();
+    let mut owed_since = gateway.leadership.timers.owed_since.borrow_mut();
     if !is_owed {
         owed_since.remove(zone);
         return false;
@@ -101,24 +102,24 @@
 
 fn is_vacant(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> bool {
     let roster = gateway.roster();
-    match gateway.duty.office(zone) {
+    match gateway.leadership.leader(zone) {
         None => true,
-        Some(office) if office.holder == roster.own().name => {
-            office.incarnation != roster.own().incarnation
+        Some(leader) if leader.holder == roster.own().name => {
+            leader.incarnation != roster.own().incarnation
         }
-        Some(office) => !roster.is_alive(&office.holder, now),
+        Some(leader) => !roster.is_alive(&leader.holder, now),
     }
 }
 
-/// Returns how long this instance leaves a vacant office to others that are closer to it.
+/// Returns how long this instance leaves a zone without a leader to others that are closer to it.
 fn delay(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> Duration {
     let roster = gateway.roster();
     let own = roster.own();
-    let office = gateway.duty.office(zone);
-    if office.as_ref().is_some_and(|office| office.holder == own.name) {
+    let leader = gateway.leadership.leader(zone);
+    if leader.as_ref().is_some_and(|leader| leader.holder == own.name) {
         return Duration::ZERO;
     }
-    let confirmation = if office.is_some() { VACANCY_CONFIRMATION } else { Duration::ZERO };
+    let confirmation = if leader.is_some() { VACANCY_CONFIRMATION } else { Duration::ZERO };
     let item = hash::digest(zone);
     let mut candidates: Vec<_> = roster
         .serving(now)
@@ -138,70 +139,70 @@
     confirmation + CANDIDATE_STEP * rank as u32 + isolation
 }
 
-/// Writes this instance's name into an office if nobody else did since it was read.
+/// Writes this instance into a zone's row if nobody else did since it was read.
 pub async fn take(gateway: Rc<Gateway>, zone: Arc<str>) {
     let own = gateway.roster().own().clone();
-    let office = Office { holder: own.name, incarnation: own.incarnation };
-    let expected = gateway.duty.row_version(&zone);
+    let leader = Leader { holder: own.name, incarnation: own.incarnation };
+    let expected = gateway.leadership.row_version(&zone);
     let write = Write {
         table: CLUSTER,
-        key: format!("{OFFICES}{zone}"),
+        key: format!("{LEADERS}{zone}"),
         expected: Some(expected),
-        value: serde_json::to_vec(&office).ok(),
+        value: serde_json::to_vec(&leader).ok(),
     };
     match gateway.store.commit(&[write]).await {
         Ok(Commit::Done(version)) => {
-            gateway.duty.occupy(&zone, office, version);
+            gateway.leadership.occupy(&zone, leader, version);
             review(&gateway);
         }
-        Ok(Commit::Conflict) => debug!(gateway.log, "office taken by another"; "zone" => &*zone),
+        Ok(Commit::Conflict) => debug!(gateway.log, "zone taken by another"; "zone" => &*zone),
         // If it was written all the same, the watch will show it.
         Err(error) => {
-            warn!(gateway.log, "office not taken"; "zone" => &*zone, "error" => error.to_string());
+            warn!(gateway.log, "zone not taken"; "zone" => &*zone, "error" => error.to_string());
         }
     }
 }
 
-/// Reads the offices anew, until the store answers.
-pub async fn read_offices(gateway: Rc<Gateway>) {
+/// Reads the leaders anew, until the store answers.
+pub async fn read_leaders(gateway: Rc<Gateway>) {
     loop {
         match gateway.store.read(CLUSTER).await {
             Ok(read) => {
-                gateway.duty.resume();
+                gateway.leadership.resume();
                 for row in read.rows {
-                    let Some(zone) = row.key.strip_prefix(OFFICES) else { continue };
-                    let office = row.value.as_deref().map(serde_json::from_slice::<Office>);
-                    if let Some(Ok(office)) = office {
-                        gateway.duty.occupy(zone, office, row.version);
+                    let Some(zone) = row.key.strip_prefix(LEADERS) else { continue };
+                    let leader = row.value.as_deref().map(serde_json::from_slice::<Leader>);
+                    if let Some(Ok(leader)) = leader {
+                        gateway.leadership.occupy(zone, leader, row.version);
                     }
                 }
                 return review(&gateway);
             }
             Err(error) => {
-                debug!(gateway.log, "offices unread"; "error" => error.to_string());
+                debug!(gateway.log, "leaders unread"; "error" => error.to_string());
                 monoio::time::sleep(REVIEW_INTERVAL).await;
             }
         }
     }
 }
 
-/// Gives the offices of this instance up, so that others need not wait for its silence.
-pub async fn resign(gateway: Rc<Gateway>) {
-    for zone in gateway.duty.held() {
-        resign_zone(gateway.clone(), zone).await;
+/// Steps down from all zones, so that others need not wait for this instance's silence.
+pub async fn step_down(gateway: Rc<Gateway>) {
+    for zone in gateway.leadership.held() {
+        step_down_from(gateway.clone(), zone).await;
     }
 }
 
-/// Gives one office up.
-async fn resign_zone(gateway: Rc<Gateway>, zone: Arc<str>) {
-    let Some(version) = gateway.duty.fencing(&zone) else { return };
-    let key = format!("{OFFICES}{zone}");
+/// Steps down from one zone.
+async fn step_down_from(gateway: Rc<Gateway>, zone: Arc<str>) {
+    let Some(version) = gateway.leadership.fencing(&zone) else { return };
+    let key = format!("{LEADERS}{zone}");
     let write = Write { table: CLUSTER, key, expected: Some(version), value: None };
     match gateway.store.commit(&[write]).await {
-        Ok(Commit::Done(version)) => gateway.duty.vacate(&zone, version),
+        Ok(Commit::Done(version)) => gateway.leadership.vacate(&zone, version),
         Ok(Commit::Conflict) => {}
         Err(error) => {
-            warn!(gateway.log, "office not given up"; "zone" => &*zone,
+            warn!(gateway.log, "not stepped down"; "zone" => &*zone,
                 "error" => error.to_string());
         }
     }
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -17,7 +17,7 @@
 
 use super::exchange::{Failure, Incoming, Outgoing, Target};
 use super::front;
-use super::placing::{self, Need, Refusal, Seat};
+use super::placing::{self, Need, Permit, Refusal};
 use super::state::Gateway;
 use super::stream;
 
@@ -143,13 +143,13 @@
 /// How one try ended.
 enum Try {
     /// An answer is coming.
-    Answered(Seat, Box<Incoming>),
+    Answered(Permit, Box<Incoming>),
     /// No upstream was found.
     Unplaced(Refusal),
     /// The upstream did not run the request.
-    NotRun(Seat, RunResult),
+    NotRun(Permit, RunResult),
     /// The upstream may have run the request, and its answer is lost.
-    Lost(Seat, String),
+    Lost(Permit, String),
 }
 
 /// How relaying an answer ended.
@@ -174,10 +174,10 @@
                 () = monoio::time::sleep(remaining) => return self.time_out(client).await,
             };
             let next = match tried {
-                Try::Answered(seat, incoming) => self.pass_on(client, seat, *incoming).await,
+                Try::Answered(permit, incoming) => self.pass_on(client, permit, *incoming).await,
                 Try::Unplaced(refusal) => Some(self.refuse(client, refusal).await),
-                Try::NotRun(seat, result) => self.declined(client, seat, result).await,
-                Try::Lost(seat, cause) => self.lost(client, seat, &cause).await,
+                Try::NotRun(permit, result) => self.declined(client, permit, result).await,
+                Try::Lost(permit, cause) => self.lost(client, permit, &cause).await,
             };
             if let Some(end) = next {
                 return end;
@@ -187,48 +187,48 @@
 
     /// Finds an upstream, sends the request and waits for the head of an answer.
     async fn try_once(&self) -> Try {
-        let seat = match self.find().await {
-            Ok(seat) => seat,
+        let permit = match self.find().await {
+            Ok(permit) => permit,
             Err(refusal) => return Try::Unplaced(refusal),
         };
-        let target = Target { id: seat.upstream.clone(), address: seat.address };
+        let target = Target { id: permit.upstream.clone(), address: permit.address };
         let outgoing = Outgoing {
             method: &self.inbound.head.method,
             target: &self.inbound.head.target,
-            headers: self.upstream_headers(&seat),
+            headers: self.upstream_headers(&permit),
             body: &self.inbound.body,
             is_repeatable: self.route.is_repeatable(),
         };
         self.sent.set(self.sent.get() + 1);
         let now = self.gateway.now();
         match self.gateway.connections.send(&target, outgoing, now).await {
-            Ok(incoming) => self.judge(seat, incoming),
+            Ok(incoming) => self.judge(permit, incoming),
             Err(Failure::Unreachable(_)) => {
                 self.sent.set(self.sent.get() - 1);
-                Try::NotRun(seat, RunResult::Unreachable)
+                Try::NotRun(permit, RunResult::Unreachable)
             }
-            Err(Failure::Broken(cause)) => Try::Lost(seat, cause),
+            Err(Failure::Broken(cause)) => Try::Lost(permit, cause),
         }
     }
 
-    fn judge(&self, seat: Seat, incoming: Incoming) -> Try {
+    fn judge(&self, permit: Permit, incoming: Incoming) -> Try {
         let id = self.attempt.id.as_deref();
         let verdict = ingress::verdict(incoming.head.status, &incoming.head.headers, id);
         match verdict {
-            Verdict::Answer => Try::Answered(seat, Box::new(incoming)),
-            Verdict::Foreign => Try::Lost(seat, "an answer to another request".into()),
+            Verdict::Answer => Try::Answered(permit, Box::new(incoming)),
+            Verdict::Foreign => Try::Lost(permit, "an answer to another request".into()),
             Verdict::NotRun | Verdict::Misdirected => {
                 self.sent.set(self.sent.get() - 1);
                 let result = match verdict {
                     Verdict::Misdirected => RunResult::Misdirected,
                     _ => RunResult::Declined,
                 };
-                Try::NotRun(seat, result)
+                Try::NotRun(permit, result)
             }
         }
     }
 
-    async fn find(&self) -> Result<Seat, Refusal> {
+    async fn find(&self) -> Result<Permit, Refusal> {
         match &self.attempt.generation {
             Some(generation) if self.has_engine => {
                 let need = Need {
@@ -247,14 +247,14 @@
         }
     }
 
-    fn upstream_headers(&self, seat: &Seat) -> HeaderMap {
+    fn upstream_headers(&self, permit: &Permit) -> HeaderMap {
         let mut headers = self.inbound.head.headers.clone();
         head::strip_connection_fields(&mut headers);
         ingress::strip_reserved(&mut headers);
         let dispatch = Dispatch {
-            upstream: seat.upstream.clone(),
+            upstream: permit.upstream.clone(),
             time_left: self.limit.since(self.gateway.now()),
-            adapter_version: seat.version,
+            adapter_version: permit.version,
             priority: self.has_engine.then_some(self.route.priority.min(MAX_PRIORITY)),
             last_event: self.last_event,
         };
@@ -266,24 +266,24 @@
     async fn pass_on(
         &mut self,
         client: &mut Socket,
-        seat: Seat,
+        permit: Permit,
         mut incoming: Incoming,
     ) -> Option<(Ending, &'static str)> {
-        self.trail.push(format!("{} {}", seat.upstream, incoming.head.status.as_u16()));
+        self.trail.push(format!("{} {}", permit.upstream, incoming.head.status.as_u16()));
         let status = incoming.head.status;
         if status.is_server_error() && self.may_repeat() {
-            seat.end(RunResult::Erred);
+            permit.end(RunResult::Erred);
             self.has_retried();
             return None;
         }
         let is_stream = status.is_success() && stream::is_event_stream(&incoming.head.headers);
         let relayed = match is_stream {
-            true => self.relay_stream(client, &seat, &mut incoming).await,
+            true => self.relay_stream(client, &permit, &mut incoming).await,
             false => self.relay_whole(client, &mut incoming).await,
         };
         match relayed {
             Relayed::Done => {
-                seat.end(match status.is_server_error() {
+                permit.end(match status.is_server_error() {
                     true => RunResult::Erred,
                     false => RunResult::Answered,
                 });
@@ -291,14 +291,14 @@
                 Some((self.keep_open(), "answered"))
             }
             Relayed::Gone => {
-                seat.end(RunResult::Abandoned);
+                permit.end(RunResult::Abandoned);
                 Some((Ending::Close, "client gone"))
             }
             Relayed::TimedOut => {
-                seat.end(RunResult::Abandoned);
+                permit.end(RunResult::Abandoned);
                 Some(self.time_out(client).await)
             }
-            Relayed::Lost(cause) => self.lost(client, seat, &cause).await,
+            Relayed::Lost(cause) => self.lost(client, permit, &cause).await,
         }
     }
 
@@ -324,7 +324,7 @@
     async fn relay_stream(
         &mut self,
         client: &mut Socket,
-        seat: &Seat,
+        permit: &Permit,
         incoming: &mut Incoming,
     ) -> Relayed {
         let mut pending = BytesMut::new();
@@ -364,7 +364,7 @@
                 head::write_field(&mut output, "transfer-encoding", "chunked");
                 output.extend_from_slice(b"\r\n");
                 self.has_begun = true;
-                seat.started();
+                permit.started();
                 self.observe_first_event();
             }
             body::write_chunk(&mut output, &events);
@@ -415,12 +415,12 @@
     async fn declined(
         &mut self,
         client: &mut Socket,
-        seat: Seat,
+        permit: Permit,
         result: RunResult,
     ) -> Option<(Ending, &'static str)> {
-        self.trail.push(format!("{} {result:?}", seat.upstream));
-        self.excluded.push(seat.upstream.clone());
-        seat.end(result);
+        self.trail.push(format!("{} {result:?}", permit.upstream));
+        self.excluded.push(permit.upstream.clone());
+        permit.end(result);
         self.declines += 1;
         let is_free = result == RunResult::Unreachable;
         let may_go_on =
@@ -442,12 +442,12 @@
     async fn lost(
         &mut self,
         client: &mut Socket,
-        seat: Seat,
+        permit: Permit,
         cause: &str,
     ) -> Option<(Ending, &'static str)> {
-        self.trail.push(format!("{} lost: {cause}", seat.upstream));
-        let upstream = seat.upstream.clone();
-        seat.end(RunResult::Broken);
+        self.trail.push(format!("{} lost: {cause}", permit.upstream));
+        let upstream = permit.upstream.clone();
+        permit.end(RunResult::Broken);
         if self.may_repeat() {
             self.excluded.push(upstream);
             self.has_retried();
--- a/crates/orioleroute-node/src/gateway/duty.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -22,7 +22,7 @@
 use super::state::Gateway;
 use super::{election, link};
 
-/// How often the offices are looked after.
+/// How often elections are considered.
 pub const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The longest sleep of the loop that lets the schedulers' time pass.
@@ -42,17 +42,17 @@
 
 /// Who schedules an availability zone.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Office {
+pub struct Leader {
     /// The instance.
     pub holder: Arc<str>,
     /// Its start.
     pub incarnation: u64,
 }
 
-/// The offices as the store has them, and the schedulers that run here.
+/// The leaders as the store has them, and the schedulers that run here.
 #[derive(Default)]
-pub struct Duty {
-    offices: RefCell<Map<Arc<str>, Entry>>,
+pub struct Leadership {
+    leaders: RefCell<Map<Arc<str>, Entry>>,
     schedulers: RefCell<Map<Arc<str>, Scheduler>>,
     /// What the elections remember.
     pub timers: election::Timers,
@@ -63,11 +63,11 @@
 
 #[derive(Clone, Debug)]
 struct Entry {
-    office: Option<Office>,
+    leader: Option<Leader>,
     version: u64,
 }
 
-impl Duty {
+impl Leadership {
     /// Takes a configuration into force.
     pub fn configure(&self, configuration: &Arc<Configuration>) {
         for scheduler in self.schedulers.borrow_mut().values_mut() {
@@ -83,37 +83,37 @@
     }
 
     /// Forgets who schedules what, before the table is read anew.
-    pub fn forget_offices(&self) {
-        self.offices.borrow_mut().clear();
+    pub fn forget_leaders(&self) {
+        self.leaders.borrow_mut().clear();
         self.is_suspended.set(false);
     }
 
     /// Takes note of who schedules a zone.
-    pub fn occupy(&self, zone: &str, office: Office, version: u64) {
-        self.write(zone, Entry { office: Some(office), version });
+    pub fn occupy(&self, zone: &str, leader: Leader, version: u64) {
+        self.write(zone, Entry { leader: Some(leader), version });
     }
 
     /// Takes note that nobody schedules a zone.
     pub fn vacate(&self, zone: &str, version: u64) {
-        self.write(zone, Entry { office: None, version });
+        self.write(zone, Entry { leader: None, version });
     }
 
     /// Returns who schedules a zone.
-    pub fn office(&self, zone: &str) -> Option<Office> {
-        self.offices.borrow().get(zone)?.office.clone()
+    pub fn leader(&self, zone: &str) -> Option<Leader> {
+        self.leaders.borrow().get(zone)?.leader.clone()
     }
 
     /// Returns the zones that have a scheduler.
     pub fn zones(&self) -> Vec<Arc<str>> {
-        let offices = self.offices.borrow();
-        let occupied = offices.iter().filter(|(_, entry)| entry.office.is_some());
+        let leaders = self.leaders.borrow();
+        let occupied = leaders.iter().filter(|(_, entry)| entry.leader.is_some());
         occupied.map(|(zone, _)| zone.clone()).collect()
     }
 
     /// Returns the version that the row of a zone's scheduler must have to be written anew, 0 for none.
     pub fn row_version(&self, zone: &str) -> u64 {
-        let offices = self.offices.borrow();
-        let entry = offices.get(zone).filter(|entry| entry.office.is_some());
+        let leaders = self.leaders.borrow();
+        let entry = leaders.get(zone).filter(|entry| entry.leader.is_some());
         entry.map_or(0, |entry| entry.version)
     }
 
@@ -127,18 +127,18 @@
         self.schedulers.borrow().get(zone).map(Scheduler::fencing)
     }
 
-    /// Lets orders go out again after the offices have been read.
+    /// Lets orders go out again after the leaders have been read.
     pub fn resume(&self) {
         self.is_suspended.set(false);
     }
 
     fn write(&self, zone: &str, entry: Entry) {
-        let mut offices = self.offices.borrow_mut();
-        match offices.get_mut(zone) {
+        let mut leaders = self.leaders.borrow_mut();
+        match leaders.get_mut(zone) {
             Some(known) if known.version >= entry.version => {}
             Some(known) => *known = entry,
             None => {
-                offices.insert(zone.into(), entry);
+                leaders.insert(zone.into(), entry);
             }
         }
     }
@@ -154,14 +154,14 @@
     }
 }
 
-/// Lets the schedulers' time pass and looks after the offices, forever.
+/// Lets the schedulers' time pass and considers elections, forever.
 pub async fn run(gateway: Rc<Gateway>) {
     let mut review_at = Instant::ZERO;
     loop {
-        if gateway.duty.was_frozen() {
+        if gateway.leadership.was_frozen() {
             warn!(gateway.log, "process was frozen, orders wait for the store");
-            gateway.duty.is_suspended.set(true);
-            monoio::spawn(election::read_offices(gateway.clone()));
+            gateway.leadership.is_suspended.set(true);
+            monoio::spawn(election::read_leaders(gateway.clone()));
         }
         let now = gateway.now();
         tick(&gateway);
@@ -175,23 +175,23 @@
             gateway.connections.prune(|id| registry.get(id).is_some(), now);
         }
         let next =
-            gateway.duty.schedulers.borrow().values().filter_map(Scheduler::next_check).min();
+            gateway.leadership.schedulers.borrow().values().filter_map(Scheduler::next_check).min();
         let wait = next.map_or(TICK, |next| next.since(gateway.now()));
         monoio::time::sleep(wait.clamp(SHORTEST_TICK, TICK)).await;
     }
 }
 
-/// Starts and ends schedulers as the offices say.
+/// Starts and ends schedulers as the leaders say.
 pub fn review(gateway: &Rc<Gateway>) {
     let own = gateway.roster().own().clone();
-    let offices = gateway.duty.offices.borrow().clone();
+    let leaders = gateway.leadership.leaders.borrow().clone();
     let mut ended = Vec::new();
     let mut begun = false;
-    for (zone, entry) in offices {
-        let is_own = entry.office.as_ref().is_some_and(|office| {
-            office.holder == own.name && office.incarnation == own.incarnation
+    for (zone, entry) in leaders {
+        let is_own = entry.leader.as_ref().is_some_and(|leader| {
+            leader.holder == own.name && leader.incarnation == own.incarnation
         });
-        let mut schedulers = gateway.duty.schedulers.borrow_mut();
+        let mut schedulers = gateway.leadership.schedulers.borrow_mut();
         let fencing = schedulers.get(&zone).map(Scheduler::fencing);
         match (is_own, fencing) {
             (true, Some(fencing)) if fencing == entry.version => {}
@@ -205,7 +205,7 @@
             }
             (false, Some(fencing)) => {
                 info!(gateway.log, "scheduling ends"; "zone" => &*zone, "fencing" => fencing,
-                    "successor" => entry.office.map(|office| office.holder.to_string()));
+                    "successor" => entry.leader.map(|leader| leader.holder.to_string()));
                 ended.extend(schedulers.remove(&zone));
             }
             (false, None) => {}
@@ -261,7 +261,7 @@
     let ticket = placement.ticket;
     let zone = placement.zone.clone();
     let outputs = {
-        let mut schedulers = gateway.duty.schedulers.borrow_mut();
+        let mut schedulers = gateway.leadership.schedulers.borrow_mut();
         schedulers.get_mut(&zone).map(|scheduler| {
             scheduler.place(client, placement, now);
             scheduler.take_outputs()
@@ -283,7 +283,7 @@
 fn with_schedulers(gateway: &Rc<Gateway>, mut act: impl FnMut(&Arc<str>, &mut Scheduler, Instant)) {
     let now = gateway.now();
     let mut all = Vec::new();
-    for (zone, scheduler) in gateway.duty.schedulers.borrow_mut().iter_mut() {
+    for (zone, scheduler) in gateway.leadership.schedulers.borrow_mut().iter_mut() {
         act(zone, scheduler, now);
         all.push((zone.clone(), scheduler.take_outputs()));
     }
@@ -303,15 +303,15 @@
             (Output::Report(address, upstream), Some(zone)) => {
                 monoio::spawn(ask(gateway.clone(), zone.clone(), address, upstream));
             }
-            (Output::Deposed, Some(zone)) => {
+            (Output::Fenced, Some(zone)) => {
                 warn!(gateway.log, "fenced off"; "zone" => &**zone);
-                let scheduler = gateway.duty.schedulers.borrow_mut().remove(zone);
-                gateway.duty.offices.borrow_mut().remove(zone);
+                let scheduler = gateway.leadership.schedulers.borrow_mut().remove(zone);
+                gateway.leadership.leaders.borrow_mut().remove(zone);
                 if let Some(mut scheduler) = scheduler {
                     scheduler.abandon();
                     carry_out(gateway, None, scheduler.take_outputs());
                 }
-                monoio::spawn(election::read_offices(gateway.clone()));
+                monoio::spawn(election::read_leaders(gateway.clone()));
             }
             (_, None) => {}
         }
@@ -331,7 +331,7 @@
 
 /// Gives an order and hands its outcome to the scheduler.
 async fn give(gateway: Rc<Gateway>, zone: Arc<str>, address: SocketAddr, order: Order) {
-    let outcome = match gateway.duty.is_suspended.get() || gateway.duty.was_frozen() {
+    let outcome = match gateway.leadership.is_suspended.get() || gateway.leadership.was_frozen() {
         true => Outcome::Unsent,
         false => {
             let call = engine::order(&order, &gateway.settings().name);
@@ -347,7 +347,7 @@
     metrics::counter!("orioleroute_orders_total", "outcome" => outcome.to_string()).increment(1);
     let outputs = {
         let now = gateway.now();
-        let mut schedulers = gateway.duty.schedulers.borrow_mut();
+        let mut schedulers = gateway.leadership.schedulers.borrow_mut();
         let scheduler =
             schedulers.get_mut(&zone).filter(|scheduler| scheduler.fencing() == order.fencing);
         scheduler.map(|scheduler| {
@@ -371,7 +371,7 @@
     };
     let outputs = {
         let now = gateway.now();
-        let mut schedulers = gateway.duty.schedulers.borrow_mut();
+        let mut schedulers = gateway.leadership.schedulers.borrow_mut();
         schedulers.get_mut(&zone).map(|scheduler| {
             scheduler.reported(&upstream, report.as_ref(), now);
             scheduler.take_outputs()
--- a/crates/orioleroute-node/src/gateway/link.rs
+++ b/crates/orioleroute-node/src/gateway/link.rs
@@ -16,7 +16,7 @@
 use serde::de::DeserializeOwned;
 use slog::{debug, info, warn};
 
-use super::duty;
+use super::leadership;
 use super::state::Gateway;
 
 /// The longest wait for a connection to a scheduler; a round trip between regions takes 24 ms.
@@ -129,7 +129,7 @@
     /// Sends a message.
     pub fn send(&self, gateway: &Rc<Gateway>, message: ToScheduler) {
         match self {
-            Self::Local => duty::receive(gateway, duty::LOCAL, message),
+            Self::Local => leadership::receive(gateway, leadership::LOCAL, message),
             // A link whose task has ended has told all requests that wait.
             Self::Remote(link) => drop(link.queue.send(message)),
         }
@@ -161,7 +161,7 @@
 
 /// Tells an instance what its scheduler decided.
 pub fn tell(gateway: &Rc<Gateway>, client: Client, message: ToInstance) {
-    if client == duty::LOCAL {
+    if client == leadership::LOCAL {
         return gateway.links.local.deliver(message);
     }
     if let Some(queue) = gateway.links.incoming.borrow().get(&client) {
@@ -191,11 +191,11 @@
     gateway.links.next_client.set(client.0);
     let (queue, messages) = mpsc::unbounded::channel();
     gateway.links.incoming.borrow_mut().insert(client, queue);
-    let receive = |message| duty::receive(&gateway, client, message);
+    let receive = |message| leadership::receive(&gateway, client, message);
     let end = exchange(socket, messages, receive).await;
     debug!(gateway.log, "instance disconnected"; "peer" => peer.to_string(), "error" => end);
     gateway.links.incoming.borrow_mut().remove(&client);
-    duty::disconnected(&gateway, client);
+    leadership::disconnected(&gateway, client);
 }
 
 async fn run_outgoing(
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -6,12 +6,12 @@
 //! `orioleroute-platform` only.
 
 mod directory;
-mod duty;
 mod election;
 mod exchange;
 mod forward;
 mod front;
 mod heartbeat;
+mod leadership;
 mod link;
 mod placing;
 mod settings;
@@ -74,6 +74,6 @@
     monoio::spawn(sync::watch_operator(gateway.clone()));
     monoio::spawn(sync::watch_upstreams(gateway.clone()));
     monoio::spawn(sync::watch_members(gateway.clone()));
-    monoio::spawn(duty::run(gateway.clone()));
+    monoio::spawn(leadership::run(gateway.clone()));
     state::run_until_stopped(gateway, signals).await
 }
--- a/crates/orioleroute-node/src/gateway/placing.rs
+++ b/crates/orioleroute-node/src/gateway/placing.rs
@@ -42,9 +42,9 @@
 }
 
 /// A place at an engine, given back when dropped.
-pub struct Seat {
+pub struct Permit {
     gateway: Rc<Gateway>,
-    way: Way,
+    origin: Origin,
     /// The engine.
     pub upstream: Arc<str>,
     /// Where it takes requests.
@@ -54,7 +54,7 @@
 }
 
 /// How a place came about, and so whom its end concerns.
-enum Way {
+enum Origin {
     /// A scheduler was asked for it.
     Scheduled { route: link::Route, ticket: u64 },
     /// This instance chose the upstream itself.
@@ -72,10 +72,10 @@
     pub retry_after: Duration,
 }
 
-impl Seat {
+impl Permit {
     /// Tells the scheduler of the first event.
     pub fn started(&self) {
-        if let Way::Scheduled { route, ticket } = &self.way {
+        if let Origin::Scheduled { route, ticket } = &self.origin {
             route.send(&self.gateway, ToScheduler::Started { ticket: *ticket });
         }
     }
@@ -86,11 +86,11 @@
     }
 
     fn give_back(&mut self, result: RunResult) {
-        match std::mem::replace(&mut self.way, Way::Ended) {
-            Way::Scheduled { route, ticket } => {
+        match std::mem::replace(&mut self.origin, Origin::Ended) {
+            Origin::Scheduled { route, ticket } => {
                 route.send(&self.gateway, ToScheduler::Ended { ticket, result: Some(result) });
             }
-            Way::Unscheduled { begun } => {
+            Origin::Unscheduled { begun } => {
                 let now = self.gateway.now();
                 let outcome = match result {
                     RunResult::Answered => Outcome::Answered(now.since(begun)),
@@ -98,12 +98,12 @@
                 };
                 self.gateway.health().entry(self.upstream.clone()).or_default().end(outcome, now);
             }
-            Way::Ended => {}
+            Origin::Ended => {}
         }
     }
 }
 
-impl Drop for Seat {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.give_back(RunResult::Abandoned);
     }
@@ -114,18 +114,18 @@
 ///
 /// Adapters that few ask for are fetched by one zone only, which has them warm when they are next
 /// asked for anywhere.
-pub async fn find(gateway: &Rc<Gateway>, need: &Need<'_>) -> Result<Seat, Refusal> {
+pub async fn find(gateway: &Rc<Gateway>, need: &Need<'_>) -> Result<Permit, Refusal> {
     let own: Arc<str> = gateway.settings().zone.as_str().into();
     let home = home_zone(gateway, need.generation).unwrap_or_else(|| own.clone());
     let first = match ask(gateway, &own, need, home == own).await {
-        Ok(seat) => return Ok(seat),
+        Ok(permit) => return Ok(permit),
         Err(refusal) => refusal,
     };
     let second = match first.reason {
         Reason::NotHere => Some(home),
         // Without a scheduler the own zone's engines still serve what they hold.
         Reason::NotScheduler => match listed(gateway, need, Some(&own)) {
-            Some(seat) => return Ok(seat),
+            Some(permit) => return Ok(permit),
             None => other_zone(gateway, &own, home),
         },
         Reason::Overloaded | Reason::NoEngine => {
@@ -136,7 +136,7 @@
     };
     let refusal = match second {
         Some(zone) => match ask(gateway, &zone, need, true).await {
-            Ok(seat) => return Ok(seat),
+            Ok(permit) => return Ok(permit),
             Err(refusal) => refusal,
         },
         None => first,
@@ -145,7 +145,7 @@
     let is_left_alone = matches!(refusal.reason, Reason::NotScheduler | Reason::NoEngine);
     let refusal = match first.reason == Reason::NotHere && is_left_alone {
         true => match ask(gateway, &own, need, true).await {
-            Ok(seat) => return Ok(seat),
+            Ok(permit) => return Ok(permit),
             Err(refusal) => refusal,
         },
         false => refusal,
@@ -166,19 +166,19 @@
     zone: &Arc<str>,
     need: &Need<'_>,
     may_fetch: bool,
-) -> Result<Seat, Refusal> {
+) -> Result<Permit, Refusal> {
     let unscheduled = Refusal { reason: Reason::NotScheduler, retry_after: Duration::ZERO };
-    let holder = gateway.duty.office(zone).map(|office| office.holder);
+    let holder = gateway.leadership.leader(zone).map(|leader| leader.holder);
     let address = holder
         .as_ref()
         .and_then(|holder| gateway.roster().member(holder).map(|member| member.peer_address));
     let route = address.and_then(|address| link::Route::to(gateway, address));
     let (Some(route), Some(holder)) = (route, holder) else { return Err(unscheduled) };
     let ticket = gateway.links.next_ticket();
-    // A seat that is dropped before the scheduler's answer withdraws the request.
-    let mut seat = Seat {
+    // A permit that is dropped before the scheduler's answer withdraws the request.
+    let mut permit = Permit {
         gateway: gateway.clone(),
-        way: Way::Scheduled { route: route.clone(), ticket },
+        origin: Origin::Scheduled { route: route.clone(), ticket },
         upstream: "".into(),
         address: gateway.settings().peer_address,
         version: None,
@@ -186,26 +186,26 @@
     let mut answers = route.expect(gateway, ticket);
     let placement = Placement { may_fetch, ..placement(gateway, zone, ticket, need) };
     route.send(gateway, ToScheduler::Place(Box::new(placement)));
-    let mut patience = FIRST_ANSWER;
+    let mut timeout = FIRST_ANSWER;
     loop {
-        match monoio::time::timeout(patience, answers.recv()).await {
-            Ok(Some(ToInstance::Queued { .. })) => patience = QUEUE_CHECK,
+        match monoio::time::timeout(timeout, answers.recv()).await {
+            Ok(Some(ToInstance::Queued { .. })) => timeout = QUEUE_CHECK,
             Ok(Some(ToInstance::Grant(Grant { upstream, address, version, .. }))) => {
-                seat.upstream = upstream;
-                seat.address = address;
-                seat.version = version;
-                return Ok(seat);
+                permit.upstream = upstream;
+                permit.address = address;
+                permit.version = version;
+                return Ok(permit);
             }
             Ok(Some(ToInstance::Refuse { retry_after_ms, reason, .. })) => {
-                seat.way = Way::Ended;
+                permit.origin = Origin::Ended;
                 return Err(Refusal { reason, retry_after: Duration::from_millis(retry_after_ms) });
             }
             Ok(None) => {
-                seat.way = Way::Ended;
+                permit.origin = Origin::Ended;
                 return Err(unscheduled);
             }
             Err(_) => {
-                let is_waiting = patience == QUEUE_CHECK;
+                let is_waiting = timeout == QUEUE_CHECK;
                 if is_waiting && gateway.roster().is_responsive(&holder, gateway.now()) {
                     continue;
                 }
@@ -253,7 +253,7 @@
 /// Returns the zone that fetches an adapter which few ask for.
 fn home_zone(gateway: &Gateway, generation: &Generation) -> Option<Arc<str>> {
     let item = hash::digest(&generation.adapter);
-    let zones = gateway.duty.zones();
+    let zones = gateway.leadership.zones();
     hash::winner(item, zones.iter().map(|zone| (hash::digest(&**zone), zone))).cloned()
 }
 
@@ -262,12 +262,12 @@
     if *home != *own {
         return Some(home);
     }
-    gateway.duty.zones().into_iter().find(|zone| **zone != *own)
+    gateway.leadership.zones().into_iter().find(|zone| **zone != *own)
 }
 
 /// Returns an engine, of one zone or any, that is listed with what the request needs, for when no
 /// scheduler answers.
-fn listed(gateway: &Rc<Gateway>, need: &Need<'_>, zone: Option<&str>) -> Option<Seat> {
+fn listed(gateway: &Rc<Gateway>, need: &Need<'_>, zone: Option<&str>) -> Option<Permit> {
     let now = gateway.now();
     let generation = need.generation;
     let registry = gateway.registry();
@@ -295,13 +295,17 @@
     let version = wanted.and_then(|(adapter, _)| best.version(&generation.model, adapter));
     drop((registry, health));
     // What the list says may be a second old; the engine checks the version.
-    let mut seat = unscheduled_seat(gateway, upstream, address);
-    seat.version = version;
-    Some(seat)
+    let mut permit = unscheduled_permit(gateway, upstream, address);
+    permit.version = version;
+    Some(permit)
 }
 
 /// Takes the upstream of a plain service with the least expected cost.
-pub fn plain(gateway: &Rc<Gateway>, service: &str, excluded: &[Arc<str>]) -> Result<Seat, Refusal> {
+pub fn plain(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    excluded: &[Arc<str>],
+) -> Result<Permit, Refusal> {
     let now = gateway.now();
     let best = {
         let registry = gateway.registry();
@@ -322,7 +326,7 @@
     };
     let refusal = Refusal { reason: Reason::NoEngine, retry_after: UNLISTED_RETRY };
     let (upstream, address) = best.ok_or(refusal)?;
-    Ok(unscheduled_seat(gateway, upstream, address))
+    Ok(unscheduled_permit(gateway, upstream, address))
 }
 
 /// When to come back if a service has no upstream that can be used: about the length of an ejection.
@@ -345,12 +349,12 @@
     }
 }
 
-fn unscheduled_seat(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Seat {
+fn unscheduled_permit(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Permit {
     gateway.health().entry(upstream.clone()).or_default().begin();
     let begun = gateway.now();
-    Seat {
+    Permit {
         gateway: gateway.clone(),
-        way: Way::Unscheduled { begun },
+        origin: Origin::Unscheduled { begun },
         upstream,
         address,
         version: None,
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -21,8 +21,8 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use slog::{Logger, info, warn};
 
-use super::duty::Duty;
 use super::exchange::Connections;
+use super::leadership::Leadership;
 use super::link::Links;
 use super::settings::{Outcome, Settings};
 use crate::log;
@@ -53,7 +53,7 @@
     /// Connections to schedulers.
     pub links: Links,
     /// The part of the instance that schedules availability zones.
-    pub duty: Duty,
+    pub leadership: Leadership,
     settings: RefCell<Settings>,
     started: Clock,
     incarnation: u64,
@@ -89,7 +89,7 @@
             pool: Pool::new(),
             connections: Connections::default(),
             links: Links::default(),
-            duty: Duty::default(),
+            leadership: Leadership::default(),
             settings: RefCell::new(settings),
             started: Clock::now(),
             incarnation,
@@ -136,7 +136,7 @@
             "before" => before, "routes" => configuration.route_count());
         let configuration = Arc::new(configuration);
         *self.configuration.borrow_mut() = Some(configuration.clone());
-        self.duty.configure(&configuration);
+        self.leadership.configure(&configuration);
         self.update_serving();
     }
 
@@ -171,7 +171,7 @@
                 "adapter" => &*announcement.revision.name, "version" => *newest);
         }
         drop(versions);
-        self.duty.announce(announcement);
+        self.leadership.announce(announcement);
     }
 
     /// Returns all announcements so far.
@@ -340,7 +340,7 @@
     let since = gateway.now();
     gateway.begin_stop();
     // The store may be away, which must not hold the process up.
-    monoio::spawn(super::election::resign(gateway.clone()));
+    monoio::spawn(super::election::step_down(gateway.clone()));
     let grace = gateway.settings().grace;
     loop {
         monoio::time::sleep(STOP_POLL).await;
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -10,7 +10,7 @@
 use orioleroute_platform::store::{Commit, Error, Row, Rows, Write};
 use slog::{info, warn};
 
-use super::duty::{self, Office};
+use super::leadership::{self, Leader};
 use super::state::Gateway;
 
 /// How long a watch waits for changes. A store that has gone silent is noticed after that and the
@@ -46,7 +46,7 @@
 const MEMBERS: &str = "member/";
 
 /// The prefix of the rows that say who schedules a zone.
-pub const OFFICES: &str = "scheduler/";
+pub const LEADERS: &str = "scheduler/";
 
 /// Keeps the configuration and the adapters' versions up to date.
 pub async fn watch_operator(gateway: Rc<Gateway>) {
@@ -85,7 +85,7 @@
                 gateway.registry().apply(changes, now);
             }
         }
-        duty::list(gateway);
+        leadership::list(gateway);
     };
     let lose = |gateway: &Rc<Gateway>| gateway.registry().lose(gateway.now());
     follow(&gateway, records::UPSTREAMS, upstream_pace, apply, lose).await;
@@ -96,12 +96,12 @@
     announce(&gateway).await;
     let apply = |gateway: &Rc<Gateway>, rows: Vec<Row>, is_whole: bool| {
         if is_whole {
-            gateway.duty.forget_offices();
+            gateway.leadership.forget_leaders();
         }
         for row in rows {
             apply_member_row(gateway, row);
         }
-        duty::review(gateway);
+        leadership::review(gateway);
     };
     follow(&gateway, CLUSTER, |_| RETRY, apply, |_| {}).await;
 }
@@ -191,11 +191,11 @@
                 warn!(gateway.log, "row unreadable"; "row" => row.key, "error" => error.to_string());
             }
         }
-    } else if let Some(zone) = row.key.strip_prefix(OFFICES) {
-        let office = row.value.as_deref().map(serde_json::from_slice::<Office>);
-        match office {
-            None => gateway.duty.vacate(zone, row.version),
-            Some(Ok(office)) => gateway.duty.occupy(zone, office, row.version),
+    } else if let Some(zone) = row.key.strip_prefix(LEADERS) {
+        let leader = row.value.as_deref().map(serde_json::from_slice::<Leader>);
+        match leader {
+            None => gateway.leadership.vacate(zone, row.version),
+            Some(Ok(leader)) => gateway.leadership.occupy(zone, leader, row.version),
             Some(Err(error)) => {
                 warn!(gateway.log, "row unreadable"; "row" => row.key, "error" => error.to_string());
             }
--- a/crates/orioleroute/src/scheduler/admission.rs
+++ b/crates/orioleroute/src/scheduler/admission.rs
@@ -50,12 +50,12 @@
         return Err(Refusal { reason: Reason::TooLate, retry_after });
     }
     let is_on_time = expected_start <= request.objective.since(now).mul_f64(START_SHARE);
-    let is_welcome = match request.is_return {
+    let is_taken_late = match request.is_return {
         true => expected_start <= deadline.mul_f64(RETURN_SHARE),
         // A late answer is worth less than what fetching its adapter takes from others.
         false => queue <= IDLE_QUEUE && !step.is_fetch(),
     };
-    match is_on_time || is_welcome {
+    match is_on_time || is_taken_late {
         true => Ok(()),
         false => {
             let retry_after = retry_after(request, queue, now);
@@ -85,7 +85,7 @@
 /// and it is late in any case.
 pub fn retry_after(request: &Request, queue: Duration, now: Instant) -> Duration {
     let soon = queue.max(SOONEST_RETRY);
-    if soon <= request.objective.since(now).mul_f64(HOPEFUL_SHARE) {
+    if soon <= request.objective.since(now).mul_f64(ON_TIME_SHARE) {
         return soon;
     }
     let spread = hash::digest(&request.attempt) as f64 / u64::MAX as f64;
@@ -97,7 +97,7 @@
 const SOONEST_RETRY: Duration = Duration::from_millis(100);
 
 /// The part of the time to the objective after which a client may come back and still be on time.
-const HOPEFUL_SHARE: f64 = 0.4;
+const ON_TIME_SHARE: f64 = 0.4;
 
 /// The part of its time after which a client comes back at the latest: clients take advice up to a
 /// third.
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -27,20 +27,20 @@
 use message::{Placement, Reason, RunResult, ToInstance};
 use order::{Action, Order, Outcome, Report};
 use placement::{Candidate, Step};
-use runner::{Base, Certainty, Heat, PlaceState, Runner};
+use runner::{Base, Certainty, PlaceState, Popularity, Runner};
 
 /// How long a new scheduler waits for reports, which lag, to show its predecessor's last orders.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(400);
 
 /// The requests for an adapter in the last ten seconds from which on a zone fetches it although its
 /// home zone may have it: a fetch costs about as much as ten requests to another region.
-const POPULAR_HEAT: f64 = 3.0;
+const POPULAR_REQUESTS: f64 = 3.0;
 
 /// Adapters whose requests are counted at a time.
 const MAX_MISSES: usize = 1_024;
 
-/// The heat below which a count is dropped when there are too many.
-const FORGOTTEN_HEAT: f64 = 0.5;
+/// The popularity below which a count is dropped when there are too many.
+const FORGOTTEN_REQUESTS: f64 = 0.5;
 
 /// The instance that asked, as its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -107,7 +107,7 @@
     /// Ask an engine for its report; it comes back with [`Scheduler::reported`].
     Report(std::net::SocketAddr, Arc<str>),
     /// Another scheduler has given orders: this one must stop.
-    Deposed,
+    Fenced,
     /// A request was decided on.
     Decided(Decision),
 }
@@ -139,7 +139,7 @@
     granted: Map<RequestKey, key::Upstream>,
     newest: Map<(Arc<str>, Arc<str>), u64>,
     /// How often adapters were asked for that were not here.
-    misses: Map<Arc<str>, Heat>,
+    misses: Map<Arc<str>, Popularity>,
     fetches: fetches::Window,
     outputs: Vec<Output>,
 }
@@ -270,11 +270,11 @@
     fn is_popular(&mut self, request: &Request, now: Instant) -> bool {
         let Some(adapter) = &request.adapter else { return true };
         if self.misses.len() > MAX_MISSES {
-            self.misses.retain(|_, misses| misses.heat(now) >= FORGOTTEN_HEAT);
+            self.misses.retain(|_, misses| misses.at(now) >= FORGOTTEN_REQUESTS);
         }
         let misses = self.misses.entry(adapter.clone()).or_default();
         misses.touch(now);
-        misses.heat(now) >= POPULAR_HEAT
+        misses.at(now) >= POPULAR_REQUESTS
     }
 
     /// Takes note of a request's first event.
@@ -330,7 +330,7 @@
             runner.health.end(Health::Broken, now);
         }
         if outcome == Outcome::Fenced {
-            self.outputs.push(Output::Deposed);
+            self.outputs.push(Output::Fenced);
             return;
         }
         self.observe_fetch(key, order, outcome, now);
--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -28,7 +28,7 @@
 const FETCH_RELUCTANCE: Duration = Duration::from_millis(150);
 
 /// What pushing out an adapter costs for each request that it had in the last ten seconds.
-const EVICTION_COST_PER_HEAT: Duration = Duration::from_millis(15);
+const EVICTION_COST_PER_REQUEST: Duration = Duration::from_millis(15);
 
 /// How long a place is likely to take to become free when all are in use.
 const NO_PLACE_WAIT: Duration = Duration::from_millis(400);
@@ -210,7 +210,7 @@
     let copying = if is_cold { FETCH_RELUCTANCE } else { LOAD_RELUCTANCE };
     let reluctance = match runner.places_free(engine.adapter_places) {
         Some(0) => match runner.victim(now) {
-            Some((_, heat)) => copying + EVICTION_COST_PER_HEAT.mul_f64(heat),
+            Some((_, popularity)) => copying + EVICTION_COST_PER_REQUEST.mul_f64(popularity),
             None => return queued(Obstacle::Places),
         },
         Some(_) => copying,
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -25,7 +25,7 @@
 const REMEMBERED_PARTS: usize = 512;
 
 /// The time in which an adapter's popularity falls to a third.
-const HEAT_DECAY: Duration = Duration::from_secs(10);
+const POPULARITY_DECAY: Duration = Duration::from_secs(10);
 
 /// One model engine as its scheduler knows it.
 #[derive(Clone, Debug)]
@@ -104,25 +104,25 @@
     pub state: PlaceState,
     /// The requests that use it or wait for it.
     pub users: u32,
-    heat: Heat,
+    popularity: Popularity,
 }
 
 /// How much an adapter is asked for: about its requests in the last ten seconds.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Heat {
+pub struct Popularity {
     value: f64,
     since: Instant,
 }
 
-impl Heat {
-    /// Returns the heat at the time `now`.
-    pub fn heat(&self, now: Instant) -> f64 {
-        self.value * (-now.since(self.since).as_secs_f64() / HEAT_DECAY.as_secs_f64()).exp()
+impl Popularity {
+    /// Returns the popularity at the time `now`.
+    pub fn at(&self, now: Instant) -> f64 {
+        self.value * (-now.since(self.since).as_secs_f64() / POPULARITY_DECAY.as_secs_f64()).exp()
     }
 
     /// Counts a request.
     pub fn touch(&mut self, now: Instant) {
-        self.value = self.heat(now) + 1.0;
+        self.value = self.at(now) + 1.0;
         self.since = now;
     }
 }
@@ -172,17 +172,17 @@
 impl Place {
     /// Returns a place for an adapter that is used now.
     pub fn new(version: Option<u64>, state: PlaceState, now: Instant) -> Self {
-        Self { version, state, users: 0, heat: Heat { value: 0.0, since: now } }
+        Self { version, state, users: 0, popularity: Popularity { value: 0.0, since: now } }
     }
 
     /// Returns the adapter's popularity at this engine.
-    pub fn heat(&self, now: Instant) -> f64 {
-        self.heat.heat(now)
+    pub fn popularity(&self, now: Instant) -> f64 {
+        self.popularity.at(now)
     }
 
     /// Counts a request for the adapter.
     pub fn touch(&mut self, now: Instant) {
-        self.heat.touch(now);
+        self.popularity.touch(now);
     }
 }
 
@@ -286,8 +286,8 @@
             .places
             .iter()
             .filter(|(_, place)| place.users == 0 && place.state == PlaceState::Present);
-        let heats = idle.map(|(name, place)| (name.clone(), place.heat(now)));
-        heats.min_by(|(_, one), (_, other)| one.total_cmp(other))
+        let popularities = idle.map(|(name, place)| (name.clone(), place.popularity(now)));
+        popularities.min_by(|(_, one), (_, other)| one.total_cmp(other))
     }
 
     /// Returns the prompt tokens of a request that the engine has to read, given what it keeps.
--- a/crates/orioleroute/tests/scheduler.rs
+++ b/crates/orioleroute/tests/scheduler.rs
@@ -153,7 +153,7 @@
     scheduler.ordered(&load, Outcome::Fenced, now);
 
     let outputs = scheduler.take_outputs();
-    assert!(outputs.iter().any(|output| matches!(output, Output::Deposed)));
+    assert!(outputs.iter().any(|output| matches!(output, Output::Fenced)));
 }
 
 #[test]
