Forget abandoned requests and departed upstreams

Cause: an entry for each request that was given up before its scheduler answered, and the health of each upstream that ever was, stayed in memory. Found by reading.

--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -172,7 +172,9 @@
             }
             election::elect(&gateway);
             let registry = gateway.registry();
-            gateway.connections.prune(|id| registry.get(id).is_some(), now);
+            let is_there = |id: &str| registry.get(id).is_some();
+            gateway.connections.prune(is_there, now);
+            gateway.health().retain(|id, health| is_there(id) || health.outstanding() > 0);
         }
         let next =
             gateway.leadership.schedulers.borrow().values().filter_map(Scheduler::next_check).min();
--- a/crates/orioleroute-node/src/gateway/placing.rs
+++ b/crates/orioleroute-node/src/gateway/placing.rs
@@ -88,6 +88,7 @@
     fn give_back(&mut self, result: RunResult) {
         match std::mem::replace(&mut self.origin, Origin::Ended) {
             Origin::Scheduled { route, ticket } => {
+                route.forget(&self.gateway, ticket);
                 route.send(&self.gateway, ToScheduler::Ended { ticket, result: Some(result) });
             }
             Origin::Unscheduled { begun } => {
