--- a/crates/oriolectl/src/ask.rs
+++ b/crates/oriolectl/src/ask.rs
@@ -10,7 +10,7 @@
 use orioleroute_wire::client::{Call, Pool};
 
 use crate::command::{Command, Verb};
-use crate::print;
+use crate::{print, trace};
 
 /// The longest wait for an answer.
 const TIMEOUT: Duration = Duration::from_secs(15);
@@ -44,6 +44,7 @@
             };
             Ok(print::check(&answer, command.json))
         }
+        Verb::Trace { request, files } => Ok(trace::run(request, files, command.json)),
         Verb::Schema => {
             println!("{:#}", Document::schema());
             Ok(0)
--- a/crates/oriolectl/src/command.rs
+++ b/crates/oriolectl/src/command.rs
@@ -20,6 +20,13 @@
     Explain(String),
     /// Lets an instance leave.
     Drain,
+    /// Tells the story of a request from the logs of instances.
+    Trace {
+        /// The request's id.
+        request: String,
+        /// Where the logs are.
+        files: Vec<String>,
+    },
 }
 
 /// A whole command.
@@ -56,6 +63,9 @@
     status          show what holds where
     explain NAME    show why an adapter is where it is
     drain           let the asked instance leave
+    trace ID FILE...
+                    tell the story of a request from the logs of instances;
+                    - is standard input
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 the document has faults,
 4 another document was accepted first, 5 pending.
@@ -114,6 +124,10 @@
         ["status"] => Ok(Verb::Status),
         ["explain", name] => Ok(Verb::Explain(name.to_owned())),
         ["drain"] => Ok(Verb::Drain),
+        ["trace", request, _, ..] => {
+            let files = words[2..].iter().map(|file| (*file).to_owned()).collect();
+            Ok(Verb::Trace { request: request.to_owned(), files })
+        }
         [] => Err(Stop::Usage("a command is missing; --help lists them".into())),
         _ => Err(Stop::Usage(format!("no such command: {}; --help lists them", words.join(" ")))),
     }
--- a/crates/oriolectl/src/main.rs
+++ b/crates/oriolectl/src/main.rs
@@ -1,11 +1,12 @@
 //! The operator's command line of orioleroute.
 //!
-//! It asks one instance and never writes to the platform's table itself. `docs/OPERATIONS.md`
+//! It asks one instance, or reads log files, and never writes to the platform's table itself. `docs/OPERATIONS.md`
 //! shows it at work.
 
 mod ask;
 mod command;
 mod print;
+mod trace;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/oriolectl/src/trace.rs
@@ -0,0 +1,168 @@
+//! The story of one request, from the log files of all instances.
+
+use std::collections::BTreeSet;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+
+use serde_json::{Map, Value};
+
+use crate::print;
+
+/// How much of the log before a request's first line may tell why it failed, in milliseconds.
+///
+/// A lost dependency is noticed within seconds; see `docs/OPERATIONS.md`.
+const BEFORE_MS: i64 = 5_000;
+
+/// The name that stands for standard input.
+const STDIN: &str = "-";
+
+/// Fields that every line has or that the story tells in another way.
+const COMMON: [&str; 6] = ["msg", "level", "ts", "instance", "region", "request"];
+
+/// Prints what the logs tell of a request and returns the exit code.
+pub fn run(request: &str, files: &[String], json: bool) -> u8 {
+    let mut log = Log::default();
+    for file in files {
+        if let Err(error) = read(file, &mut log) {
+            eprintln!("oriolectl: {file}: {error}");
+            return print::FAILED;
+        }
+    }
+    let story = log.story(request);
+    if log.unreadable > 0 {
+        eprintln!("oriolectl: {} lines were no JSON objects with a time", log.unreadable);
+    }
+    if story.is_empty() {
+        eprintln!("oriolectl: no line tells of request {request}");
+        return print::FAILED;
+    }
+    for line in story {
+        match json {
+            true => println!("{}", Value::Object(line.fields.clone())),
+            false => println!("{}", line.to_text(request)),
+        }
+    }
+    0
+}
+
+/// The lines of several logs that can be part of a story.
+#[derive(Default)]
+struct Log {
+    lines: Vec<Line>,
+    unreadable: usize,
+}
+
+impl Log {
+    fn take(&mut self, text: &str) {
+        // Whatever collects the logs may put a prefix before each line.
+        let Some(start) = text.find('{') else {
+            self.unreadable += usize::from(!text.trim().is_empty());
+            return;
+        };
+        match serde_json::from_str(&text[start..]).ok().and_then(Line::new) {
+            Some(line) => self.lines.push(line),
+            None => self.unreadable += 1,
+        }
+    }
+
+    /// Returns the lines of a request and those that may explain it, in order of time.
+    fn story(&self, request: &str) -> Vec<&Line> {
+        let own: Vec<&Line> = self.lines.iter().filter(|line| line.is_of(request)).collect();
+        let (Some(first), Some(last)) =
+            (own.iter().map(|line| line.at_ms).min(), own.iter().map(|line| line.at_ms).max())
+        else {
+            return Vec::new();
+        };
+        let instances: BTreeSet<&str> =
+            own.iter().filter_map(|line| line.text("instance")).collect();
+        let upstreams: BTreeSet<&str> =
+            own.iter().filter_map(|line| line.text("upstream")).collect();
+        let explains = |line: &Line| {
+            let is_near = (first - BEFORE_MS..=last).contains(&line.at_ms);
+            let is_there = line.text("instance").is_some_and(|name| instances.contains(name));
+            let is_upstream = line.text("upstream").is_some_and(|name| upstreams.contains(name));
+            is_near && line.is_of_nobody() && (is_upstream || is_there && line.is_notable())
+        };
+        let mut story: Vec<&Line> =
+            self.lines.iter().filter(|line| line.is_of(request) || explains(line)).collect();
+        story.sort_by_key(|line| line.at_ms);
+        story
+    }
+}
+
+/// A line of a log.
+struct Line {
+    at_ms: i64,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    fn new(fields: Map<String, Value>) -> Option<Self> {
+        let at_ms = milliseconds(fields.get("ts")?.as_str()?)?;
+        Some(Self { at_ms, fields })
+    }
+
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+
+    fn is_of(&self, request: &str) -> bool {
+        self.text("request") == Some(request)
+    }
+
+    fn is_of_nobody(&self) -> bool {
+        self.text("request").is_none()
+    }
+
+    /// Returns whether a line tells of trouble or of a change that concerns all requests.
+    fn is_notable(&self) -> bool {
+        const CHANGES: [&str; 8] = [
+            "configuration in force",
+            "scheduling begins",
+            "scheduling ends",
+            "scheduler connected",
+            "store regained",
+            "started",
+            "stopping",
+            "stopped",
+        ];
+        let is_warning = matches!(self.text("level"), Some("WARN" | "ERRO" | "CRIT"));
+        is_warning || self.text("msg").is_some_and(|message| CHANGES.contains(&message))
+    }
+
+    fn to_text(&self, request: &str) -> String {
+        let mark = if self.is_of(request) { '*' } else { ' ' };
+        let time = self.text("ts").unwrap_or_default();
+        let instance = self.text("instance").unwrap_or("-");
+        let message = self.text("msg").unwrap_or_default();
+        let mut text = format!("{mark} {time}  {instance:<24}  {message}");
+        for (name, value) in &self.fields {
+            if COMMON.contains(&name.as_str()) || value.is_null() {
+                continue;
+            }
+            match value.as_str() {
+                Some(value) if value.contains(' ') => text += &format!("  {name}={value:?}"),
+                Some(value) => text += &format!("  {name}={value}"),
+                None => text += &format!("  {name}={value}"),
+            }
+        }
+        text
+    }
+}
+
+fn read(file: &str, log: &mut Log) -> io::Result<()> {
+    let lines: Box<dyn BufRead> = match file {
+        STDIN => Box::new(io::stdin().lock()),
+        _ => Box::new(BufReader::new(File::open(file)?)),
+    };
+    for line in lines.split(b'\n') {
+        log.take(&String::from_utf8_lossy(&line?));
+    }
+    Ok(())
+}
+
+/// Returns a time of the log in milliseconds since 1970.
+fn milliseconds(text: &str) -> Option<i64> {
+    let time: jiff::Timestamp = text.parse().ok()?;
+    Some(time.as_millisecond())
+}
