Spread adapters that load together over the engines

Cause: the expected start took the longer of load and queue, so three requests for missing adapters all went to the first engine, where their prompts were then read one after another. The choice now adds the queue of those that load together. Test: three adapters go to three engines (one before).

--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -166,7 +166,12 @@
         step = Step::Queue(Obstacle::Full);
     }
     let penalty = Duration::from_secs_f64(runner.health.cost(runner.slots, NO_DISTANCE));
-    Some((start + reluctance + penalty, Candidate { runner: key, step, start }))
+    // Prompts whose adapters arrive together are read one after another.
+    let crowding = match step {
+        Step::Load { .. } => runner.reading_time(runner.queued_tokens).min(load),
+        _ => Duration::ZERO,
+    };
+    Some((start + reluctance + penalty + crowding, Candidate { runner: key, step, start }))
 }
 
 /// Returns what the request's adapter needs, how long it takes, and what it costs others.
--- a/crates/orioleroute/tests/scheduler.rs
+++ b/crates/orioleroute/tests/scheduler.rs
@@ -323,3 +323,17 @@
 
     assert_eq!(refusals(&scheduler.take_outputs()), [(100, Reason::Overloaded)]);
 }
+
+#[test]
+fn adapters_that_are_asked_for_together_are_loaded_by_different_engines() {
+    let descriptions: Vec<_> = (0..3).map(|number| description(number, &[])).collect();
+    let (mut scheduler, now) = scheduler(&descriptions);
+
+    for ticket in 0..3 {
+        scheduler.place(CLIENT, placement(ticket, &format!("a{ticket}")), now);
+    }
+
+    let loads = orders(&scheduler.take_outputs());
+    let engines: Set<&str> = loads.iter().map(|order| &*order.upstream).collect();
+    assert_eq!(engines.len(), 3, "{loads:?}");
+}
