--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -12,12 +12,17 @@
 pub mod message;
 pub mod order;
 mod orders;
+mod output;
 pub mod placement;
 pub mod queue;
+mod request;
 pub mod runner;
 
 use slotmap::SlotMap;
 
+pub use output::{Decision, Output};
+pub use request::{CachedPart, Client, Request, RequestKey};
+
 use crate::hash;
 use crate::ingress::Configuration;
 use crate::ingress::configuration::Engine;
@@ -42,95 +47,6 @@
 /// The popularity below which a count is dropped when there are too many.
 const FORGOTTEN_REQUESTS: f64 = 0.5;
 
-/// The instance that asked, as its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Client(pub u64);
-
-/// A request of an instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RequestKey {
-    /// Who asked.
-    pub client: Client,
-    /// Its number for the request.
-    pub ticket: u64,
-}
-
-/// A request that needs a place.
-#[derive(Clone, Debug)]
-pub struct Request {
-    /// Its service.
-    pub service: Arc<str>,
-    /// The base model.
-    pub model: Arc<str>,
-    /// The adapter.
-    pub adapter: Option<Arc<str>>,
-    /// The oldest version of the adapter that will do.
-    pub version: Option<u64>,
-    /// The tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// The most tokens of the output.
-    pub output_tokens: u32,
-    /// The parts of the prompt as an engine caches them.
-    pub parts: Vec<CachedPart>,
-    /// The rank; 0 is served first.
-    pub priority: u8,
-    /// When the client leaves.
-    pub deadline: Instant,
-    /// When the answer is late.
-    pub objective: Instant,
-    /// Engines that have failed the request.
-    pub excluded: Vec<Arc<str>>,
-    /// Whether the client was refused before and has come back.
-    pub is_return: bool,
-    /// The client's id of the attempt.
-    pub attempt: Option<Arc<str>>,
-    /// When it was asked for.
-    pub arrived: Instant,
-}
-
-/// A part of a prompt, read by a certain adapter.
-#[derive(Clone, Copy, Debug)]
-pub struct CachedPart {
-    /// Identifies the part and the adapter.
-    pub key: u64,
-    /// Its tokens.
-    pub tokens: u32,
-}
-
-/// What the scheduler wants done.
-#[derive(Clone, Debug)]
-pub enum Output {
-    /// Tell an instance.
-    Tell(Client, ToInstance),
-    /// Give an order to an engine; the answer comes back with [`Scheduler::ordered`].
-    Order(std::net::SocketAddr, Order),
-    /// Ask an engine for its report; it comes back with [`Scheduler::reported`].
-    Report(std::net::SocketAddr, Arc<str>),
-    /// Another scheduler has given orders: this one must stop.
-    Fenced,
-    /// A request was decided on.
-    Decided(Decision),
-}
-
-/// What was decided on a request, and by what, for the log.
-#[derive(Clone, Debug)]
-pub struct Decision {
-    /// The client's id of the attempt.
-    pub attempt: Option<Arc<str>>,
-    /// What its adapter needed when it was taken, or why it was refused.
-    pub reason: &'static str,
-    /// What was still to happen before it could run when it was refused, or `held` if it runs.
-    pub step: &'static str,
-    /// The engine, if one was granted.
-    pub upstream: Option<Arc<str>>,
-    /// How long it waited.
-    pub waited: Duration,
-    /// How long it was expected to take to the first event when it was taken or refused.
-    pub expected: Duration,
-    /// How long the engines would read what was to go before it.
-    pub queue: Duration,
-}
-
 /// The scheduler of one availability zone.
 pub struct Scheduler {
     fencing: u64,
--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -40,7 +40,7 @@
 /// The part of an engine's cache that may be promised to requests.
 const CACHE_SHARE: f64 = 0.9;
 
-/// The weight of an engine's failure rate and load, as [`crate::ingress::health`] has it.
+/// The distance of the engines, which are all in the scheduler's zone, for [`crate::ingress::health`].
 const NO_DISTANCE: Duration = Duration::ZERO;
 
 /// What has to happen before a request can run at an engine.
@@ -165,13 +165,13 @@
     } else if !has_room(runner, engine, request) {
         step = Step::Queue(Obstacle::Full);
     }
-    let penalty = Duration::from_secs_f64(runner.health.cost(runner.slots, NO_DISTANCE));
     // Prompts whose adapters arrive together are read one after another.
     let crowding = match step {
         Step::Load { .. } => runner.reading_time(runner.queued_tokens).min(load),
-        _ => Duration::ZERO,
+        Step::Use | Step::Await | Step::Queue(_) => Duration::ZERO,
     };
-    Some((start + reluctance + penalty + crowding, Candidate { runner: key, step, start }))
+    let penalty = Duration::from_secs_f64(runner.health.cost(runner.slots, NO_DISTANCE));
+    Some((start + reluctance + crowding + penalty, Candidate { runner: key, step, start }))
 }
 
 /// Returns what the request's adapter needs, how long it takes, and what it costs others.
--- a/crates/orioleroute/tests/moments.rs
+++ b/crates/orioleroute/tests/moments.rs
@@ -125,8 +125,7 @@
         world.run(Duration::from_secs(8));
         world.settle(QUIET);
 
-        let breaches = world.checker.breaches().iter();
-        let broken: Vec<_> = breaches.collect();
+        let broken = world.checker.breaches();
         assert!(broken.is_empty(), "{fault:?} at {moment:?}: {broken:?}");
     }
 }
