Expect fetches to take as long as the last ones did

The expected time now follows the fetches, and is forgotten within seconds: without that, a zone that refuses all fetches as too slow would never see that they no longer are. Test: slow fetches let a request be refused at once, and ten seconds later it is taken (fails before).

--- a/crates/orioleroute/src/scheduler/fetches.rs
+++ b/crates/orioleroute/src/scheduler/fetches.rs
@@ -24,15 +24,24 @@
 /// What remains of the limit after a fetch that shows that there are too many.
 const BACK_OFF: f64 = 0.9;
 
-/// The number of adapters that a zone fetches at once.
+/// The weight of one fetch in the time that fetches are expected to take.
+const SMOOTHING: f64 = 0.2;
+
+/// The time in which the excess of earlier fetches falls to a third: a few seconds, as long as most
+/// disturbances last.
+const MEMORY: Duration = Duration::from_secs(2);
+
+/// The number of adapters that a zone fetches at once, and how long that takes.
 #[derive(Clone, Copy, Debug)]
 pub struct Window {
     limit: f64,
+    time: Duration,
+    observed: Instant,
 }
 
 impl Default for Window {
     fn default() -> Self {
-        Self { limit: FIRST_LIMIT }
+        Self { limit: FIRST_LIMIT, time: COLD_LOAD, observed: Instant::ZERO }
     }
 }
 
@@ -42,8 +51,20 @@
         self.limit as usize
     }
 
+    /// Returns how long a fetch is expected to take once it is under way.
+    ///
+    /// What earlier ones took is forgotten: if nothing is fetched since that would be too slow,
+    /// nothing shows that it no longer is.
+    pub fn time(&self, now: Instant) -> Duration {
+        let age = now.since(self.observed).as_secs_f64() / MEMORY.as_secs_f64();
+        let excess = self.time.saturating_sub(COLD_LOAD).mul_f64((-age).exp());
+        self.time.min(COLD_LOAD) + excess
+    }
+
     /// Takes note of how long a fetch took while so many were on their way.
-    pub fn observe(&mut self, time: Duration, under_way: usize) {
+    pub fn observe(&mut self, time: Duration, under_way: usize, now: Instant) {
+        self.time = self.time(now).mul_f64(1.0 - SMOOTHING) + time.mul_f64(SMOOTHING);
+        self.observed = now;
         let slowdown = time.as_secs_f64() / COLD_LOAD.as_secs_f64();
         let is_used = under_way as f64 + 1.0 >= self.limit;
         if slowdown <= UNHURRIED && is_used {
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -385,7 +385,7 @@
     }
 
     fn choose(&self, engine: &Engine, request: &Request, now: Instant) -> Option<Candidate> {
-        placement::choose(&self.runners, engine, request, self.cold_loads(), now)
+        placement::choose(&self.runners, engine, request, self.cold_loads(now), now)
     }
 
     fn refuse(
--- a/crates/orioleroute/src/scheduler/orders.rs
+++ b/crates/orioleroute/src/scheduler/orders.rs
@@ -29,13 +29,14 @@
         if let (Outcome::Holds, Some(place)) = (outcome, place)
             && let PlaceState::Loading { is_cold: true, is_accepted: true, since, .. } = place.state
         {
-            let under_way = self.cold_loads().under_way;
-            self.fetches.observe(now.since(since), under_way);
+            let under_way = self.cold_loads(now).under_way;
+            self.fetches.observe(now.since(since), under_way, now);
         }
     }
 
-    pub(super) fn cold_loads(&self) -> ColdLoads {
-        let mut cold = ColdLoads { under_way: 0, waiting: 0, limit: self.fetches.limit() };
+    pub(super) fn cold_loads(&self, now: Instant) -> ColdLoads {
+        let (limit, time) = (self.fetches.limit(), self.fetches.time(now));
+        let mut cold = ColdLoads { under_way: 0, waiting: 0, limit, time };
         // What a silent engine was to fetch need not be on its way.
         let answering = self.runners.values().filter(|runner| !runner.is_silent);
         for place in answering.flat_map(|runner| runner.places.values()) {
@@ -70,7 +71,7 @@
         if let Some(adapter) = runner.next_unload() {
             return self.order(key, model, Action::UnloadAdapter { adapter });
         }
-        let cold = self.cold_loads();
+        let cold = self.cold_loads(now);
         let Some((adapter, is_cold)) = self.next_load(key, cold, now) else { return };
         let capacity = self.engine(&runner.service).map_or(0, |engine| engine.adapter_places);
         let runner = &mut self.runners[key];
--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -115,6 +115,8 @@
     pub waiting: usize,
     /// Those that may be on their way before each takes longer.
     pub limit: usize,
+    /// How long each takes.
+    pub time: Duration,
 }
 
 /// Returns the best engine for `request`, or `None` if none can run it.
@@ -245,7 +247,7 @@
         return WARM_LOAD;
     }
     let crowd = (cold.under_way + cold.waiting + 1) as f64 / cold.limit.max(1) as f64;
-    COLD_LOAD.mul_f64(crowd.max(1.0))
+    cold.time.mul_f64(crowd.max(1.0))
 }
 
 /// Returns whether the engine has a slot and cache for the request.
--- a/crates/orioleroute/tests/scheduler.rs
+++ b/crates/orioleroute/tests/scheduler.rs
@@ -337,3 +337,30 @@
     let engines: Set<&str> = loads.iter().map(|order| &*order.upstream).collect();
     assert_eq!(engines.len(), 3, "{loads:?}");
 }
+
+#[test]
+fn slow_fetches_are_expected_to_be_slow_for_a_while() {
+    let (mut scheduler, mut now) = scheduler(&[description(0, &[])]);
+    let mut loads = Vec::new();
+    for ticket in 0..4 {
+        scheduler.place(CLIENT, placement(ticket, &format!("a{ticket}")), now);
+        loads.push(orders(&scheduler.take_outputs()).remove(0));
+        scheduler.ordered(&loads[loads.len() - 1], Outcome::Accepted, now);
+    }
+    now += Duration::from_millis(900);
+    loads.iter().for_each(|load| scheduler.ordered(load, Outcome::Holds, now));
+    for ticket in 0..4 {
+        scheduler.started(key(ticket), now);
+        scheduler.ended(key(ticket), Some(RunResult::Answered), now);
+    }
+    scheduler.take_outputs();
+
+    scheduler.place(CLIENT, placement(100, "b1"), now);
+
+    let refused = refusals(&scheduler.take_outputs());
+    scheduler.place(CLIENT, placement(101, "b1"), now + Duration::from_secs(10));
+    let later = scheduler.take_outputs();
+
+    assert_eq!(refused, [(100, Reason::Overloaded)]);
+    assert_eq!((refusals(&later).len(), orders(&later).len()), (0, 1));
+}
