--- a/crates/orioleroute/src/scheduler/admission.rs
+++ b/crates/orioleroute/src/scheduler/admission.rs
@@ -47,6 +47,7 @@
     }
     let is_on_time = expected_start <= request.objective.since(now).mul_f64(START_SHARE);
     let is_taken_late = match request.is_return {
+        // Late is better than refused again, unless it would be given up while it waits.
         true => expected_start <= longest_wait(request).mul_f64(START_SHARE),
         // A late answer is worth less than what fetching its adapter takes from others.
         false => queue <= IDLE_QUEUE && !step.is_fetch(),
@@ -67,6 +68,7 @@
     now.since(request.arrived) < longest_wait(request)
 }
 
+/// Returns how long a request waits before it is given up.
 fn longest_wait(request: &Request) -> Duration {
     let whole = request.deadline.since(request.arrived);
     let to_objective = request.objective.since(request.arrived);
