--- a/crates/orioleroute/src/scheduler/output.rs
+++ b/crates/orioleroute/src/scheduler/output.rs
@@ -10,9 +10,9 @@
 pub enum Output {
     /// Tell an instance.
     Tell(Client, ToInstance),
-    /// Give an order to an engine; the answer comes back with [`Scheduler::ordered`].
+    /// Give an order to an engine; the answer comes back with [`Scheduler::ordered`](super::Scheduler::ordered).
     Order(std::net::SocketAddr, Order),
-    /// Ask an engine for its report; it comes back with [`Scheduler::reported`].
+    /// Ask an engine for its report; it comes back with [`Scheduler::reported`](super::Scheduler::reported).
     Report(std::net::SocketAddr, Arc<str>),
     /// Another scheduler has given orders: this one must stop.
     Fenced,
