Log what an instance knows of an upstream, and grants that it does not use

Change: `upstream standing changed` with the standing before and after and the version of the list, `grant not used` with the request, and two metrics. No logic is changed.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -176,6 +176,7 @@
             Err(refusal) => return TryOutcome::NoPermit(refusal),
         };
         if self.gateway.registry().is_leaving(&permit.upstream) {
+            self.log_departed(&permit);
             return TryOutcome::NotRun(permit, RunResult::Departed);
         }
         let target = Target { id: permit.upstream.clone(), address: permit.address };
@@ -410,6 +411,13 @@
         }
     }
 
+    fn log_departed(&self, permit: &Permit) {
+        let standing = self.gateway.registry().standing(&permit.upstream);
+        metrics::counter!("orioleroute_grants_departed_total").increment(1);
+        info!(self.gateway.log, "grant not used"; "request" => self.attempt.id.as_deref(),
+            "upstream" => &*permit.upstream, "standing" => standing.to_string());
+    }
+
     fn log(&self, outcome: &'static str) {
         let time = self.gateway.now().since(self.inbound.arrived);
         metrics::counter!("orioleroute_requests_total", "outcome" => outcome).increment(1);
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -21,7 +21,7 @@
 use slog::{info, warn};
 
 use super::state::Gateway;
-use super::{copies, election, link, orders};
+use super::{copies, election, link, orders, sync};
 
 /// How often elections are run.
 pub const ELECTION_INTERVAL: Duration = Duration::from_millis(250);
@@ -207,9 +207,7 @@
         tick(&gateway);
         if now >= next_election {
             next_election = now + ELECTION_INTERVAL;
-            if gateway.registry().expire(now) {
-                update_engines(&gateway);
-            }
+            sync::expire_upstreams(&gateway);
             election::elect(&gateway);
             let registry = gateway.registry();
             let is_listed = |id: &str| registry.get(id).is_some();
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use orioleroute::ingress::feed::{self, Table};
-use orioleroute::ingress::registry::Change;
+use orioleroute::ingress::registry::{Change, Standing};
 use orioleroute::ingress::roster::Member;
 use orioleroute::prelude::*;
 use orioleroute_platform::records::{self, OperatorRecord};
@@ -229,7 +229,14 @@
         }
         false => {
             let changes: Vec<Change> = changes.collect();
+            let before: Vec<Standing> = {
+                let registry = gateway.registry();
+                rows.iter().map(|row| registry.standing(&row.key)).collect()
+            };
             gateway.registry().apply(changes, now);
+            for (row, before) in rows.iter().zip(before) {
+                log_standing(gateway, &row.key, before);
+            }
         }
     }
     if !rows.is_empty() {
@@ -237,6 +244,29 @@
     }
 }
 
+/// Removes the upstreams that are still missing some time after an outage.
+pub fn expire_upstreams(gateway: &Rc<Gateway>) {
+    let expired = gateway.registry().expire(gateway.now());
+    for upstream in &expired {
+        log_standing(gateway, upstream, Standing::Missing);
+    }
+    if !expired.is_empty() {
+        leadership::update_engines(gateway);
+    }
+}
+
+fn log_standing(gateway: &Gateway, upstream: &str, before: Standing) {
+    let after = gateway.registry().standing(upstream);
+    if after == before {
+        return;
+    }
+    let missing = gateway.registry().missing();
+    metrics::gauge!("orioleroute_upstreams_missing").set(missing as f64);
+    info!(gateway.log, "upstream standing changed"; "upstream" => upstream,
+        "before" => before.to_string(), "after" => after.to_string(),
+        "version" => gateway.feed.version(Table::Upstreams));
+}
+
 fn table_name(table: Table) -> &'static str {
     match table {
         Table::Operator => records::OPERATOR_TABLE,
--- a/crates/orioleroute/src/ingress/registry.rs
+++ b/crates/orioleroute/src/ingress/registry.rs
@@ -30,6 +30,20 @@
     last_outage: Option<Instant>,
 }
 
+/// What an instance knows of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// The upstream is not registered.
+    Unlisted,
+    /// The upstream accepts requests.
+    Ready,
+    /// The upstream is registered and shutting down.
+    Draining,
+    /// The upstream's entry is missing after an outage of the list. It still gets requests.
+    Missing,
+}
+
 /// A change to the list.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -63,6 +77,21 @@
         }
     }
 
+    /// Returns what is known of an upstream.
+    pub fn standing(&self, id: &str) -> Standing {
+        match self.upstreams.get(id).map(|upstream| upstream.state) {
+            None => Standing::Unlisted,
+            Some(State::Draining) => Standing::Draining,
+            Some(State::Ready) if self.missing.contains_key(id) => Standing::Missing,
+            Some(State::Ready) => Standing::Ready,
+        }
+    }
+
+    /// Returns the number of upstreams that get requests although their entries are missing.
+    pub fn missing(&self) -> usize {
+        self.missing.len()
+    }
+
     /// Returns the upstreams of a service that accept requests.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Description> {
         self.iter()
@@ -102,11 +131,10 @@
         }
     }
 
-    /// Removes upstreams that are still missing after the grace period, and returns whether there were
-    /// any.
-    pub fn expire(&mut self, now: Instant) -> bool {
+    /// Removes the upstreams that are still missing after the grace period, and returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<Arc<str>> {
         if self.unavailable {
-            return false;
+            return Vec::new();
         }
         let due: Vec<Arc<str>> = self
             .missing
@@ -118,7 +146,7 @@
             self.missing.remove(id);
             self.drop_upstream(id, now);
         }
-        !due.is_empty()
+        due
     }
 
     fn recover(&mut self, now: Instant) {
