--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -234,8 +234,12 @@
                 rows.iter().map(|row| registry.standing(&row.key)).collect()
             };
             gateway.registry().apply(changes, now);
+            // An upstream may have changed more than once.
+            let mut logged: Set<&Arc<str>> = Set::default();
             for (row, before) in rows.iter().zip(before) {
-                log_standing(gateway, &row.key, before);
+                if logged.insert(&row.key) {
+                    log_standing(gateway, &row.key, before);
+                }
             }
         }
     }
