Drop a removed upstream at once while the store serves other instances

Cause: an entry that disappears after an outage is kept for 2.2 s, because the upstream may be alive and its heartbeats could not arrive. Each instance took a failed call of its own for an outage of the store. One that was cut off alone, or followed siblings that were served, kept upstreams that had really left, and each further failed call extended the grace. Class: the instance's own view taken for the state of the store.

Change: heartbeats report how the sender's calls to the store went (access::Report). The grace begins when the store serves the first instance that is known to have been served without a gap since; if that is longer ago than the grace, entries are gone at once. An answer after a gap of 2 s or a suspension begins a new span, so that an instance that was frozen over an outage does not report an available store. An instance that follows a current sibling no longer counts the list as unavailable.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use local_sync::mpsc;
+use orioleroute::ingress::access::Access;
 use orioleroute::ingress::feed::{
     self, Message, Projection, Replica, Row, SOURCES, Sources, Subscription, Table, ToReader,
     Update,
@@ -51,6 +52,8 @@
     failing: RefCell<Set<Table>>,
     /// The number of failed calls to the store.
     failures: Cell<u64>,
+    /// The outcomes of the calls about the upstreams.
+    access: Cell<Access>,
 }
 
 /// An instance that follows this one.
@@ -82,9 +85,22 @@
         self.sources.borrow().is_empty()
     }
 
+    /// Returns this instance's access to the store.
+    pub fn access(&self) -> Access {
+        self.access.get()
+    }
+
     /// Forgets a failed call, because this instance no longer reads the table from the store.
     pub fn clear_failure(&self, table: Table) {
         self.failing.borrow_mut().remove(&table);
+        if table == Table::Upstreams {
+            self.clear_access();
+        }
+    }
+
+    /// Forgets the outcomes of calls to the store.
+    pub fn clear_access(&self) {
+        self.access.set(Access::Unused);
     }
 
     /// Returns whether the last call to the store about a table failed.
@@ -100,6 +116,9 @@
 
     /// Records a failed call to the store, and notifies the followers.
     pub fn record_failure(&self, table: Table) {
+        if table == Table::Upstreams {
+            self.access.set(Access::Failed);
+        }
         self.failures.set(self.failures.get() + 1);
         if self.failing.borrow_mut().insert(table) {
             self.notify_loss();
@@ -113,8 +132,13 @@
     }
 
     /// Applies an update that was read from the store, passes it on, and returns the changed rows.
-    pub fn apply_read(&self, update: &Update) -> Vec<Row> {
+    pub fn apply_read(&self, update: &Update, now: Instant) -> Vec<Row> {
         self.failing.borrow_mut().remove(&update.table);
+        if update.table == Table::Upstreams {
+            let mut access = self.access.get();
+            access.record_answer(now);
+            self.access.set(access);
+        }
         let changed = self.apply(update).unwrap_or_default();
         if self.is_reader.get() && self.failing.borrow().is_empty() {
             self.publish(update);
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -201,6 +201,8 @@
         let now = gateway.now();
         if gateway.leadership.was_suspended(now) {
             warn!(gateway.log, "process was suspended, orders held until the leaders are read");
+            // The monotonic clock did not count the suspension, in which the store may have been away.
+            gateway.feed.clear_access();
             monoio::spawn(election::read_leaders(gateway.clone()));
         }
         gateway.leadership.observe_contact(&gateway, now);
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -91,7 +91,7 @@
                 let has_changes = version.is_none() || !read.rows.is_empty();
                 let update = to_update(&gateway, table, version, read);
                 let is_first = feed.version(table).is_none();
-                let changed = feed.apply_read(&update);
+                let changed = feed.apply_read(&update, gateway.now());
                 apply(&gateway, table, changed, is_first);
                 if has_changes {
                     monoio::time::sleep(watch_interval(table)).await;
@@ -112,7 +112,7 @@
                 if table == Table::Upstreams {
                     // Meanwhile a reader follows others, which send it summaries.
                     has_summaries = true;
-                    gateway.registry().mark_unavailable(gateway.now());
+                    observe_loss(&gateway);
                 }
                 let delay = match is_follower {
                     true => {
@@ -163,7 +163,7 @@
     }
 }
 
-/// Records that a reader that this instance follows has lost the store.
+/// Records that this instance, or a reader that it follows, has lost the store.
 pub fn observe_loss(gateway: &Rc<Gateway>) {
     if gateway.feed.has_no_source() {
         gateway.registry().mark_unavailable(gateway.now());
@@ -210,6 +210,7 @@
 
 fn apply_upstreams(gateway: &Rc<Gateway>, rows: &[feed::Row], is_whole: bool) {
     let now = gateway.now();
+    observe_others(gateway);
     let changes = rows.iter().map(|row| {
         let entry = row.value.as_deref().map(serde_json::from_str);
         match entry {
@@ -250,6 +251,7 @@
 
 /// Removes the upstreams that are still missing some time after an outage.
 pub fn expire_upstreams(gateway: &Rc<Gateway>) {
+    observe_others(gateway);
     let expired = gateway.registry().expire(gateway.now());
     for upstream in &expired {
         log_standing(gateway, upstream, Standing::Missing);
@@ -259,6 +261,11 @@
     }
 }
 
+fn observe_others(gateway: &Gateway) {
+    let served_since = gateway.roster().store_available_since(gateway.now());
+    gateway.registry().observe_others(served_since);
+}
+
 fn log_standing(gateway: &Gateway, upstream: &str, before: Standing) {
     let after = gateway.registry().standing(upstream);
     if after == before {
--- a/crates/orioleroute/src/ingress/mod.rs
+++ b/crates/orioleroute/src/ingress/mod.rs
@@ -4,6 +4,7 @@
 //! here the configuration is accepted elsewhere and only read. `docs/PLATFORM.md` describes which
 //! program uses which.
 
+pub mod access;
 pub mod attempt;
 pub mod configuration;
 pub mod deadline;
--- a/crates/orioleroute/src/ingress/registry.rs
+++ b/crates/orioleroute/src/ingress/registry.rs
@@ -3,7 +3,7 @@
 use super::upstream::{Description, State};
 use crate::prelude::*;
 
-/// How long after an outage of the list a missing upstream stays registered. An upstream writes its
+/// How long after an outage of the store a missing upstream stays registered. An upstream writes its
 /// entry again at its next heartbeat, which takes up to two seconds.
 pub const RECOVERY_GRACE: Duration = Duration::from_millis(2_200);
 
@@ -17,17 +17,22 @@
 
 /// The registered upstreams.
 ///
-/// An upstream whose entry expired during an outage of the list is kept until [`RECOVERY_GRACE`]
-/// after the list has recovered, because its heartbeats could not arrive.
+/// An upstream whose entry expired during an outage of the store is kept until [`RECOVERY_GRACE`]
+/// after the store has recovered, because its heartbeats could not arrive. An entry that is missing
+/// although the store served other instances is gone.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     upstreams: Map<Arc<str>, Description>,
-    missing: Map<Arc<str>, Instant>,
+    /// The upstreams whose entries are missing after an outage.
+    missing: Set<Arc<str>>,
     /// When upstreams that are no longer registered were removed.
     removed: Map<Arc<str>, Instant>,
     is_read: bool,
     unavailable: bool,
+    /// When the list was last unavailable to this instance.
     last_outage: Option<Instant>,
+    /// Since when the store has served other instances, if it does.
+    served_others_since: Option<Instant>,
 }
 
 /// What an instance knows of an upstream.
@@ -82,7 +87,7 @@
         match self.upstreams.get(id).map(|upstream| upstream.state) {
             None => Standing::Unlisted,
             Some(State::Draining) => Standing::Draining,
-            Some(State::Ready) if self.missing.contains_key(id) => Standing::Missing,
+            Some(State::Ready) if self.missing.contains(id) => Standing::Missing,
             Some(State::Ready) => Standing::Ready,
         }
     }
@@ -98,12 +103,17 @@
             .filter(move |upstream| &*upstream.service == service && upstream.state == State::Ready)
     }
 
-    /// Records that the list is unavailable.
+    /// Records that the list is unavailable to this instance.
     pub fn mark_unavailable(&mut self, now: Instant) {
         self.unavailable = true;
         self.last_outage = Some(now);
     }
 
+    /// Records since when the store has served other instances, or `None` if it is not known to serve any.
+    pub fn observe_others(&mut self, served_since: Option<Instant>) {
+        self.served_others_since = served_since;
+    }
+
     /// Replaces all entries with a complete snapshot of the list.
     pub fn replace(&mut self, entries: impl IntoIterator<Item = Description>, now: Instant) {
         self.recover(now);
@@ -133,28 +143,30 @@
 
     /// Removes the upstreams that are still missing after the grace period, and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<Arc<str>> {
-        if self.unavailable {
+        if self.may_lack_entries(now) {
             return Vec::new();
         }
-        let due: Vec<Arc<str>> = self
-            .missing
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
+        let due: Vec<Arc<str>> = self.missing.drain().collect();
         for id in &due {
-            self.missing.remove(id);
             self.drop_upstream(id, now);
         }
         due
     }
 
+    /// Returns whether entries of upstreams that are alive may be missing, because the store was away.
+    fn may_lack_entries(&self, now: Instant) -> bool {
+        let Some(outage) = self.last_outage else { return false };
+        let own_return = (!self.unavailable).then_some(outage);
+        // The store is back as soon as it serves any instance.
+        match own_return.into_iter().chain(self.served_others_since).min() {
+            Some(back) => now.since(back) < RECOVERY_GRACE,
+            None => true,
+        }
+    }
+
     fn recover(&mut self, now: Instant) {
         if std::mem::take(&mut self.unavailable) {
             self.last_outage = Some(now);
-            for until in self.missing.values_mut() {
-                *until = now + RECOVERY_GRACE;
-            }
         }
     }
 
@@ -166,19 +178,15 @@
 
     fn remove(&mut self, id: &Arc<str>, now: Instant) {
         let Some(entry) = self.upstreams.get(id) else { return };
-        let expired_in_outage =
-            self.last_outage.is_some_and(|outage| now.since(outage) < RECOVERY_GRACE);
-        match expired_in_outage && entry.state == State::Ready {
-            true => {
-                let outage = self.last_outage.unwrap_or(now);
-                self.missing.entry(id.clone()).or_insert(outage + RECOVERY_GRACE);
-            }
+        match entry.state == State::Ready && self.may_lack_entries(now) {
+            true => drop(self.missing.insert(id.clone())),
             false => self.drop_upstream(id, now),
         }
     }
 
     fn drop_upstream(&mut self, id: &Arc<str>, now: Instant) {
         self.upstreams.remove(id);
+        self.missing.remove(id);
         self.removed.retain(|_, removed| now.since(*removed) < REMOVED_RETENTION);
         self.removed.insert(id.clone(), now);
     }
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::access::{Access, Report};
 use super::feed::READERS_PER_REGION;
 use crate::hash;
 use crate::prelude::*;
@@ -55,6 +56,9 @@
     pub incarnation: u64,
     /// Whether clients may use the sender.
     pub is_serving: bool,
+    /// The sender's access to the store.
+    #[serde(default)]
+    pub store: Report,
     /// The loads of the availability zones that the sender schedules.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<Load>,
@@ -102,6 +106,7 @@
     added: Instant,
     last_heartbeat: Option<Instant>,
     is_serving: bool,
+    store: Access,
 }
 
 impl Roster {
@@ -133,6 +138,7 @@
                     added: now,
                     last_heartbeat: None,
                     is_serving: true,
+                    store: Access::Unused,
                 };
                 self.peers.insert(member.name, peer);
             }
@@ -149,6 +155,7 @@
         if let Some(peer) = self.peers.get_mut(&heartbeat.name) {
             peer.last_heartbeat = Some(now);
             peer.is_serving = heartbeat.is_serving;
+            peer.store = Access::from_report(heartbeat.store, now);
             self.record_loads(&heartbeat.loads, now);
         }
     }
@@ -166,12 +173,19 @@
         recent.map(|(load, _)| load)
     }
 
-    /// Returns the heartbeat of this instance, given the loads of the zones that it schedules.
-    pub fn heartbeat(&self, loads: Vec<Load>) -> Heartbeat {
+    /// Returns since when the store has answered another instance, by the earliest that it still answers.
+    pub fn store_available_since(&self, now: Instant) -> Option<Instant> {
+        self.peers.values().filter_map(|peer| peer.store.available_since(now)).min()
+    }
+
+    /// Returns the heartbeat of this instance, given its access to the store and the loads of the zones
+    /// that it schedules.
+    pub fn heartbeat(&self, store: Report, loads: Vec<Load>) -> Heartbeat {
         Heartbeat {
             name: self.own.name.clone(),
             incarnation: self.own.incarnation,
             is_serving: self.is_serving,
+            store,
             loads,
         }
     }
--- a/crates/orioleroute/tests/feed.rs
+++ b/crates/orioleroute/tests/feed.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 
+use orioleroute::ingress::access::Report;
 use orioleroute::ingress::feed::{
     MAX_JITTER, Projection, READERS_PER_REGION, Replica, Row, SOURCE_TIMEOUT, Sources, Table,
     Update, jitter, retry_delay,
@@ -393,6 +394,7 @@
                 name: member.name,
                 incarnation: 1,
                 is_serving: true,
+                store: Report::Unused,
                 loads: Vec::new(),
             };
             roster.record_heartbeat(&heartbeat, now);
--- a/crates/orioleroute/tests/ingress.rs
+++ b/crates/orioleroute/tests/ingress.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use orioleroute::ingress::access::{Access, MAX_GAP, Report};
 use orioleroute::ingress::deadline::DeadlineTracker;
 use orioleroute::ingress::health::{Health, Outcome};
 use orioleroute::ingress::isolation::Isolation;
@@ -40,7 +41,13 @@
 }
 
 fn heartbeat(name: &str, is_serving: bool) -> Heartbeat {
-    Heartbeat { name: name.into(), incarnation: 1, is_serving, loads: Vec::new() }
+    Heartbeat {
+        name: name.into(),
+        incarnation: 1,
+        is_serving,
+        store: Report::Unused,
+        loads: Vec::new(),
+    }
 }
 
 fn listed(registry: &Registry) -> Vec<String> {
@@ -146,6 +153,51 @@
     assert_eq!(listed(&registry), ["b"]);
 }
 
+/// An instance whose own path to the store is cut must not take removed upstreams for alive ones.
+#[test]
+fn an_entry_removed_while_the_store_serves_others_is_dropped_at_once() {
+    let mut registry = registry(&["a", "b"]);
+    registry.mark_unavailable(Instant::from_millis(15_000));
+    registry.observe_others(Some(Instant::from_millis(2_000)));
+
+    registry.apply([Change::Removed("a".into())], Instant::from_millis(20_000));
+
+    assert_eq!(listed(&registry), ["b"]);
+}
+
+/// The grace begins when the store serves the first instance, not when this one reaches it.
+#[test]
+fn missing_entries_are_dropped_in_time_by_an_instance_that_regains_the_store_late() {
+    let mut registry = registry(&["a", "b"]);
+    let back = Instant::from_millis(20_000);
+    registry.mark_unavailable(Instant::from_millis(15_000));
+    registry.replace([upstream("b", State::Ready)], back + Duration::from_millis(500));
+    registry.mark_unavailable(back + Duration::from_millis(600));
+
+    registry.observe_others(Some(back));
+    registry.expire(back + RECOVERY_GRACE - Duration::from_millis(1));
+    assert_eq!(listed(&registry), ["a", "b"]);
+    registry.expire(back + RECOVERY_GRACE);
+
+    assert_eq!(listed(&registry), ["b"]);
+}
+
+/// An instance that was frozen over an outage must not report that the store was there all the time.
+#[rstest]
+#[case::answered_again(1_900, 10_000)]
+#[case::after_a_gap(2_000, 12_000)]
+fn answers_show_an_available_store_only_without_a_gap(#[case] pause: u64, #[case] since: u64) {
+    let mut access = Access::default();
+    access.record_answer(Instant::from_millis(10_000));
+
+    let again = Instant::from_millis(10_000 + pause);
+    access.record_answer(again);
+
+    let received = Access::from_report(access.report(again), again);
+    assert_eq!(received.available_since(again), Some(Instant::from_millis(since)));
+    assert_eq!(received.available_since(again + MAX_GAP), None);
+}
+
 #[test]
 fn nothing_expires_while_the_list_is_unavailable() {
     let mut registry = registry(&["a", "b"]);
--- a/crates/orioleroute/tests/order_lease.rs
+++ b/crates/orioleroute/tests/order_lease.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 
+use orioleroute::ingress::access::Report;
 use orioleroute::ingress::roster::{Contact, Heartbeat, Member, Roster};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::lease::{CONFIRMATION_TTL, Lease, MAX_PAUSE};
@@ -80,8 +81,13 @@
     roster.upsert(member("c"), Instant::ZERO);
     let last_heard = at(10_000);
     for name in ["b", "c"] {
-        let heartbeat =
-            Heartbeat { name: name.into(), incarnation: 1, is_serving: true, loads: Vec::new() };
+        let heartbeat = Heartbeat {
+            name: name.into(),
+            incarnation: 1,
+            is_serving: true,
+            store: Report::Unused,
+            loads: Vec::new(),
+        };
         roster.record_heartbeat(&heartbeat, last_heard);
     }
     let lease = running_lease(last_heard + TAKEOVER_TIME);
