Replace readers that the store does not serve by instances that it serves

Cause: the readers of a region are the highest-ranked serving instances, whether or not the store serves them. An instance that the store did serve read it for itself alone, and the cut-off ones followed only each other.

Change: a reader whose calls fail is replaced by the next instance that reports answers; it goes on trying, rarely, and returns once it is served. If the store serves nobody, nothing changes, so an outage draws no further callers. A region in which nobody is served gets the tables from instances of other regions. Bytes between regions arise only then.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -48,6 +48,8 @@
     next_follower: Cell<u64>,
     projections: RefCell<Map<Arc<str>, Projection>>,
     is_reader: Cell<bool>,
+    /// Whether this instance is to be a reader as soon as the store serves it.
+    is_candidate: Cell<bool>,
     /// The tables whose last call to the store failed.
     failing: RefCell<Set<Table>>,
     /// The number of failed calls to the store.
@@ -73,6 +75,12 @@
         self.is_reader.get()
     }
 
+    /// Returns whether this instance has been replaced as a reader because the store does not serve it, and
+    /// has to find out when it does again.
+    pub fn probes_store(&self) -> bool {
+        self.is_candidate.get() && self.access.get() == Access::Failed
+    }
+
     /// Returns whether this instance has to watch a table itself.
     pub fn reads_store(&self, gateway: &Gateway, table: Table) -> bool {
         let jitter = feed::jitter(&gateway.roster().own().name);
@@ -185,9 +193,11 @@
 pub async fn run(gateway: Rc<Gateway>) {
     loop {
         let now = gateway.now();
+        let feed = &gateway.feed;
+        gateway.roster().set_store(feed.access());
         let own = gateway.roster().own().name.clone();
         let readers = gateway.roster().readers(now);
-        let feed = &gateway.feed;
+        feed.is_candidate.set(gateway.roster().is_reader_candidate(now));
         let is_reader = readers.contains(&own) && now >= Instant::ZERO + feed::ELECTION_TIME;
         if feed.is_reader.replace(is_reader) != is_reader {
             info!(gateway.log, "feed role changed"; "reader" => is_reader);
@@ -197,8 +207,8 @@
             metrics::gauge!("orioleroute_feed_reader").set(f64::from(u8::from(is_reader)));
         }
         let follows = !is_reader || !feed.failing.borrow().is_empty();
-        let wanted: Vec<Arc<str>> = match follows {
-            true => readers.into_iter().filter(|reader| *reader != own).take(SOURCES).collect(),
+        let wanted = match follows {
+            true => gateway.roster().sources(SOURCES, now),
             false => Vec::new(),
         };
         update_followed(&gateway, &wanted);
--- a/crates/orioleroute-node/src/gateway/heartbeat.rs
+++ b/crates/orioleroute-node/src/gateway/heartbeat.rs
@@ -35,8 +35,7 @@
         round = round.wrapping_add(1);
         let loads = gateway.leadership.loads(gateway.now());
         gateway.roster().record_loads(&loads, gateway.now());
-        let store = gateway.feed.access().report(gateway.now());
-        let heartbeat = gateway.roster().heartbeat(store, loads);
+        let heartbeat = gateway.roster().heartbeat(loads, gateway.now());
         let bytes = serde_json::to_vec(&heartbeat).unwrap_or_default();
         for address in due_addresses(&gateway, round) {
             // A failed send is treated like a lost datagram: the next heartbeat follows.
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -54,7 +54,8 @@
     let mut has_summaries = false;
     loop {
         let feed = &gateway.feed;
-        if feed.version(table).is_some() && !feed.reads_store(&gateway, table) {
+        let probes = table == Table::Upstreams && feed.probes_store();
+        if feed.version(table).is_some() && !feed.reads_store(&gateway, table) && !probes {
             has_summaries = table == Table::Upstreams;
             failures = 0;
             feed.clear_failure(table);
--- a/crates/orioleroute/src/ingress/access.rs
+++ b/crates/orioleroute/src/ingress/access.rs
@@ -58,6 +58,11 @@
         *self = Self::Answered { since, last: now };
     }
 
+    /// Returns whether the last call was answered.
+    pub fn is_answered(&self) -> bool {
+        matches!(self, Self::Answered { .. })
+    }
+
     /// Returns since when the store has answered all calls, or `None` if the last answer is too old to say
     /// that it still does.
     pub fn available_since(&self, now: Instant) -> Option<Instant> {
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -96,6 +96,8 @@
 pub struct Roster {
     own: Member,
     is_serving: bool,
+    /// The access of this instance to the store.
+    store: Access,
     peers: Map<Arc<str>, Peer>,
     loads: Map<Arc<str>, (Load, Instant)>,
 }
@@ -112,7 +114,13 @@
 impl Roster {
     /// Returns a roster that contains only the instance `own`.
     pub fn new(own: Member) -> Self {
-        Self { own, is_serving: false, peers: Map::default(), loads: Map::default() }
+        Self {
+            own,
+            is_serving: false,
+            store: Access::Unused,
+            peers: Map::default(),
+            loads: Map::default(),
+        }
     }
 
     /// Returns the entry of this instance.
@@ -125,6 +133,11 @@
         self.is_serving = is_serving;
     }
 
+    /// Sets the access of this instance to the store.
+    pub fn set_store(&mut self, store: Access) {
+        self.store = store;
+    }
+
     /// Adds or updates another instance from its entry in the table.
     pub fn upsert(&mut self, member: Member, now: Instant) {
         if member.name == self.own.name {
@@ -178,14 +191,13 @@
         self.peers.values().filter_map(|peer| peer.store.available_since(now)).min()
     }
 
-    /// Returns the heartbeat of this instance, given its access to the store and the loads of the zones
-    /// that it schedules.
-    pub fn heartbeat(&self, store: Report, loads: Vec<Load>) -> Heartbeat {
+    /// Returns the heartbeat of this instance, given the loads of the zones that it schedules.
+    pub fn heartbeat(&self, loads: Vec<Load>, now: Instant) -> Heartbeat {
         Heartbeat {
             name: self.own.name.clone(),
             incarnation: self.own.incarnation,
             is_serving: self.is_serving,
-            store,
+            store: self.store.report(now),
             loads,
         }
     }
@@ -219,26 +231,83 @@
     }
 
     /// Returns the instances of this region that are to read the store for the others, the first choice
-    /// first: those that are serving, by rendezvous hashing weighted by capacity, so that all
-    /// instances agree and few change when one fails.
+    /// first: the [candidates](Self::is_reader_candidate), but in place of one whose calls to the store
+    /// fail the next instance that the store serves. If it serves none, the candidates remain, so that in an
+    /// outage no others begin to call it.
     pub fn readers(&self, now: Instant) -> Vec<Arc<str>> {
+        let mut candidates = self.ranked(now);
+        let rest = candidates.split_off(READERS_PER_REGION.min(candidates.len()));
+        let (failing, mut readers): (Vec<_>, Vec<_>) =
+            candidates.into_iter().partition(|(_, store)| *store == Access::Failed);
+        let served = rest.into_iter().filter(|(_, store)| store.is_answered());
+        readers.extend(served.take(failing.len()));
+        readers.extend(failing);
+        readers.truncate(READERS_PER_REGION);
+        readers.into_iter().map(|(member, _)| member.name.clone()).collect()
+    }
+
+    /// Returns whether this instance is among those that read the store if it serves them.
+    pub fn is_reader_candidate(&self, now: Instant) -> bool {
+        let ranked = self.ranked(now);
+        ranked.iter().take(READERS_PER_REGION).any(|(member, _)| member.name == self.own.name)
+    }
+
+    /// Returns the instances, at most `count`, from which this one is to get the tables: the readers of its
+    /// region. If none of them is served, those of other regions come first, different ones for each
+    /// instance.
+    pub fn sources(&self, count: usize, now: Instant) -> Vec<Arc<str>> {
+        let readers = self.readers(now);
+        let own = &self.own.name;
+        let is_failing = |name: &Arc<str>| {
+            let store = match self.peers.get(name) {
+                Some(peer) => peer.store,
+                None => self.store,
+            };
+            store == Access::Failed
+        };
+        let remote = match readers.iter().all(is_failing) {
+            true => self.served_elsewhere(now),
+            false => Vec::new(),
+        };
+        let near = readers.into_iter().filter(|reader| reader != own);
+        remote.into_iter().chain(near).take(count).collect()
+    }
+
+    /// Returns the instances of other regions that the store serves, in an order of this instance's own.
+    fn served_elsewhere(&self, now: Instant) -> Vec<Arc<str>> {
+        let item = hash::digest(&*self.own.name);
+        let served = self.peers.values().filter(|peer| {
+            peer.member.region != self.own.region
+                && peer.is_serving
+                && peer.store.is_answered()
+                && self.has_recent_heartbeat(peer, SUSPECT_INTERVALS, now)
+        });
+        let mut ranked: Vec<(f64, &Member)> = served
+            .map(|peer| (hash::score(item, hash::digest(&*peer.member.name), 1), &peer.member))
+            .collect();
+        ranked.sort_by(|(score, _), (other, _)| other.total_cmp(score));
+        ranked.into_iter().map(|(_, member)| member.name.clone()).collect()
+    }
+
+    /// Returns the serving instances of this region with their access to the store, ranked by rendezvous
+    /// hashing weighted by capacity, so that all instances agree and few change places when one fails.
+    fn ranked(&self, now: Instant) -> Vec<(&Member, Access)> {
         let peers = self.peers.values().filter(|peer| {
             peer.member.region == self.own.region
                 && peer.is_serving
                 && self.has_recent_heartbeat(peer, SUSPECT_INTERVALS, now)
         });
-        let own = self.is_serving.then_some(&self.own);
+        let own = self.is_serving.then_some((&self.own, self.store));
         let item = hash::digest(&*self.own.region);
-        let members = own.into_iter().chain(peers.map(|peer| &peer.member));
-        let mut ranked: Vec<(f64, &Member)> = members
-            .map(|member| {
+        let members = own.into_iter().chain(peers.map(|peer| (&peer.member, peer.store)));
+        let mut ranked: Vec<(f64, (&Member, Access))> = members
+            .map(|(member, store)| {
                 let node = hash::digest(&*member.name);
-                (hash::score(item, node, member.capacity.max(1)), member)
+                (hash::score(item, node, member.capacity.max(1)), (member, store))
             })
             .collect();
         ranked.sort_by(|(score, _), (other, _)| other.total_cmp(score));
-        ranked.truncate(READERS_PER_REGION);
-        ranked.into_iter().map(|(_, member)| member.name.clone()).collect()
+        ranked.into_iter().map(|(_, member)| member).collect()
     }
 
     /// Returns whether an instance is listed and has sent a recent heartbeat.
--- a/crates/orioleroute/tests/feed.rs
+++ b/crates/orioleroute/tests/feed.rs
@@ -8,8 +8,8 @@
 
 use orioleroute::ingress::access::Report;
 use orioleroute::ingress::feed::{
-    MAX_JITTER, Projection, READERS_PER_REGION, Replica, Row, SOURCE_TIMEOUT, Sources, Table,
-    Update, jitter, retry_delay,
+    MAX_JITTER, Projection, READERS_PER_REGION, Replica, Row, SOURCE_TIMEOUT, SOURCES, Sources,
+    Table, Update, jitter, retry_delay,
 };
 use orioleroute::ingress::roster::{Heartbeat, Member, Roster};
 use orioleroute::ingress::upstream::{Description, Model, Revision, State};
@@ -384,17 +384,29 @@
 
 /// Returns the roster of one instance among `instances` in each of two regions, all of them serving.
 fn roster(own: usize, instances: usize, silent: &[Arc<str>], now: Instant) -> Roster {
+    roster_with(own, instances, silent, &[], now)
+}
+
+/// Returns a roster in which the instances named in `reports` have reported their access to the store.
+fn roster_with(
+    own: usize,
+    instances: usize,
+    silent: &[Arc<str>],
+    reports: &[(Arc<str>, Report)],
+    now: Instant,
+) -> Roster {
     let mut roster = Roster::new(member(own, "r"));
     roster.set_serving(true);
     for (number, region) in (0..instances).flat_map(|number| [(number, "r"), (number, "s")]) {
         let member = member(number, region);
         roster.upsert(member.clone(), Instant::ZERO);
+        let report = reports.iter().find(|(name, _)| *name == member.name);
         if !silent.contains(&member.name) {
             let heartbeat = Heartbeat {
                 name: member.name,
                 incarnation: 1,
                 is_serving: true,
-                store: Report::Unused,
+                store: report.map(|(_, report)| *report).unwrap_or_default(),
                 loads: Vec::new(),
             };
             roster.record_heartbeat(&heartbeat, now);
@@ -427,3 +439,39 @@
     assert_eq!(after[..2], before[1..]);
     assert!(!after.contains(&before[0]));
 }
+
+const SERVED: Report = Report::Answered { since_ms: 5_000, last_ms: 100 };
+
+/// The readers of a region are cut off from the store, and another instance is served: without it the others
+/// would go on with what they knew.
+#[test]
+fn readers_that_the_store_does_not_serve_are_replaced_by_instances_that_it_serves() {
+    let now = at(60_000);
+    let before = roster(64, 65, &[], now).readers(now);
+    let served = member(63, "r").name;
+    let mut reports: Vec<(Arc<str>, Report)> =
+        before.iter().map(|reader| (reader.clone(), Report::Failed)).collect();
+    let in_outage = roster_with(64, 65, &[], &reports, now);
+    reports.push((served.clone(), SERVED));
+
+    let after = roster_with(64, 65, &[], &reports, now).readers(now);
+
+    assert_eq!(after, [served, before[0].clone(), before[1].clone()]);
+    assert_eq!(in_outage.readers(now), before, "the store serves nobody");
+}
+
+/// The store serves no instance of the region.
+#[test]
+fn a_region_that_is_cut_off_gets_the_tables_from_another_one() {
+    let now = at(60_000);
+    let readers = roster(64, 65, &[], now).readers(now);
+    let remote = member(7, "s").name;
+    let mut reports: Vec<(Arc<str>, Report)> =
+        readers.iter().map(|reader| (reader.clone(), Report::Failed)).collect();
+    reports.push((remote.clone(), SERVED));
+
+    let sources = roster_with(64, 65, &[], &reports, now).sources(SOURCES, now);
+
+    assert_eq!(sources, [remote, readers[0].clone()]);
+    assert_eq!(roster(64, 65, &[], now).sources(SOURCES, now), readers[..SOURCES]);
+}
