Order what instances and schedulers know of an upstream by its entry's version

Cause: a report that an upstream leaves marked it in the scheduler, and the next update of the scheduler's own, older list set it back. The other way round, an instance remembered removed upstreams for a minute: a scheduler that had been cut off for longer granted them, and the instance took them for new. Class: knowledge applied in the order of arrival instead of the order of its versions.

Change: a grant names the version of the entry that the scheduler has, a report the version of the list from which the instance knows better. An upstream is leaving for an instance if its list is at least as new and does not have it; a report holds until the scheduler's entry is newer than the report, and one from an older list is ignored. The memory of removed upstreams is not needed any more.

Seen failing before: after `Departed` and an update with the same entries, i-0 was granted again; 61 s after its removal an upstream no longer counted as leaving. Tests: an_engine_that_was_reported_as_leaving_returns_only_with_a_newer_entry, a_report_from_an_older_list_is_ignored, an_upstream_that_drains_or_was_removed_is_leaving_until_it_is_written_again (the same cases, and an hour later).

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -175,9 +175,10 @@
             Ok(permit) => permit,
             Err(refusal) => return TryOutcome::NoPermit(refusal),
         };
-        if self.gateway.registry().is_leaving(&permit.upstream) {
+        let list_version = self.gateway.registry().version();
+        if self.gateway.registry().is_leaving(&permit.upstream, permit.entry_version) {
             self.log_departed(&permit);
-            return TryOutcome::NotRun(permit, RunResult::Departed);
+            return TryOutcome::NotRun(permit, RunResult::Departed { list_version });
         }
         let target = Target { id: permit.upstream.clone(), address: permit.address };
         let outgoing = Outgoing {
@@ -307,7 +308,7 @@
         self.excluded.push(permit.upstream.clone());
         permit.end(result);
         self.declines += 1;
-        let was_sent = !matches!(result, RunResult::Unreachable | RunResult::Departed);
+        let was_sent = !matches!(result, RunResult::Unreachable | RunResult::Departed { .. });
         let may_try_again = self.declines < MAX_DECLINES
             && (!was_sent || self.gateway.withdraw_retry(&self.service));
         if may_try_again {
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -9,9 +9,7 @@
 use orioleroute::ingress::attempt::Generation;
 use orioleroute::ingress::health::Outcome;
 use orioleroute::prelude::*;
-use orioleroute::scheduler::message::{
-    Grant, Placement, Reason, RunResult, ToInstance, ToScheduler,
-};
+use orioleroute::scheduler::message::{Placement, Reason, RunResult, ToInstance, ToScheduler};
 use orioleroute::scheduler::overflow::{self, Load};
 use orioleroute::scheduler::search::{Refused, Search, Step};
 
@@ -48,6 +46,8 @@
     pub upstream: Arc<str>,
     /// The address for requests.
     pub address: SocketAddr,
+    /// The version of the upstream's entry in the list that whoever granted the permit has.
+    pub entry_version: u64,
     /// The version of the adapter that the engine holds, if known.
     pub version: Option<u64>,
 }
@@ -183,6 +183,7 @@
         origin: Origin::Scheduled { scheduler: scheduler.clone(), ticket },
         upstream: "".into(),
         address: gateway.settings().peer_address,
+        entry_version: 0,
         version: None,
     };
     let mut replies = scheduler.expect(gateway, ticket);
@@ -193,10 +194,11 @@
     loop {
         match monoio::time::timeout(timeout, replies.recv()).await {
             Ok(Some(ToInstance::Queued { .. })) => timeout = QUEUE_CHECK_INTERVAL,
-            Ok(Some(ToInstance::Grant(Grant { upstream, address, version, .. }))) => {
-                permit.upstream = upstream;
-                permit.address = address;
-                permit.version = version;
+            Ok(Some(ToInstance::Grant(grant))) => {
+                permit.upstream = grant.upstream;
+                permit.address = grant.address;
+                permit.entry_version = grant.entry_version;
+                permit.version = grant.version;
                 return Ok(permit);
             }
             Ok(Some(ToInstance::Refuse { retry_after_ms, reason, .. })) => {
@@ -426,12 +428,14 @@
 
 fn unscheduled_permit(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Permit {
     gateway.health().entry(upstream.clone()).or_default().begin();
+    let entry_version = gateway.registry().version();
     let started_at = gateway.now();
     Permit {
         gateway: gateway.clone(),
         origin: Origin::Unscheduled { started_at },
         upstream,
         address,
+        entry_version,
         version: None,
     }
 }
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -6,6 +6,7 @@
 use orioleroute::ingress::feed::{self, Table};
 use orioleroute::ingress::registry::{Change, Standing};
 use orioleroute::ingress::roster::Member;
+use orioleroute::ingress::upstream::Description;
 use orioleroute::prelude::*;
 use orioleroute_platform::records::{self, OperatorRecord};
 use orioleroute_platform::store::{Commit, Error, Rows, Write};
@@ -213,9 +214,9 @@
     let now = gateway.now();
     observe_others(gateway);
     let changes = rows.iter().map(|row| {
-        let entry = row.value.as_deref().map(serde_json::from_str);
+        let entry = row.value.as_deref().map(serde_json::from_str::<Description>);
         match entry {
-            Some(Ok(entry)) => Change::Written(entry),
+            Some(Ok(entry)) => Change::Written(Description { entry_version: row.version, ..entry }),
             Some(Err(_)) | None => Change::Removed(row.key.clone()),
         }
     });
@@ -245,6 +246,9 @@
             }
         }
     }
+    if let Some(version) = gateway.feed.version(Table::Upstreams) {
+        gateway.registry().set_version(version);
+    }
     if !rows.is_empty() {
         leadership::update_engines(gateway);
     }
--- a/crates/orioleroute/src/ingress/registry.rs
+++ b/crates/orioleroute/src/ingress/registry.rs
@@ -7,10 +7,6 @@
 /// entry again at its next heartbeat, which takes up to two seconds.
 pub const RECOVERY_GRACE: Duration = Duration::from_millis(2_200);
 
-/// How long a removed upstream is remembered: longer than a scheduler that has lost the list goes on
-/// granting requests to it.
-const REMOVED_RETENTION: Duration = Duration::from_secs(60);
-
 /// Time without an answer from the list after which it counts as unavailable. A long poll answers
 /// sooner than that.
 pub const OUTAGE_TIMEOUT: Duration = Duration::from_millis(6_000);
@@ -25,8 +21,8 @@
     upstreams: Map<Arc<str>, Description>,
     /// The upstreams whose entries are missing after an outage.
     missing: Set<Arc<str>>,
-    /// When upstreams that are no longer registered were removed.
-    removed: Map<Arc<str>, Instant>,
+    /// The version of the list up to which all changes are applied.
+    version: u64,
     is_read: bool,
     unavailable: bool,
     /// When the list was last unavailable to this instance.
@@ -74,11 +70,24 @@
         self.is_read
     }
 
-    /// Returns whether an upstream is draining or was removed. One that has never been listed may be new.
-    pub fn is_leaving(&self, id: &str) -> bool {
+    /// Returns the version of the list up to which all changes are applied.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Sets the version of the list up to which all changes are applied.
+    pub fn set_version(&mut self, version: u64) {
+        self.version = version;
+    }
+
+    /// Returns whether an upstream that another instance knows by the entry with this version is draining
+    /// or was removed. If that entry is newer than the list here, the other instance knows better.
+    pub fn is_leaving(&self, id: &str, entry_version: u64) -> bool {
         match self.upstreams.get(id) {
-            Some(upstream) => upstream.state == State::Draining,
-            None => self.removed.contains_key(id),
+            Some(upstream) => {
+                upstream.state == State::Draining && upstream.entry_version >= entry_version
+            }
+            None => self.version >= entry_version,
         }
     }
 
@@ -148,7 +157,7 @@
         }
         let due: Vec<Arc<str>> = self.missing.drain().collect();
         for id in &due {
-            self.drop_upstream(id, now);
+            self.upstreams.remove(id);
         }
         due
     }
@@ -172,7 +181,6 @@
 
     fn write(&mut self, entry: Description) {
         self.missing.remove(&entry.id);
-        self.removed.remove(&entry.id);
         self.upstreams.insert(entry.id.clone(), entry);
     }
 
@@ -180,14 +188,10 @@
         let Some(entry) = self.upstreams.get(id) else { return };
         match entry.state == State::Ready && self.may_lack_entries(now) {
             true => drop(self.missing.insert(id.clone())),
-            false => self.drop_upstream(id, now),
+            false => {
+                self.missing.remove(id);
+                self.upstreams.remove(id);
+            }
         }
     }
-
-    fn drop_upstream(&mut self, id: &Arc<str>, now: Instant) {
-        self.upstreams.remove(id);
-        self.missing.remove(id);
-        self.removed.retain(|_, removed| now.since(*removed) < REMOVED_RETENTION);
-        self.removed.insert(id.clone(), now);
-    }
 }
--- a/crates/orioleroute/src/ingress/upstream.rs
+++ b/crates/orioleroute/src/ingress/upstream.rs
@@ -26,6 +26,10 @@
     pub accepted_orders: u64,
     /// The base models that it holds.
     pub models: Vec<Model>,
+    /// The version of the entry in the list, which orders what instances know of the upstream. It is set
+    /// by the instance that reads the entry.
+    #[serde(skip)]
+    pub entry_version: u64,
 }
 
 impl Description {
--- a/crates/orioleroute/src/scheduler/dispatch.rs
+++ b/crates/orioleroute/src/scheduler/dispatch.rs
@@ -165,6 +165,7 @@
             ticket: item.key.ticket,
             upstream: runner.id.clone(),
             address: runner.address,
+            entry_version: runner.entry_version,
             version,
         };
         let upstream = Some(runner.id.clone());
--- a/crates/orioleroute/src/scheduler/in_flight.rs
+++ b/crates/orioleroute/src/scheduler/in_flight.rs
@@ -57,9 +57,8 @@
         if let Some(slot) = slot {
             slot.users = slot.users.saturating_sub(1);
         }
-        if result == RunResult::Departed {
-            // The list of engines that this scheduler has is older than that of the instance.
-            runner.is_draining = true;
+        if let RunResult::Departed { list_version } = result {
+            runner.record_departure(list_version);
         }
         if result == RunResult::Misdirected && runner.certainty == Certainty::Known {
             // The engine does not hold what this scheduler has recorded for it.
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -94,6 +94,8 @@
     pub upstream: Arc<str>,
     /// The engine's address for requests.
     pub address: SocketAddr,
+    /// The version of the engine's entry in the list that the scheduler has.
+    pub entry_version: u64,
     /// The version of the adapter that the engine holds, if known.
     pub version: Option<u64>,
 }
@@ -109,7 +111,10 @@
     /// The engine lacks the model or adapter, or the address belongs to another engine.
     Misdirected,
     /// The instance knows that the engine is leaving, and did not send the request.
-    Departed,
+    Departed {
+        /// The version of the list from which the instance knows it.
+        list_version: u64,
+    },
     /// The engine answered with an error.
     Erred,
     /// The engine closed the connection early or stopped responding.
@@ -128,7 +133,7 @@
             RunResult::Erred => Self::Erred,
             RunResult::Broken => Self::Broken,
             RunResult::Unreachable => Self::Unreachable,
-            RunResult::Departed | RunResult::Abandoned => Self::Abandoned,
+            RunResult::Departed { .. } | RunResult::Abandoned => Self::Abandoned,
         }
     }
 }
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -36,7 +36,7 @@
 use crate::ingress::Configuration;
 use crate::ingress::configuration::Engine;
 use crate::ingress::health::Outcome as Health;
-use crate::ingress::upstream::{Announcement, Description, State};
+use crate::ingress::upstream::{Announcement, Description};
 use crate::prelude::*;
 use copies::EngineCopies;
 use message::{Placement, Reason, ToInstance};
@@ -355,7 +355,7 @@
         if let Some(key) = self.by_id.get(&description.id).copied() {
             let runner = &mut self.runners[key];
             if runner.started_ms == description.started_ms {
-                runner.is_draining = description.state == State::Draining;
+                runner.apply_entry(description);
                 return;
             }
             self.remove_runner(&description.id);
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -33,8 +33,12 @@
     pub address: SocketAddr,
     /// The engine's start time, in milliseconds since the Unix epoch.
     pub started_ms: u64,
-    /// Whether the engine is draining.
+    /// Whether the engine is draining, or leaving according to an instance with a newer list.
     pub is_draining: bool,
+    /// The version of the engine's entry in the list.
+    pub entry_version: u64,
+    /// The newest version of the list from which an instance knew that the engine was leaving.
+    departed_at: Option<u64>,
     /// The number of requests that it runs concurrently.
     pub slots: usize,
     /// The state of its base model.
@@ -176,6 +180,8 @@
             address: description.address,
             started_ms: description.started_ms,
             is_draining: description.state == State::Draining,
+            entry_version: description.entry_version,
+            departed_at: None,
             slots: description.slots,
             base_model: BaseModel::Absent,
             adapter_slots: Map::default(),
@@ -195,6 +201,22 @@
         runner
     }
 
+    /// Applies the engine's current entry in the list.
+    pub fn apply_entry(&mut self, description: &Description) {
+        self.entry_version = description.entry_version;
+        let has_departed = self.departed_at.is_some_and(|version| version >= self.entry_version);
+        self.is_draining = description.state == State::Draining || has_departed;
+    }
+
+    /// Records that an instance knows from a version of the list that the engine is leaving. This holds
+    /// until the list has a newer entry.
+    pub fn record_departure(&mut self, list_version: u64) {
+        if list_version >= self.entry_version {
+            self.departed_at = self.departed_at.max(Some(list_version));
+            self.is_draining = true;
+        }
+    }
+
     /// Replaces the state by that of a report, for an engine that has no order pending.
     pub fn adopt_report(&mut self, report: &Report, now: Instant) {
         self.accepted_orders = report.accepted_orders;
--- a/crates/orioleroute/tests/ingress.rs
+++ b/crates/orioleroute/tests/ingress.rs
@@ -24,6 +24,7 @@
         started_ms: 1,
         accepted_orders: 0,
         models: Vec::new(),
+        entry_version: 1,
     }
 }
 
@@ -103,18 +104,23 @@
     assert_eq!(listed(&registry), ["b"]);
 }
 
-/// A grant from a scheduler whose list is older must not be used.
+/// A grant from a scheduler whose list is older must not be used, however long ago the upstream left; one from
+/// a scheduler whose list is newer must be.
 #[test]
 fn an_upstream_that_drains_or_was_removed_is_leaving_until_it_is_written_again() {
     let mut registry = registry(&["a", "b"]);
     let now = Instant::from_millis(10_000);
+    let draining = Description { entry_version: 20, ..upstream("a", State::Draining) };
 
-    registry
-        .apply([Change::Written(upstream("a", State::Draining)), Change::Removed("b".into())], now);
+    registry.apply([Change::Written(draining), Change::Removed("b".into())], now);
+    registry.set_version(21);
+    registry.apply([], now + Duration::from_secs(3_600));
 
-    assert_eq!(["a", "b", "new"].map(|id| registry.is_leaving(id)), [true, true, false]);
+    let is_leaving = |id, entry_version| registry.is_leaving(id, entry_version);
+    assert_eq!(["a", "b"].map(|id| is_leaving(id, 1)), [true, true]);
+    assert_eq!(["a", "b", "new"].map(|id| is_leaving(id, 22)), [false, false, false]);
     registry.apply([Change::Written(upstream("b", State::Ready))], now);
-    assert!(!registry.is_leaving("b"));
+    assert!(!registry.is_leaving("b", 1));
 }
 
 #[test]
--- a/crates/orioleroute/tests/scheduler.rs
+++ b/crates/orioleroute/tests/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod scheduling;
 
+use orioleroute::ingress::upstream::Description;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::copies::EngineCopies;
 use orioleroute::scheduler::message::{Reason, RunResult};
@@ -51,7 +52,7 @@
     scheduler.place(CLIENT, placement(1, "a1"), now);
     scheduler.take_outputs();
 
-    scheduler.handle_ended(key(1), Some(RunResult::Departed), now);
+    scheduler.handle_ended(key(1), Some(RunResult::Departed { list_version: 5 }), now);
     scheduler.place(CLIENT, placement(2, "a1"), now);
 
     let outputs = scheduler.take_outputs();
@@ -101,6 +102,42 @@
     assert_eq!(recorded[2], copies(2, engines[2].started_ms));
 }
 
+/// What an instance reported must hold against an update of the scheduler's own list that does not say more about
+/// the engine, and only against that.
+#[rstest]
+#[case::the_same_entry(1, &[])]
+#[case::an_older_one_than_the_report(5, &[])]
+#[case::a_newer_one(6, &[2])]
+fn an_engine_that_was_reported_as_leaving_returns_only_with_a_newer_entry(
+    #[case] entry_version: u64,
+    #[case] granted: &[u64],
+) {
+    let (mut scheduler, now) = scheduler(&[description(0, &["a1"])]);
+    scheduler.place(CLIENT, placement(1, "a1"), now);
+    scheduler.handle_ended(key(1), Some(RunResult::Departed { list_version: 5 }), now);
+    scheduler.take_outputs();
+
+    let entry = Description { entry_version, ..description(0, &["a1"]) };
+    scheduler.update_engines(&[entry], now);
+    scheduler.place(CLIENT, placement(2, "a1"), now);
+
+    assert_eq!(grants(&scheduler.take_outputs()), granted);
+}
+
+/// An instance whose list is older than the scheduler's must not take an engine out of use.
+#[test]
+fn a_report_from_an_older_list_is_ignored() {
+    let engine = Description { entry_version: 9, ..description(0, &["a1"]) };
+    let (mut scheduler, now) = scheduler(&[engine]);
+    scheduler.place(CLIENT, placement(1, "a1"), now);
+    scheduler.handle_ended(key(1), Some(RunResult::Departed { list_version: 5 }), now);
+    scheduler.take_outputs();
+
+    scheduler.place(CLIENT, placement(2, "a1"), now);
+
+    assert_eq!(grants(&scheduler.take_outputs()), [2]);
+}
+
 #[test]
 fn repeating_the_order_for_a_load_in_progress_does_not_count_as_an_order() {
     let (mut scheduler, mut now) = scheduler(&[description(0, &[])]);
--- a/crates/orioleroute/tests/scheduling/mod.rs
+++ b/crates/orioleroute/tests/scheduling/mod.rs
@@ -68,6 +68,7 @@
         started_ms: 1,
         accepted_orders: 0,
         models: vec![upstream::Model { name: "m".into(), adapters: held.collect() }],
+        entry_version: 1,
     }
 }
 
