Ignore heartbeats that arrive after newer ones

A datagram that was delayed, or that an earlier incarnation sent, set back whether its sender serves clients, and would now also set back whether the store serves it, from which siblings conclude that a missing upstream is gone. Found by reading; no trace of a client that was harmed by it.

Change: heartbeats are numbered within an incarnation; older ones and those of the previous incarnation are ignored. Incarnations are not compared by size, because the time of day that they are taken from may jump back.

--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -54,6 +54,9 @@
     pub name: Arc<str>,
     /// The sender's incarnation.
     pub incarnation: u64,
+    /// The number of heartbeats that this incarnation sent before, which orders them.
+    #[serde(default)]
+    pub number: u64,
     /// Whether clients may use the sender.
     pub is_serving: bool,
     /// The sender's access to the store.
@@ -98,6 +101,8 @@
     is_serving: bool,
     /// The access of this instance to the store.
     store: Access,
+    /// The number of heartbeats made.
+    heartbeats: u64,
     peers: Map<Arc<str>, Peer>,
     loads: Map<Arc<str>, (Load, Instant)>,
 }
@@ -107,10 +112,40 @@
     member: Member,
     added: Instant,
     last_heartbeat: Option<Instant>,
+    sequence: Sequence,
     is_serving: bool,
     store: Access,
 }
 
+/// The newest heartbeat of an instance, by which late ones are recognized. Incarnations are not ordered, because
+/// they are taken from the time of day, which may jump back.
+#[derive(Clone, Debug, Default)]
+struct Sequence {
+    incarnation: u64,
+    number: u64,
+    previous_incarnation: Option<u64>,
+}
+
+impl Sequence {
+    /// Returns whether a heartbeat is not older than the newest one, and records it if so.
+    fn accept(&mut self, heartbeat: &Heartbeat) -> bool {
+        let is_current = heartbeat.incarnation == self.incarnation;
+        let is_late = match is_current {
+            true => heartbeat.number < self.number,
+            false => self.previous_incarnation == Some(heartbeat.incarnation),
+        };
+        if is_late {
+            return false;
+        }
+        if !is_current {
+            self.previous_incarnation = Some(self.incarnation);
+        }
+        self.incarnation = heartbeat.incarnation;
+        self.number = heartbeat.number;
+        true
+    }
+}
+
 impl Roster {
     /// Returns a roster that contains only the instance `own`.
     pub fn new(own: Member) -> Self {
@@ -118,6 +153,7 @@
             own,
             is_serving: false,
             store: Access::Unused,
+            heartbeats: 0,
             peers: Map::default(),
             loads: Map::default(),
         }
@@ -150,6 +186,7 @@
                     member: member.clone(),
                     added: now,
                     last_heartbeat: None,
+                    sequence: Sequence::default(),
                     is_serving: true,
                     store: Access::Unused,
                 };
@@ -163,9 +200,13 @@
         self.peers.remove(name);
     }
 
-    /// Records a heartbeat. Those of unknown instances are ignored.
+    /// Records a heartbeat. Those of unknown instances, and those that arrive after a newer one of the same
+    /// sender, are ignored.
     pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) {
         if let Some(peer) = self.peers.get_mut(&heartbeat.name) {
+            if !peer.sequence.accept(heartbeat) {
+                return;
+            }
             peer.last_heartbeat = Some(now);
             peer.is_serving = heartbeat.is_serving;
             peer.store = Access::from_report(heartbeat.store, now);
@@ -191,11 +232,13 @@
         self.peers.values().filter_map(|peer| peer.store.available_since(now)).min()
     }
 
-    /// Returns the heartbeat of this instance, given the loads of the zones that it schedules.
-    pub fn heartbeat(&self, loads: Vec<Load>, now: Instant) -> Heartbeat {
+    /// Returns the next heartbeat of this instance, given the loads of the zones that it schedules.
+    pub fn heartbeat(&mut self, loads: Vec<Load>, now: Instant) -> Heartbeat {
+        self.heartbeats += 1;
         Heartbeat {
             name: self.own.name.clone(),
             incarnation: self.own.incarnation,
+            number: self.heartbeats,
             is_serving: self.is_serving,
             store: self.store.report(now),
             loads,
--- a/crates/orioleroute/tests/feed.rs
+++ b/crates/orioleroute/tests/feed.rs
@@ -406,6 +406,7 @@
             let heartbeat = Heartbeat {
                 name: member.name,
                 incarnation: 1,
+                number: 0,
                 is_serving: true,
                 store: report.map(|(_, report)| *report).unwrap_or_default(),
                 loads: Vec::new(),
