Count what a follower heard as a sign that the store is available

Trace: the instance that is not cut off followed the readers until then, so its own span of answers began with the cut; for 2.2 s nobody had evidence that the store had been there, all four took the removed entry for expired (37.52 to 38.12 s) and dropped it 45 ms after the drain bound, at 39.955 s instead of 39.914 s.

Cause and change: a span of answers counts those to the readers that an instance follows, except what a reader knew when it was connected. Missing entries are checked at every tick of 100 ms instead of at the elections of 250 ms, so that the grace ends within the bound even where nobody knows better. The bounds of the tests are unchanged.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use local_sync::mpsc;
-use orioleroute::ingress::access::Access;
+use orioleroute::ingress::access::{Access, Span};
 use orioleroute::ingress::feed::{
     self, Message, Projection, Replica, Row, SOURCES, Sources, Subscription, Table, ToReader,
     Update,
@@ -56,6 +56,8 @@
     failures: Cell<u64>,
     /// The outcomes of the calls about the upstreams.
     access: Cell<Access>,
+    /// When the store answered this instance or a reader that it follows.
+    served: Cell<Option<Span>>,
 }
 
 /// An instance that follows this one.
@@ -102,13 +104,26 @@
     pub fn clear_failure(&self, table: Table) {
         self.failing.borrow_mut().remove(&table);
         if table == Table::Upstreams {
-            self.clear_access();
+            self.access.set(Access::Unused);
         }
     }
 
-    /// Forgets the outcomes of calls to the store.
-    pub fn clear_access(&self) {
+    /// Returns since when the store has served this instance or a reader that it follows, if it does.
+    pub fn served_since(&self, now: Instant) -> Option<Instant> {
+        self.served.get().and_then(|span| span.available_since(now))
+    }
+
+    /// Begins a new span of answers, because this process was suspended and the store may have been away.
+    pub fn clear_served(&self) {
         self.access.set(Access::Unused);
+        self.served.set(None);
+    }
+
+    /// Records that the store has answered this instance or a reader that it follows.
+    fn record_served(&self, now: Instant) -> Span {
+        let span = Span::continued(self.served.get(), now);
+        self.served.set(Some(span));
+        span
     }
 
     /// Returns whether the last call to the store about a table failed.
@@ -143,9 +158,7 @@
     pub fn apply_read(&self, update: &Update, now: Instant) -> Vec<Row> {
         self.failing.borrow_mut().remove(&update.table);
         if update.table == Table::Upstreams {
-            let mut access = self.access.get();
-            access.record_answer(now);
-            self.access.set(access);
+            self.access.set(Access::Answered(self.record_served(now)));
         }
         let changed = self.apply(update).unwrap_or_default();
         if self.is_reader.get() && self.failing.borrow().is_empty() {
@@ -273,10 +286,15 @@
     if let Err(error) = socket.write(message.as_bytes()).await {
         return error.to_string();
     }
+    // The first update of a table is what the reader knew before.
+    let mut has_state = false;
     while is_wanted.get() {
         while let Some(bytes) = link::take_line(&mut socket.input) {
             match serde_json::from_slice(&bytes) {
                 Ok(Message::Update(update)) => {
+                    if update.table == Table::Upstreams && std::mem::replace(&mut has_state, true) {
+                        gateway.feed.record_served(gateway.now());
+                    }
                     metrics::counter!("orioleroute_feed_updates_received_total").increment(1);
                     let is_first = gateway.feed.version(update.table).is_none();
                     let changed = match gateway.feed.apply(&update) {
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -201,15 +201,15 @@
         let now = gateway.now();
         if gateway.leadership.was_suspended(now) {
             warn!(gateway.log, "process was suspended, orders held until the leaders are read");
-            // The monotonic clock did not count the suspension, in which the store may have been away.
-            gateway.feed.clear_access();
+            // The monotonic clock did not count the suspension.
+            gateway.feed.clear_served();
             monoio::spawn(election::read_leaders(gateway.clone()));
         }
         gateway.leadership.observe_contact(&gateway, now);
         tick(&gateway);
+        sync::expire_upstreams(&gateway);
         if now >= next_election {
             next_election = now + ELECTION_INTERVAL;
-            sync::expire_upstreams(&gateway);
             election::elect(&gateway);
             let registry = gateway.registry();
             let is_listed = |id: &str| registry.get(id).is_some();
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -212,7 +212,7 @@
 
 fn apply_upstreams(gateway: &Rc<Gateway>, rows: &[feed::Row], is_whole: bool) {
     let now = gateway.now();
-    observe_others(gateway);
+    observe_service(gateway);
     let changes = rows.iter().map(|row| {
         let entry = row.value.as_deref().map(serde_json::from_str::<Description>);
         match entry {
@@ -256,7 +256,10 @@
 
 /// Removes the upstreams that are still missing some time after an outage.
 pub fn expire_upstreams(gateway: &Rc<Gateway>) {
-    observe_others(gateway);
+    if gateway.registry().missing() == 0 {
+        return;
+    }
+    observe_service(gateway);
     let expired = gateway.registry().expire(gateway.now());
     for upstream in &expired {
         log_standing(gateway, upstream, Standing::Missing);
@@ -266,9 +269,12 @@
     }
 }
 
-fn observe_others(gateway: &Gateway) {
-    let served_since = gateway.roster().store_available_since(gateway.now());
-    gateway.registry().observe_others(served_since);
+/// Records since when the store has been available to anyone, as far as is known here.
+fn observe_service(gateway: &Gateway) {
+    let now = gateway.now();
+    let others = gateway.roster().store_available_since(now);
+    let since = gateway.feed.served_since(now).into_iter().chain(others).min();
+    gateway.registry().observe_service(since);
 }
 
 fn log_standing(gateway: &Gateway, upstream: &str, before: Standing) {
--- a/crates/orioleroute/src/ingress/access.rs
+++ b/crates/orioleroute/src/ingress/access.rs
@@ -22,7 +22,8 @@
     Unused,
     /// The last call was answered.
     Answered {
-        /// The time since the first answer that no failure and no gap followed, in milliseconds.
+        /// The time since the first answer that no gap followed, in milliseconds. Answers to readers that
+        /// the instance followed before count as well.
         since_ms: u64,
         /// The time since the last answer, in milliseconds.
         last_ms: u64,
@@ -38,6 +39,15 @@
     }
 }
 
+/// A span of time in which the store answered without a gap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// The first answer.
+    pub since: Instant,
+    /// The last answer.
+    pub last: Instant,
+}
+
 /// The outcomes of an instance's calls to the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Access {
@@ -45,36 +55,36 @@
     #[default]
     Unused,
     /// The last call was answered.
-    Answered {
-        /// The first answer that no failure and no gap followed.
-        since: Instant,
-        /// The last answer.
-        last: Instant,
-    },
+    Answered(Span),
     /// The last call failed.
     Failed,
 }
 
-impl Access {
-    /// Records the answer to a call.
-    pub fn record_answer(&mut self, now: Instant) {
-        let since = match *self {
-            Self::Answered { since, last } if now.since(last) < MAX_GAP => since,
-            Self::Unused | Self::Answered { .. } | Self::Failed => now,
-        };
-        *self = Self::Answered { since, last: now };
+impl Span {
+    /// Returns the span that ends with an answer at `now`: the previous one, continued, or a new one after a
+    /// gap.
+    pub fn continued(previous: Option<Self>, now: Instant) -> Self {
+        let since = previous.and_then(|span| span.available_since(now)).unwrap_or(now);
+        Self { since, last: now }
     }
 
+    /// Returns since when the store has been available, or `None` if the last answer is too old to say that
+    /// it still is.
+    pub fn available_since(&self, now: Instant) -> Option<Instant> {
+        (now.since(self.last) < MAX_GAP).then_some(self.since)
+    }
+}
+
+impl Access {
     /// Returns whether the last call was answered.
     pub fn is_answered(&self) -> bool {
-        matches!(self, Self::Answered { .. })
+        matches!(self, Self::Answered(_))
     }
 
-    /// Returns since when the store has answered all calls, or `None` if the last answer is too old to say
-    /// that it still does.
+    /// Returns since when the store has been available, as far as the answers show.
     pub fn available_since(&self, now: Instant) -> Option<Instant> {
         match self {
-            Self::Answered { since, last } => (now.since(*last) < MAX_GAP).then_some(*since),
+            Self::Answered(span) => span.available_since(now),
             Self::Unused | Self::Failed => None,
         }
     }
@@ -83,9 +93,9 @@
     pub fn report(&self, now: Instant) -> Report {
         match self {
             Self::Unused => Report::Unused,
-            Self::Answered { since, last } => Report::Answered {
-                since_ms: now.since(*since).as_millis() as u64,
-                last_ms: now.since(*last).as_millis() as u64,
+            Self::Answered(span) => Report::Answered {
+                since_ms: now.since(span.since).as_millis() as u64,
+                last_ms: now.since(span.last).as_millis() as u64,
             },
             Self::Failed => Report::Failed,
         }
@@ -95,10 +105,10 @@
     pub fn from_report(report: Report, now: Instant) -> Self {
         match report {
             Report::Unused => Self::Unused,
-            Report::Answered { since_ms, last_ms } => Self::Answered {
+            Report::Answered { since_ms, last_ms } => Self::Answered(Span {
                 since: now - Duration::from_millis(since_ms),
                 last: now - Duration::from_millis(last_ms),
-            },
+            }),
             Report::Failed => Self::Failed,
         }
     }
--- a/crates/orioleroute/src/ingress/registry.rs
+++ b/crates/orioleroute/src/ingress/registry.rs
@@ -27,8 +27,8 @@
     unavailable: bool,
     /// When the list was last unavailable to this instance.
     last_outage: Option<Instant>,
-    /// Since when the store has served other instances, if it does.
-    served_others_since: Option<Instant>,
+    /// Since when the store has been available to any instance, if it is.
+    available_since: Option<Instant>,
 }
 
 /// What an instance knows of an upstream.
@@ -118,9 +118,9 @@
         self.last_outage = Some(now);
     }
 
-    /// Records since when the store has served other instances, or `None` if it is not known to serve any.
-    pub fn observe_others(&mut self, served_since: Option<Instant>) {
-        self.served_others_since = served_since;
+    /// Records since when the store has been available to any instance, or `None` if it is not known to be.
+    pub fn observe_service(&mut self, since: Option<Instant>) {
+        self.available_since = since;
     }
 
     /// Replaces all entries with a complete snapshot of the list.
@@ -167,7 +167,7 @@
         let Some(outage) = self.last_outage else { return false };
         let own_return = (!self.unavailable).then_some(outage);
         // The store is back as soon as it serves any instance.
-        match own_return.into_iter().chain(self.served_others_since).min() {
+        match own_return.into_iter().chain(self.available_since).min() {
             Some(back) => now.since(back) < RECOVERY_GRACE,
             None => true,
         }
--- a/crates/orioleroute/tests/ingress.rs
+++ b/crates/orioleroute/tests/ingress.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use orioleroute::ingress::access::{Access, MAX_GAP, Report};
+use orioleroute::ingress::access::{Access, MAX_GAP, Report, Span};
 use orioleroute::ingress::deadline::DeadlineTracker;
 use orioleroute::ingress::health::{Health, Outcome};
 use orioleroute::ingress::isolation::Isolation;
@@ -164,7 +164,7 @@
 fn an_entry_removed_while_the_store_serves_others_is_dropped_at_once() {
     let mut registry = registry(&["a", "b"]);
     registry.mark_unavailable(Instant::from_millis(15_000));
-    registry.observe_others(Some(Instant::from_millis(2_000)));
+    registry.observe_service(Some(Instant::from_millis(2_000)));
 
     registry.apply([Change::Removed("a".into())], Instant::from_millis(20_000));
 
@@ -180,7 +180,7 @@
     registry.replace([upstream("b", State::Ready)], back + Duration::from_millis(500));
     registry.mark_unavailable(back + Duration::from_millis(600));
 
-    registry.observe_others(Some(back));
+    registry.observe_service(Some(back));
     registry.expire(back + RECOVERY_GRACE - Duration::from_millis(1));
     assert_eq!(listed(&registry), ["a", "b"]);
     registry.expire(back + RECOVERY_GRACE);
@@ -193,11 +193,10 @@
 #[case::answered_again(1_900, 10_000)]
 #[case::after_a_gap(2_000, 12_000)]
 fn answers_show_an_available_store_only_without_a_gap(#[case] pause: u64, #[case] since: u64) {
-    let mut access = Access::default();
-    access.record_answer(Instant::from_millis(10_000));
+    let first = Span::continued(None, Instant::from_millis(10_000));
 
     let again = Instant::from_millis(10_000 + pause);
-    access.record_answer(again);
+    let access = Access::Answered(Span::continued(Some(first), again));
 
     let received = Access::from_report(access.report(again), again);
     assert_eq!(received.available_since(again), Some(Instant::from_millis(since)));
