Log and count where streams end

No log line or counter showed either: a stream whose upstream broke off was logged as answered, like a complete one.

The counter orioleroute_stream_ends_total has the framing and the position, the line "stream ended inside an event" the request, the upstream and the bytes after the last event. No logic is changed.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -412,6 +412,11 @@
         }
     }
 
+    /// Returns the id that the client gave to this request, for the log.
+    pub(super) fn attempt_id(&self) -> Option<&str> {
+        self.attempt.id.as_deref()
+    }
+
     fn log_departed(&self, permit: &Permit) {
         let standing = self.gateway.registry().standing(&permit.upstream);
         metrics::counter!("orioleroute_grants_departed_total").increment(1);
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -3,6 +3,7 @@
 use bytes::BytesMut;
 use orioleroute::prelude::*;
 use orioleroute_wire::http1::head;
+use slog::info;
 
 use super::exchange::Incoming;
 use super::forward::Relay;
@@ -95,6 +96,9 @@
             };
             let is_end = chunk.is_none();
             pending.extend_from_slice(&chunk.unwrap_or_default());
+            if is_end {
+                self.observe_end(permit, incoming, pending.len());
+            }
             let events = match is_end {
                 true => pending.split(),
                 false => self.take_events(&mut pending),
@@ -151,6 +155,19 @@
         output
     }
 
+    /// Reports how a stream ended, and how many bytes it sent after its last complete event.
+    fn observe_end(&self, permit: &Permit, incoming: &Incoming, partial_bytes: usize) {
+        let framing: &'static str = incoming.head.framing.into();
+        let position = if partial_bytes == 0 { "after_event" } else { "inside_event" };
+        metrics::counter!("orioleroute_stream_ends_total", "framing" => framing, "position" => position)
+            .increment(1);
+        if partial_bytes > 0 {
+            info!(self.gateway.log, "stream ended inside an event"; "request" => self.attempt_id(),
+                "upstream" => &*permit.upstream, "framing" => framing,
+                "last_event" => self.last_event, "partial_bytes" => partial_bytes);
+        }
+    }
+
     fn observe_first_event(&self) {
         let time = self.gateway.now().since(self.inbound.arrived);
         metrics::histogram!("orioleroute_time_to_first_token_seconds").record(time.as_secs_f64());
--- a/crates/orioleroute-wire/src/http1/body.rs
+++ b/crates/orioleroute-wire/src/http1/body.rs
@@ -9,7 +9,8 @@
 const MAX_LINE_BYTES: usize = 4_096;
 
 /// How the length of a body is determined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Framing {
     /// The body has this many bytes.
     Length(u64),
