Complete a stream only where its events are complete

Cause: the end of the body, as its framing determines it, was taken for the end of the stream. A response without a length or chunks ends with its connection, also when the upstream breaks off; the relay then wrote what followed the last event, and the last chunk.

The new splitter (wire::sse) takes bytes and the end of the body, and gives events and the verdict, without I/O. A stream is broken if it ends inside an event, or if its connection ends before the first event and nothing else marks the end. It is then resumed after its last event where the route allows it, otherwise cut without the last chunk, or answered with 502 where nothing was written. Lines may end with CR LF, LF or CR; comments may follow the last event.

The media type of streams is compared without case.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -12,6 +12,7 @@
 use orioleroute_platform::ingress::{self, Dispatch, ResponseClass};
 use orioleroute_wire::http1::head::{self, Request};
 use orioleroute_wire::http1::socket::Socket;
+use orioleroute_wire::sse;
 use slog::info;
 
 use super::exchange::{Failure, Incoming, Outgoing, Target};
@@ -19,7 +20,7 @@
 use super::relaying::RelayOutcome;
 use super::response::{Response, State};
 use super::state::Gateway;
-use super::{server, startup, stream};
+use super::{server, startup};
 
 /// The number of upstreams that may decline one request, or be unreachable, before it is refused.
 const MAX_DECLINES: u32 = 3;
@@ -267,7 +268,7 @@
             self.observe_retry();
             return None;
         }
-        let is_stream = status.is_success() && stream::is_event_stream(&incoming.head.headers);
+        let is_stream = status.is_success() && sse::is_stream(&incoming.head.headers);
         let relayed = match is_stream {
             true => self.relay_stream(response, &permit, &mut incoming).await,
             // Only events can continue a started stream.
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -22,7 +22,6 @@
 mod settings;
 mod startup;
 mod state;
-mod stream;
 mod sync;
 
 use std::process::ExitCode;
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -1,15 +1,14 @@
 //! Relays the response of an upstream to the client, streams in whole events.
 
-use bytes::BytesMut;
 use orioleroute::prelude::*;
 use orioleroute_wire::http1::head;
+use orioleroute_wire::sse::{Broken, Splitter};
 use slog::info;
 
 use super::exchange::Incoming;
 use super::forward::Relay;
 use super::placement::Permit;
-use super::response::{Disconnected, Response, State};
-use super::stream;
+use super::response::{Disconnected, Response, Started, State};
 
 /// The largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -72,7 +71,7 @@
         permit: &Permit,
         incoming: &mut Incoming,
     ) -> RelayOutcome {
-        let mut pending = BytesMut::new();
+        let mut splitter = Splitter::numbered(self.last_event);
         loop {
             let now = self.gateway.now();
             let remaining = self.deadline.since(now);
@@ -95,53 +94,63 @@
                 Err(failure) => return RelayOutcome::Lost(failure.to_string()),
             };
             let is_end = chunk.is_none();
-            pending.extend_from_slice(&chunk.unwrap_or_default());
+            match chunk {
+                Some(data) => splitter.push(&data),
+                None => splitter.close(incoming.head.framing),
+            }
+            let (events, broken) = self.take_events(&mut splitter);
             if is_end {
-                self.observe_end(permit, incoming, pending.len());
+                self.observe_end(permit, incoming, broken);
             }
-            let events = match is_end {
-                true => pending.split(),
-                false => self.take_events(&mut pending),
-            };
-            if events.is_empty() && !is_end {
-                continue;
+            let is_complete = is_end && broken.is_none();
+            if is_complete || !events.is_empty() {
+                match self.pass_on(response, permit, incoming, &events).await {
+                    Ok(started) if is_complete => return started.end().await.into(),
+                    Ok(_) => {}
+                    Err(Disconnected) => return RelayOutcome::ClientClosed,
+                }
             }
-            let started = match response.state() {
-                State::Started(mut started) => match started.send(&events).await {
-                    Ok(()) => Ok(started),
-                    Err(disconnected) => Err(disconnected),
-                },
-                State::Unstarted(unstarted) => {
-                    let mut head = self.response_head(incoming);
-                    head::write_field(&mut head, "transfer-encoding", "chunked");
-                    head.extend_from_slice(b"\r\n");
-                    permit.send_started();
-                    self.observe_first_event();
-                    unstarted.start(head, &events).await
+            if let Some(broken) = broken {
+                return RelayOutcome::Lost(broken.to_string());
+            }
+        }
+    }
+
+    /// Returns the events that the client has not received yet, and why no more follow if the stream is
+    /// broken.
+    fn take_events(&mut self, splitter: &mut Splitter) -> (Vec<u8>, Option<Broken>) {
+        let mut events = Vec::new();
+        loop {
+            match splitter.next() {
+                Ok(Some(event)) => {
+                    self.last_event = event.id.or(self.last_event);
+                    events.extend_from_slice(&event.bytes);
                 }
-            };
-            match started {
-                Ok(started) if is_end => return started.end().await.into(),
-                Ok(_) => {}
-                Err(Disconnected) => return RelayOutcome::ClientClosed,
+                Ok(None) => return (events, None),
+                Err(broken) => return (events, Some(broken)),
             }
         }
     }
 
-    /// Removes the complete events from the front of `pending`, and returns those that the client has
-    /// not received yet.
-    fn take_events(&mut self, pending: &mut BytesMut) -> BytesMut {
-        let mut events = BytesMut::new();
-        while let Some(length) = stream::event_length(pending) {
-            let event = pending.split_to(length);
-            let id = stream::event_id(&event);
-            if id.is_some() && id <= self.last_event {
-                continue;
+    /// Writes events to the client, after the head of the response if nothing has been written.
+    async fn pass_on<'a, 'b>(
+        &self,
+        response: &'b mut Response<'a>,
+        permit: &Permit,
+        incoming: &Incoming,
+        events: &[u8],
+    ) -> Result<Started<'a, 'b>, Disconnected> {
+        match response.state() {
+            State::Started(mut started) => started.send(events).await.map(|()| started),
+            State::Unstarted(unstarted) => {
+                let mut head = self.response_head(incoming);
+                head::write_field(&mut head, "transfer-encoding", "chunked");
+                head.extend_from_slice(b"\r\n");
+                permit.send_started();
+                self.observe_first_event();
+                unstarted.start(head, events).await
             }
-            self.last_event = id.or(self.last_event);
-            events.unsplit(event);
         }
-        events
     }
 
     fn response_head(&self, incoming: &Incoming) -> Vec<u8> {
@@ -155,16 +164,20 @@
         output
     }
 
-    /// Reports how a stream ended, and how many bytes it sent after its last complete event.
-    fn observe_end(&self, permit: &Permit, incoming: &Incoming, partial_bytes: usize) {
+    /// Reports how a stream ended, and whether that was inside an event.
+    fn observe_end(&self, permit: &Permit, incoming: &Incoming, broken: Option<Broken>) {
         let framing: &'static str = incoming.head.framing.into();
-        let position = if partial_bytes == 0 { "after_event" } else { "inside_event" };
+        let position = match broken {
+            None => "after_event",
+            Some(Broken::Empty) => "before_first_event",
+            Some(_) => "inside_event",
+        };
         metrics::counter!("orioleroute_stream_ends_total", "framing" => framing, "position" => position)
             .increment(1);
-        if partial_bytes > 0 {
-            info!(self.gateway.log, "stream ended inside an event"; "request" => self.attempt_id(),
+        if let Some(broken) = broken {
+            info!(self.gateway.log, "stream broken off"; "request" => self.attempt_id(),
                 "upstream" => &*permit.upstream, "framing" => framing,
-                "last_event" => self.last_event, "partial_bytes" => partial_bytes);
+                "last_event" => self.last_event, "cause" => broken.to_string());
         }
     }
 
--- a/crates/orioleroute-wire/src/lib.rs
+++ b/crates/orioleroute-wire/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rpc;
 pub mod runtime;
 pub mod server;
+pub mod sse;
 
 pub use error::{Error, Step};
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
--- /dev/null
+++ b/crates/orioleroute-wire/tests/sse.rs
@@ -0,0 +1,230 @@
+//! Splitting streams of server-sent events: which events are passed on, and whether the end is complete.
+//!
+//! Guards against streams that are broken off and passed on as complete, with a part of an event.
+
+use http::{HeaderMap, HeaderValue};
+use orioleroute_wire::http1::body::Framing;
+use orioleroute_wire::sse::{self, Broken, Event, MAX_BYTES_BETWEEN_EVENTS, Splitter};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// What a stream is split into: the text that is passed on, and why it is broken.
+#[derive(Debug, PartialEq, Eq)]
+struct Split {
+    passed_on: Vec<String>,
+    broken: Option<Broken>,
+}
+
+fn split(splitter: Splitter, parts: &[&[u8]], end: Option<Framing>) -> Split {
+    let mut splitter = splitter;
+    let mut passed_on = Vec::new();
+    let mut take = |splitter: &mut Splitter| loop {
+        match splitter.next() {
+            Ok(Some(event)) => passed_on.push(text(&event)),
+            Ok(None) => return None,
+            Err(broken) => return Some(broken),
+        }
+    };
+    for part in parts {
+        splitter.push(part);
+        if let Some(broken) = take(&mut splitter) {
+            return Split { passed_on, broken: Some(broken) };
+        }
+    }
+    let broken = end.and_then(|framing| {
+        splitter.close(framing);
+        take(&mut splitter)
+    });
+    Split { passed_on, broken }
+}
+
+fn text(event: &Event) -> String {
+    String::from_utf8_lossy(&event.bytes).into_owned()
+}
+
+#[rstest]
+#[case::one_event(&["data: a\n\n"], &["data: a\n\n"])]
+#[case::two_at_once(&["data: a\n\ndata: b\n\n"], &["data: a\n\n", "data: b\n\n"])]
+#[case::split(&["da", "ta: a\n", "\ndata: b"], &["data: a\n\n"])]
+#[case::with_carriage_returns(&["data: a\r\n\r\nda"], &["data: a\r\n\r\n"])]
+#[case::between_cr_and_lf(&["data: a\r\n\r", "\nda"], &["data: a\r\n\r\n"])]
+#[case::bare_carriage_returns(&["data: a\r\r"], &["data: a\r\r"])]
+#[case::mixed_line_ends(&["data: a\n\r\ndata: b\r\n\n"], &["data: a\n\r\n", "data: b\r\n\n"])]
+#[case::data_within_data(&["data: the\ndata: b\n\n"], &["data: the\ndata: b\n\n"])]
+#[case::comment(&[": wait\n\n"], &[": wait\n\n"])]
+#[case::retry(&["retry: 10\n\n"], &["retry: 10\n\n"])]
+fn only_complete_events_are_passed_on(#[case] parts: &[&str], #[case] expected: &[&str]) {
+    let parts: Vec<&[u8]> = parts.iter().map(|part| part.as_bytes()).collect();
+
+    let split = split(Splitter::default(), &parts, None);
+
+    assert_eq!(split, Split { passed_on: owned(expected), broken: None });
+}
+
+/// An event must not wait for the next one because its last line end could be continued.
+#[test]
+fn the_second_event_with_bare_carriage_returns_is_not_delayed() {
+    let parts: [&[u8]; 2] = [b"data: a\r\r", b"data: b\r\r"];
+
+    let split = split(Splitter::default(), &parts, None);
+
+    assert_eq!(split.passed_on, ["data: a\r\r", "data: b\r\r"]);
+}
+
+#[rstest]
+#[case::in_a_line("data: b", Some(Broken::InsideEvent { bytes: 7 }))]
+#[case::after_a_line("data: b\n", Some(Broken::InsideEvent { bytes: 8 }))]
+#[case::after_a_line_with_carriage_return("data: b\r\n", Some(Broken::InsideEvent { bytes: 9 }))]
+#[case::in_a_comment(": b", Some(Broken::InsideEvent { bytes: 3 }))]
+#[case::after_a_comment_and_a_line(": b\nid: 1\n", Some(Broken::InsideEvent { bytes: 10 }))]
+#[case::after_a_comment(": b\n", None)]
+#[case::in_the_last_line_end("data: b\r\n\r", None)]
+#[case::after_an_event("data: b\n\n", None)]
+fn the_end_of_a_stream_is_complete_only_between_events(
+    #[case] rest: &str,
+    #[case] broken: Option<Broken>,
+    #[values(Framing::Chunked, Framing::Length(9), Framing::UntilClose)] framing: Framing,
+) {
+    let mut expected = vec!["data: a\n\n".to_owned()];
+    expected.extend(broken.is_none().then(|| rest.to_owned()));
+
+    let split = split(Splitter::default(), &[b"data: a\n\n", rest.as_bytes()], Some(framing));
+
+    assert_eq!(split, Split { passed_on: expected, broken });
+}
+
+/// Where only the end of the connection marks the end, a stream without any event shows nothing that is complete.
+#[rstest]
+#[case::ends_with_its_connection(Framing::UntilClose, None, Some(Broken::Empty))]
+#[case::resumes_after_the_last_event(Framing::UntilClose, Some(4), None)]
+#[case::ends_with_its_last_chunk(Framing::Chunked, None, None)]
+fn a_stream_without_events_is_complete_if_it_says_so(
+    #[case] framing: Framing,
+    #[case] last: Option<u64>,
+    #[case] broken: Option<Broken>,
+) {
+    let split = split(Splitter::numbered(last), &[], Some(framing));
+
+    assert_eq!(split, Split { passed_on: Vec::new(), broken });
+}
+
+#[test]
+fn events_that_a_resumed_stream_repeats_are_left_out() {
+    let parts: [&[u8]; 1] = [b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 2\ndata: b\n\ndata: c\n\n"];
+
+    let split = split(Splitter::numbered(Some(1)), &parts, Some(Framing::Chunked));
+
+    assert_eq!(split.passed_on, ["id: 2\ndata: b\n\n", "data: c\n\n"]);
+}
+
+#[rstest]
+#[case::one_line("data: aaaaaaaa", "")]
+#[case::lines("data: aaaaaaaa\n", "")]
+#[case::comments(": aaaaaaaa\n\n", "")]
+#[case::fields_without_data("x: aaaaaaaa\n\n", "")]
+#[case::repeated_events("id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n")]
+fn a_stream_without_new_events_is_broken_after_a_bound(#[case] unit: &str, #[case] first: &str) {
+    let mut splitter = Splitter::numbered(None);
+    splitter.push(first.as_bytes());
+    let unit = unit.repeat(4_096 / unit.len());
+    let mut sent = 0;
+
+    let broken = loop {
+        splitter.push(unit.as_bytes());
+        sent += unit.len();
+        assert!(sent <= 2 * MAX_BYTES_BETWEEN_EVENTS, "not broken after {sent} bytes");
+        let mut event = splitter.next();
+        while let Ok(Some(_)) = event {
+            event = splitter.next();
+        }
+        if let Err(broken) = event {
+            break broken;
+        }
+    };
+
+    assert_eq!(broken, Broken::NoEvent);
+}
+
+#[rstest]
+#[case("text/event-stream", true)]
+#[case("Text/Event-Stream; charset=utf-8", true)]
+#[case("text/event-streams", false)]
+#[case("application/json", false)]
+fn streams_are_recognized_by_their_media_type(#[case] content_type: &str, #[case] expected: bool) {
+    let mut headers = HeaderMap::new();
+    headers.insert("content-type", HeaderValue::from_str(content_type).unwrap());
+
+    assert_eq!(sse::is_stream(&headers), expected);
+}
+
+fn owned(texts: &[&str]) -> Vec<String> {
+    texts.iter().map(|text| (*text).to_owned()).collect()
+}
+
+/// An event as it is sent, by its lines and its kind of line end.
+fn event() -> impl Strategy<Value = Vec<String>> {
+    let line = prop_oneof!["data: [a-z:]{0,6}", "id: [0-9]{1,2}", ": [a-z]{0,4}", "retry: 5"];
+    let end = prop_oneof![Just("\n"), Just("\r"), Just("\r\n")];
+    (prop::collection::vec(line, 1..4), end).prop_map(|(lines, end)| {
+        lines.into_iter().map(|line| line + end).chain([end.to_owned()]).collect()
+    })
+}
+
+/// Returns how much of the first `cut` bytes of these events is complete, and whether the rest is inside an event. It is
+/// found from the lines as they were generated, not by reading bytes.
+fn complete_prefix(events: &[Vec<String>], cut: usize) -> (usize, bool) {
+    let mut start = 0;
+    for event in events {
+        let mut end = start;
+        let mut has_field = false;
+        for line in event {
+            // A CR ends a line, also if its LF is cut off.
+            let is_whole =
+                end + line.len() <= cut || (end + line.len() == cut + 1 && line.ends_with("\r\n"));
+            if !is_whole {
+                return match has_field || end < cut {
+                    true => (start, true),
+                    false => (cut, false),
+                };
+            }
+            has_field |= !line.starts_with([':', '\r', '\n']);
+            end = (end + line.len()).min(cut);
+        }
+        start = end;
+    }
+    (start, false)
+}
+
+proptest! {
+    /// However a stream is split into reads and wherever it ends, its complete events are passed on unchanged, no byte
+    /// of an incomplete one is, and the verdict is that of the whole.
+    #[test]
+    fn any_split_and_any_end_give_the_same_events_and_the_right_verdict(
+        events in prop::collection::vec(event(), 1..6),
+        cut in any::<prop::sample::Index>(),
+        sizes in prop::collection::vec(1..7_usize, 1..12),
+    ) {
+        let whole: Vec<u8> = events.concat().concat().into_bytes();
+        let cut = cut.index(whole.len() + 1);
+        let mut rest = &whole[..cut];
+        let mut parts = Vec::new();
+        for size in sizes.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (part, after) = rest.split_at((*size).min(rest.len()));
+            parts.push(part);
+            rest = after;
+        }
+        let (complete, is_inside) = complete_prefix(&events, cut);
+
+        let split = split(Splitter::default(), &parts, Some(Framing::Chunked));
+
+        prop_assert_eq!(split.passed_on.concat().into_bytes(), &whole[..complete]);
+        prop_assert_eq!(
+            split.broken.is_some(),
+            is_inside,
+            "{:?} of {:?}", String::from_utf8_lossy(&whole[..cut]), events
+        );
+    }
+}
