Test that streams of the documents edge end with their last event

The same cause as in the gateway, in the relay of the product's own interface: the last chunk of an upstream is taken for the end of the stream. The engine stand-in can end a stream with its last chunk, inside an event or after one that is not the last.

--- a/crates/orioleroute-node/tests/faults.rs
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -203,6 +203,39 @@
     assert!(system.nodes[home].wait(Duration::from_secs(10)).is_ok_and(|ended| ended.success()));
 }
 
+/// The last chunk marks the end of the body, but only the last event marks the end of a stream.
+#[rstest]
+#[case::inside_an_event(engine::Break::InsideEvent)]
+#[case::after_an_event(engine::Break::AfterEvent)]
+fn a_stream_that_ends_before_its_last_event_is_resumed(#[case] break_as: engine::Break) {
+    let system = System::start(2);
+    for engine in &system.engines {
+        set_faults(*engine, &engine::Faults { break_after: 5, break_as, ..Default::default() });
+    }
+
+    let resumed = stream(system.callers(system.home(0, "milk")), "milk", 15);
+
+    let resumed = resumed.join().expect("it was read");
+    assert!(resumed.is_complete(15), "{} {:?}", resumed.text, resumed.error);
+}
+
+#[rstest]
+#[case::inside_an_event(engine::Break::InsideEvent)]
+#[case::after_an_event(engine::Break::AfterEvent)]
+fn a_stream_that_ends_before_its_last_event_and_is_not_resumed_ends_with_an_error(
+    #[case] break_as: engine::Break,
+) {
+    let system = System::start(2);
+    let faults = engine::Faults { break_after: 5, break_as, no_resume: true, ..Default::default() };
+    system.engines.iter().for_each(|engine| set_faults(*engine, &faults));
+
+    let broken = stream(system.callers(system.home(0, "milk")), "milk", 15);
+
+    let broken = broken.join().expect("it was read");
+    assert!(broken.ends_with_error(), "{} {:?}", broken.text, broken.error);
+    assert!(!broken.text.contains("{\"id\n") && !broken.text.contains("{\"iddata"));
+}
+
 #[test]
 fn a_stalled_stream_is_resumed() {
     let engines = [system::start_engine(engine::Settings::default())];
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -53,6 +53,8 @@
     pub report_lag_ms: u64,
     /// The number of tokens after which the connection of a stream is broken; 0 disables this.
     pub break_after: u32,
+    /// How these streams end.
+    pub break_as: Break,
     /// Broken streams cannot be resumed.
     pub no_resume: bool,
     /// The engine restarts once, with no adapters loaded.
@@ -61,6 +63,19 @@
     pub draining: bool,
 }
 
+/// How a broken stream ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Break {
+    /// Its connection is closed.
+    #[default]
+    Closed,
+    /// The last chunk follows a part of an event.
+    InsideEvent,
+    /// The last chunk follows an event that is not the last one.
+    AfterEvent,
+}
+
 struct State {
     settings: Settings,
     faults: Faults,
@@ -318,6 +333,12 @@
     connection.start_response(StatusCode::OK, &headers).await?;
     for index in first..tokens {
         if break_after > 0 && index - first >= break_after {
+            let break_as = state.borrow().faults.break_as;
+            if break_as != Break::Closed {
+                let rest: &[u8] = if break_as == Break::InsideEvent { b"data: {\"id" } else { b"" };
+                connection.write_chunk(rest).await?;
+                return connection.finish_response().await;
+            }
             return Err(Error::new(
                 orioleroute_wire::Step::Send,
                 connection.peer(),
