Read responses with one decoder, to their end

The client of the store, of engines' reports and orders, of other instances and of oriolectl took a response for complete that was not (found by looking for the incident's cause elsewhere): one with a length whose connection ended right after the head, and any without a length or chunks, which it read as empty, also after a reset. A caller of the documents edge got such an empty body as the response of a service.

Cause: its decoder, that of monoio-http, reports the end of the input and the end of the body in the same way. The client now reads with the strict decoder of the proxy and the servers, which keeps the two apart. Sending a request and reading its response are shared with the gateway (http1::incoming), with one type for why a response was cut.

--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -6,17 +6,14 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use orioleroute::prelude::*;
-use orioleroute_wire::http1::body::Decoder;
 use orioleroute_wire::http1::head::{self, Response};
+use orioleroute_wire::http1::incoming::{self, Cut};
 use orioleroute_wire::http1::socket::Socket;
 
 /// The longest wait for a connection. A round trip between regions takes 24 ms; a lost packet costs
 /// another second, and trying another upstream is faster than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The largest head of a response, in bytes.
-const MAX_HEAD_BYTES: usize = 32 << 10;
-
 /// The most idle connections kept open to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 8;
 
@@ -61,7 +58,7 @@
     Unreachable(String),
     /// The connection ended early or the response was malformed; the request may have run.
     #[error("answer: {0}")]
-    Broken(String),
+    Broken(#[from] Cut),
 }
 
 /// The pool of idle connections to upstreams.
@@ -76,14 +73,10 @@
     max_idle: Duration,
 }
 
-/// A response whose body is still arriving.
+/// A response of an upstream whose body is still arriving.
 pub struct Incoming {
-    /// The head.
-    pub head: Response,
-    socket: Socket,
-    decoder: Decoder,
+    response: incoming::Incoming,
     target: Target,
-    is_request_sent: bool,
 }
 
 impl Connections {
@@ -99,31 +92,15 @@
         now: Instant,
     ) -> Result<Incoming, Failure> {
         let max_idle = if request.is_repeatable { Duration::MAX } else { NON_REPEATABLE_MAX_IDLE };
-        let mut socket = match self.take_idle(&target.id, max_idle, now) {
+        let socket = match self.take_idle(&target.id, max_idle, now) {
             Some(socket) => socket,
             None => Socket::connect(target.address, CONNECT_TIMEOUT)
                 .await
                 .map_err(|error| Failure::Unreachable(error.to_string()))?,
         };
-        let mut output = encode(&request);
-        let broken = |cause: &dyn std::fmt::Display| Failure::Broken(cause.to_string());
-        loop {
-            match Response::parse(&mut socket.input, request.method, MAX_HEAD_BYTES) {
-                Ok(Some(head)) => {
-                    let decoder = Decoder::new(head.framing);
-                    let is_request_sent = output.is_empty();
-                    let target = target.clone();
-                    return Ok(Incoming { head, socket, decoder, target, is_request_sent });
-                }
-                Ok(None) => {}
-                Err(error) => return Err(broken(&error)),
-            }
-            match socket.write_or_fill(&mut output).await {
-                Ok(Some(0)) => return Err(broken(&"closed without an answer")),
-                Ok(_) => {}
-                Err(error) => return Err(broken(&error)),
-            }
-        }
+        let response =
+            incoming::Incoming::receive(socket, encode(&request), request.method).await?;
+        Ok(Incoming { response, target: target.clone() })
     }
 
     fn take_idle(&self, id: &Arc<str>, max_idle: Duration, now: Instant) -> Option<Socket> {
@@ -157,26 +134,18 @@
 }
 
 impl Incoming {
-    /// Returns the next chunk of the body, or `None` at its end.
+    /// Returns the head.
+    pub fn head(&self) -> &Response {
+        &self.response.head
+    }
+
+    /// Returns the next part of the body, or `None` at its end.
     ///
     /// # Errors
     ///
     /// Fails if the body is truncated or malformed.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
-        loop {
-            match self.decoder.decode(&mut self.socket.input) {
-                Ok(Some(data)) => return Ok(Some(data)),
-                Ok(None) if self.decoder.is_done() => return Ok(None),
-                Ok(None) => {}
-                Err(error) => return Err(Failure::Broken(error.to_string())),
-            }
-            match self.socket.fill().await {
-                Ok(0) if self.decoder.finish() => return Ok(None),
-                Ok(0) => return Err(Failure::Broken("closed within the body".into())),
-                Ok(_) => {}
-                Err(error) => return Err(Failure::Broken(error.to_string())),
-            }
-        }
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
+        self.response.next().await
     }
 
     /// Returns the whole body.
@@ -184,30 +153,16 @@
     /// # Errors
     ///
     /// Fails if the body is truncated, malformed or longer than `limit` bytes.
-    pub async fn collect(&mut self, limit: usize) -> Result<Bytes, Failure> {
-        let mut whole = Vec::new();
-        while let Some(chunk) = self.next().await? {
-            if whole.len() + chunk.len() > limit {
-                return Err(Failure::Broken(format!("longer than {limit} bytes")));
-            }
-            whole.extend_from_slice(&chunk);
-        }
-        Ok(whole.into())
+    pub async fn collect(&mut self, limit: usize) -> Result<Bytes, Cut> {
+        self.response.collect(limit).await
     }
 
-    /// Returns the connection to the pool if it can be reused: the request was sent in full, the
-    /// response was read in full with nothing after it, and the upstream keeps the connection open.
+    /// Returns the connection to the pool if it can be reused.
     pub fn release(self, connections: &Connections, now: Instant) {
-        let is_clean = self.is_request_sent
-            && self.decoder.is_done()
-            && self.head.keeps_alive
-            && self.socket.input.is_empty();
-        if is_clean {
-            let max_idle = max_idle_from(&self.head.headers);
-            connections.put_idle(
-                &self.target.id,
-                IdleConnection { socket: self.socket, idle_since: now, max_idle },
-            );
+        let max_idle = max_idle_from(&self.response.head.headers);
+        if let Some(socket) = self.response.into_reusable() {
+            connections
+                .put_idle(&self.target.id, IdleConnection { socket, idle_since: now, max_idle });
         }
     }
 }
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -197,13 +197,14 @@
                 self.possible_runs.set(self.possible_runs.get() - 1);
                 TryOutcome::NotRun(permit, RunResult::Unreachable)
             }
-            Err(Failure::Broken(cause)) => TryOutcome::Lost(permit, cause),
+            Err(Failure::Broken(cut)) => TryOutcome::Lost(permit, cut.to_string()),
         }
     }
 
     fn classify(&self, permit: Permit, incoming: Incoming) -> TryOutcome {
         let id = self.attempt.id.as_deref();
-        let class = ingress::classify_response(incoming.head.status, &incoming.head.headers, id);
+        let class =
+            ingress::classify_response(incoming.head().status, &incoming.head().headers, id);
         match class {
             ResponseClass::Valid => TryOutcome::Answered(permit, Box::new(incoming)),
             ResponseClass::Mismatched => {
@@ -261,14 +262,18 @@
         permit: Permit,
         mut incoming: Incoming,
     ) -> Option<(Disposition, &'static str)> {
-        self.tried_upstreams.push(format!("{} {}", permit.upstream, incoming.head.status.as_u16()));
-        let status = incoming.head.status;
+        self.tried_upstreams.push(format!(
+            "{} {}",
+            permit.upstream,
+            incoming.head().status.as_u16()
+        ));
+        let status = incoming.head().status;
         if status.is_server_error() && self.may_retry() {
             permit.end(RunResult::Erred);
             self.observe_retry();
             return None;
         }
-        let is_stream = status.is_success() && sse::is_stream(&incoming.head.headers);
+        let is_stream = status.is_success() && sse::is_stream(&incoming.head().headers);
         let relayed = match is_stream {
             true => self.relay_stream(response, &permit, &mut incoming).await,
             // Only events can continue a started stream.
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -96,7 +96,7 @@
             let is_end = chunk.is_none();
             match chunk {
                 Some(data) => splitter.push(&data),
-                None => splitter.close(incoming.head.framing),
+                None => splitter.close(incoming.head().framing),
             }
             let (events, broken) = self.take_events(&mut splitter);
             if is_end {
@@ -154,10 +154,10 @@
     }
 
     fn response_head(&self, incoming: &Incoming) -> Vec<u8> {
-        let mut headers = incoming.head.headers.clone();
+        let mut headers = incoming.head().headers.clone();
         head::strip_connection_fields(&mut headers);
         let mut output = Vec::with_capacity(512);
-        head::write_response(&mut output, incoming.head.status, &headers);
+        head::write_response(&mut output, incoming.head().status, &headers);
         if self.gateway.is_stopping() {
             head::write_field(&mut output, "connection", "close");
         }
@@ -166,7 +166,7 @@
 
     /// Reports how a stream ended, and whether that was inside an event.
     fn observe_end(&self, permit: &Permit, incoming: &Incoming, broken: Option<Broken>) {
-        let framing: &'static str = incoming.head.framing.into();
+        let framing: &'static str = incoming.head().framing.into();
         let position = match broken {
             None => "after_event",
             Some(Broken::Empty) => "before_first_event",
--- a/crates/orioleroute-wire/src/client.rs
+++ b/crates/orioleroute-wire/src/client.rs
@@ -2,36 +2,30 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
-use monoio::io::sink::Sink;
-use monoio::io::stream::Stream;
-use monoio::net::TcpStream;
-use monoio_http::common::body::HttpBody;
-use monoio_http::common::error::HttpError;
-use monoio_http::h1::BorrowFramedRead;
-use monoio_http::h1::codec::ClientCodec;
-use monoio_http::h1::codec::decoder::{
-    ChunkedBodyDecoder, DecodeError, FixedBodyDecoder, PayloadDecoder,
-};
 
 use crate::connect::OnClose;
+use crate::http1::body::Framing;
+use crate::http1::head;
+use crate::http1::incoming::{self, Cut};
+use crate::http1::socket::Socket;
 use crate::{Error, Step};
 
-type Codec = ClientCodec<TcpStream>;
-
 /// The time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The maximum number of idle connections kept open to one peer.
 const MAX_IDLE_PER_PEER: usize = 64;
 
+/// The largest body of a response that is read as a whole, in bytes. Objects of the store have up to 8 MiB.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// A complete response.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -103,7 +97,7 @@
 /// A pool of connections to all peers, reused between calls.
 #[derive(Clone, Default)]
 pub struct Pool {
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Codec>>>>,
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Socket>>>>,
     on_close: OnClose,
 }
 
@@ -169,11 +163,11 @@
         check: impl Fn() -> bool,
     ) -> Result<Answer, Error> {
         let exchange = async {
-            let codec = self.connection(peer).await?;
+            let socket = self.connection(peer).await?;
             match check() {
-                true => self.exchange(codec, peer, call).await?.collect().await,
+                true => self.exchange(socket, peer, call).await?.collect().await,
                 false => {
-                    self.put_idle(peer, codec);
+                    self.put_idle(peer, socket);
                     Err(Error::new(Step::Check, peer, "not sent"))
                 }
             }
@@ -193,8 +187,8 @@
     ///
     /// Fails with the step at which the exchange failed.
     pub async fn open(&self, peer: SocketAddr, call: Call) -> Result<Incoming, Error> {
-        let codec = self.connection(peer).await?;
-        self.exchange(codec, peer, call).await
+        let socket = self.connection(peer).await?;
+        self.exchange(socket, peer, call).await
     }
 
     /// Sends a request over a new connection and returns once the head of the response has arrived.
@@ -205,67 +199,59 @@
     ///
     /// Fails with the step at which the exchange failed.
     pub async fn open_new(&self, peer: SocketAddr, call: Call) -> Result<Incoming, Error> {
-        let codec = connect(peer, self.on_close).await?;
-        self.exchange(codec, peer, call).await
+        let socket = self.connect(peer).await?;
+        self.exchange(socket, peer, call).await
     }
 
-    async fn connection(&self, peer: SocketAddr) -> Result<Codec, Error> {
-        match self.take_idle(peer).await {
-            Some(codec) => Ok(codec),
-            None => connect(peer, self.on_close).await,
+    async fn connection(&self, peer: SocketAddr) -> Result<Socket, Error> {
+        match self.take_idle(peer) {
+            Some(socket) => Ok(socket),
+            None => self.connect(peer).await,
         }
     }
 
+    async fn connect(&self, peer: SocketAddr) -> Result<Socket, Error> {
+        let socket = Socket::connect_with(peer, CONNECT_TIMEOUT, self.on_close).await;
+        socket.map_err(|error| Error::new(Step::Connect, peer, error))
+    }
+
     async fn exchange(
         &self,
-        mut codec: Codec,
+        socket: Socket,
         peer: SocketAddr,
         call: Call,
     ) -> Result<Incoming, Error> {
-        let request = build_request(peer, call);
-        let sent = async {
-            codec.send(request).await?;
-            Sink::<http::Request<HttpBody>>::flush(&mut codec).await
-        };
-        sent.await.map_err(|error: HttpError| Error::new(Step::Send, peer, error))?;
-        let response = match codec.next().await {
-            Some(Ok(response)) => response,
-            Some(Err(error)) => return Err(Error::new(Step::Head, peer, error)),
-            None => return Err(Error::new(Step::Head, peer, "closed without an answer")),
-        };
-        let (head, decoder) = response.into_parts();
-        let is_reusable = head.headers.get(header::CONNECTION).is_none_or(|value| value != "close");
+        let request = encode(peer, &call)?;
+        let received = incoming::Incoming::receive(socket, request, &call.method).await;
+        let response = received.map_err(|cut| Error::new(Step::Head, peer, cut))?;
         Ok(Incoming {
             peer,
-            status: head.status,
-            headers: head.headers,
-            decoder,
-            codec: Some(codec),
-            pool: is_reusable.then(|| self.clone()),
+            status: response.head.status,
+            headers: response.head.headers.clone(),
+            response: Some(response),
+            pool: self.clone(),
         })
     }
 
     /// Takes an idle connection from the pool, dropping those that the peer has closed.
-    async fn take_idle(&self, peer: SocketAddr) -> Option<Codec> {
+    fn take_idle(&self, peer: SocketAddr) -> Option<Socket> {
         loop {
-            let mut codec = self.idle.borrow_mut().get_mut(&peer)?.pop()?;
-            if is_idle(&mut codec).await {
-                return Some(codec);
+            let mut socket = self.idle.borrow_mut().get_mut(&peer)?.pop()?;
+            if socket.is_idle() {
+                return Some(socket);
             }
         }
     }
 
-    fn put_idle(&self, peer: SocketAddr, codec: Codec) {
+    fn put_idle(&self, peer: SocketAddr, socket: Socket) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(peer).or_default();
         if connections.len() < MAX_IDLE_PER_PEER {
-            connections.push(codec);
+            connections.push(socket);
         }
     }
 }
 
-type BodyDecoder = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
-
 /// A response whose body is still arriving.
 ///
 /// Dropping it before the end of the body closes the connection, so that the peer stops sending.
@@ -276,19 +262,26 @@
     pub headers: HeaderMap,
     /// The address of the peer.
     pub peer: SocketAddr,
-    decoder: BodyDecoder,
-    codec: Option<Codec>,
-    pool: Option<Pool>,
+    /// The response, until it has been read to its end or has failed.
+    response: Option<incoming::Incoming>,
+    pool: Pool,
 }
 
 impl Incoming {
+    /// Returns how the end of the body is determined, while the body is being read.
+    pub fn framing(&self) -> Option<Framing> {
+        self.response.as_ref().map(|response| response.head.framing)
+    }
+
     /// Reads the rest of the body.
     async fn collect(mut self) -> Result<Answer, Error> {
-        let mut body = Vec::new();
-        while let Some(part) = self.next().await {
-            body.extend_from_slice(&part?);
-        }
-        Ok(Answer { status: self.status, headers: self.headers, body: Bytes::from(body) })
+        let body = match &mut self.response {
+            Some(response) => response.collect(MAX_ANSWER_BYTES).await,
+            None => Ok(Bytes::new()),
+        };
+        let body = body.map_err(|cut| self.fail(cut))?;
+        self.release();
+        Ok(Answer { status: self.status, headers: self.headers, body })
     }
 
     /// Waits for the next part of the body and returns it, or `None` at the end of the body.
@@ -297,59 +290,47 @@
     ///
     /// Fails at [`Step::Body`] if the connection fails before the end of the body.
     pub async fn next(&mut self) -> Option<Result<Bytes, Error>> {
-        let codec = self.codec.as_mut()?;
-        let framed = codec.framed_mut();
-        let part = match &mut self.decoder {
-            PayloadDecoder::None => Ok(None),
-            PayloadDecoder::Fixed(decoder) => {
-                let part = framed.next_with(decoder).await;
-                self.decoder = PayloadDecoder::None;
-                part.transpose()
-            }
-            PayloadDecoder::Streamed(decoder) => match framed.next_with(decoder).await {
-                Some(part) => part,
-                None => Err(DecodeError::UnexpectedEof),
-            },
-        };
-        match part {
+        match self.response.as_mut()?.next().await {
             Ok(Some(part)) => Some(Ok(part)),
             Ok(None) => {
                 self.release();
                 None
             }
-            Err(error) => {
-                self.codec = None;
-                Some(Err(Error::new(Step::Body, self.peer, error)))
-            }
+            Err(cut) => Some(Err(self.fail(cut))),
         }
     }
 
+    fn fail(&mut self, cut: Cut) -> Error {
+        self.response = None;
+        Error::new(Step::Body, self.peer, cut)
+    }
+
     /// Returns the connection to the pool, unless the peer closes it after this response.
     fn release(&mut self) {
-        if let (Some(codec), Some(pool)) = (self.codec.take(), self.pool.take()) {
-            pool.put_idle(self.peer, codec);
+        if let Some(socket) = self.response.take().and_then(incoming::Incoming::into_reusable) {
+            self.pool.put_idle(self.peer, socket);
         }
     }
 }
 
-/// Returns whether neither data nor the end of the stream has arrived on a pooled connection.
-async fn is_idle(codec: &mut Codec) -> bool {
-    let mut peek = std::pin::pin!(codec.framed_mut().peek_data());
-    std::future::poll_fn(|context| Poll::Ready(peek.as_mut().poll(context).is_pending())).await
-}
-
-async fn connect(peer: SocketAddr, on_close: OnClose) -> Result<Codec, Error> {
-    let stream = crate::connect::connect(peer, CONNECT_TIMEOUT, on_close).await;
-    stream.map(ClientCodec::new).map_err(|error| Error::new(Step::Connect, peer, error))
-}
-
-fn build_request(peer: SocketAddr, call: Call) -> http::Request<HttpBody> {
-    let mut request = http::Request::new(HttpBody::Ready(Some(call.body)));
-    *request.method_mut() = call.method;
-    *request.uri_mut() = call.path.parse().unwrap_or_default();
-    *request.headers_mut() = call.headers;
+/// Encodes a request.
+///
+/// # Errors
+///
+/// Fails at [`Step::Check`] if the path is not valid, so that nothing is sent.
+fn encode(peer: SocketAddr, call: &Call) -> Result<Bytes, Error> {
+    let target: PathAndQuery =
+        call.path.parse().map_err(|error| Error::new(Step::Check, peer, error))?;
+    let mut headers = call.headers.clone();
     if let Ok(host) = HeaderValue::from_str(&peer.to_string()) {
-        request.headers_mut().insert(header::HOST, host);
+        headers.insert(header::HOST, host);
+    }
+    let mut output = Vec::with_capacity(512 + call.body.len());
+    head::write_request(&mut output, &call.method, target.as_str(), &headers);
+    if !call.body.is_empty() || call.method != Method::GET {
+        head::write_field(&mut output, "content-length", call.body.len().to_string());
     }
-    request
+    output.extend_from_slice(b"\r\n");
+    output.extend_from_slice(&call.body);
+    Ok(output.into())
 }
--- a/crates/orioleroute-wire/src/http1/socket.rs
+++ b/crates/orioleroute-wire/src/http1/socket.rs
@@ -32,8 +32,15 @@
     ///
     /// Fails if the peer refuses the connection or does not respond in time.
     pub async fn connect(peer: SocketAddr, limit: Duration) -> Result<Self> {
-        let stream = connect(peer, limit, OnClose::Deliver).await?;
-        Self::new(stream)
+        Self::connect_with(peer, limit, OnClose::Deliver).await
+    }
+
+    pub(crate) async fn connect_with(
+        peer: SocketAddr,
+        limit: Duration,
+        on_close: OnClose,
+    ) -> Result<Self> {
+        Self::new(connect(peer, limit, on_close).await?)
     }
 
     /// Wraps an accepted connection and disables Nagle's algorithm on it.
--- a/crates/orioleroute-wire/src/lib.rs
+++ b/crates/orioleroute-wire/src/lib.rs
@@ -1,9 +1,9 @@
 //! The HTTP and JSON-RPC layer shared by the daemon, the command-line tool and the stand-ins.
 //!
 //! Everything runs on one `monoio` thread with the epoll driver. [`http1`] parses and forwards messages,
-//! [`server`] reads requests with it and writes responses, [`client`] pools connections of `monoio-http`
-//! and relays streamed bodies chunk by chunk, and [`rpc`] carries typed peer messages as JSON-RPC
-//! notifications. `docs/DESIGN.md`, section "HTTP", gives the reasons.
+//! [`server`] reads requests with it and writes responses, [`client`] pools connections, [`sse`] splits streams of
+//! events, and [`rpc`] carries typed peer messages as JSON-RPC notifications. `docs/DESIGN.md`, section
+//! "HTTP", gives the reasons.
 //!
 //! ```no_run
 //! use orioleroute_wire::client;
