End streams of the documents edge with their last event only

The relay took the end of the body for the end of the stream and wrote what remained of an event. It uses the splitter of the gateway now. A model's stream is complete only once [DONE] has arrived, so that also an end after a whole event is seen; it is resumed, or ends with the error event. A connection that breaks after [DONE] is no loss any more. The former splitter passed an event over 1 MiB on in parts and counted lines of data instead of events; its test cases are in the tests of wire::sse.

--- a/crates/orioleroute-node/src/events.rs
+++ b/crates/orioleroute-node/src/events.rs
@@ -1,78 +1,92 @@
-//! Splits a stream of server-sent events, whose chunks may end anywhere, at event boundaries.
+//! The events of a stream that is relayed from an engine, a service or another instance, and its verdict.
 
 use bytes::Bytes;
+use orioleroute_wire::Error;
+use orioleroute_wire::http1::body::Framing;
+use orioleroute_wire::sse::{self, Splitter};
 
-/// The byte sequences that may end an event.
-const DELIMITERS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+/// The data of the event that ends a stream, which carries no served name.
+pub const DONE: &[u8] = b"[DONE]";
 
-/// The largest event that is buffered until it is complete, in bytes; a larger one is passed on in
-/// parts.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
-/// The prefix of the data line of an event.
-const DATA_PREFIX: &[u8] = b"data: ";
-
-/// Buffers incomplete events, so that only complete ones are passed on, and counts these.
-///
-/// A resumed stream continues with the event after the last complete one. If a part of an event had
-/// already reached the caller, that event would be corrupted.
-#[derive(Debug, Default)]
-pub struct EventSplitter {
-    partial: Vec<u8>,
-    count: u64,
+/// The events of one stream, over all of its connections.
+#[derive(Default)]
+pub struct Events {
+    splitter: Splitter,
+    /// The number of complete events with data so far.
+    pub count: u64,
+    /// Whether the event that ends a model's stream has arrived.
+    is_done: bool,
 }
 
-impl EventSplitter {
-    /// Adds a chunk and returns the events that are now complete.
-    pub fn push(&mut self, chunk: Bytes) -> Bytes {
-        let is_complete = DELIMITERS.iter().any(|delimiter| chunk.ends_with(delimiter));
-        let complete = match self.partial.is_empty() && is_complete {
-            true => chunk,
-            false => self.buffer(&chunk),
-        };
-        let lines = complete.split(|byte| *byte == b'\n');
-        self.count += lines.filter(|line| line.starts_with(DATA_PREFIX)).count() as u64;
-        complete
-    }
+/// What a chunk or the end of a body adds to a stream.
+pub struct Received {
+    /// The events that can be passed on.
+    pub bytes: Vec<u8>,
+    /// The data of the first of these that has any.
+    pub first_data: Option<Bytes>,
+    /// Whether more follows.
+    pub verdict: Verdict,
+}
 
-    /// Returns the number of complete events with data so far.
-    pub fn count(&self) -> u64 {
-        self.count
-    }
+/// Whether a stream goes on.
+pub enum Verdict {
+    /// More events may follow.
+    Open,
+    /// Its last event has arrived.
+    Complete,
+    /// It ended before its end, for this reason.
+    Broken(String),
+}
 
-    /// Discards the incomplete event at the end of a broken stream.
-    pub fn discard(&mut self) {
-        self.partial.clear();
+impl Events {
+    /// Adds the next chunk or the end of the body. A model's stream is complete only with [`DONE`], and needs nothing
+    /// more then.
+    pub fn receive(
+        &mut self,
+        chunk: Option<Result<Bytes, Error>>,
+        framing: Framing,
+        is_model: bool,
+    ) -> Received {
+        let mut verdict = Verdict::Open;
+        match chunk {
+            Some(Ok(chunk)) => self.splitter.push(&chunk),
+            Some(Err(error)) => verdict = Verdict::Broken(error.cause),
+            None => {
+                self.splitter.close(framing);
+                verdict = Verdict::Complete;
+            }
+        }
+        let mut received = Received { bytes: Vec::new(), first_data: None, verdict };
+        loop {
+            match self.splitter.next() {
+                Ok(Some(event)) => self.add(&event, &mut received),
+                Ok(None) => break,
+                Err(broken) => {
+                    received.verdict = Verdict::Broken(broken.to_string());
+                    break;
+                }
+            }
+        }
+        match received.verdict {
+            Verdict::Broken(_) if self.is_done => received.verdict = Verdict::Complete,
+            Verdict::Complete if is_model && !self.is_done => {
+                received.verdict = Verdict::Broken("ended before the last event".into());
+            }
+            _ => {}
+        }
+        received
     }
 
-    /// Returns the bytes that remain after the last complete event, at the end of a stream.
-    pub fn finish(&mut self) -> Bytes {
-        std::mem::take(&mut self.partial).into()
+    fn add(&mut self, event: &sse::Event, received: &mut Received) {
+        received.bytes.extend_from_slice(&event.bytes);
+        let Some(data) = sse::data(&event.bytes) else { return };
+        self.count += 1;
+        self.is_done |= data == DONE;
+        received.first_data.get_or_insert_with(|| Bytes::copy_from_slice(data));
     }
 
-    fn buffer(&mut self, chunk: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(chunk);
-        let length = match self.partial.len() > MAX_EVENT_BYTES {
-            true => self.partial.len(),
-            false => complete_length(&self.partial),
-        };
-        let rest = self.partial.split_off(length);
-        std::mem::replace(&mut self.partial, rest).into()
+    /// Prepares for a connection that continues the stream.
+    pub fn restart(&mut self) {
+        self.splitter = Splitter::default();
     }
 }
-
-/// Returns the length of the complete events at the start of some bytes.
-fn complete_length(bytes: &[u8]) -> usize {
-    let lengths = DELIMITERS.map(|delimiter| {
-        let start = bytes.windows(delimiter.len()).rposition(|window| window == delimiter);
-        start.map_or(0, |start| start + delimiter.len())
-    });
-    lengths.into_iter().max().unwrap_or(0)
-}
-
-/// Returns the first data line of the first of some events, without its prefix.
-pub fn first_data(events: &[u8]) -> &[u8] {
-    let data = events.strip_prefix(DATA_PREFIX).unwrap_or(events);
-    let end = data.iter().position(|byte| *byte == b'\n').unwrap_or(data.len());
-    &data[..end]
-}
--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -12,9 +12,10 @@
 use orioleroute_wire::server::{Connection, Request, Response};
 use orioleroute_wire::{Error, Step as WireStep};
 use serde::Deserialize;
+use slog::info;
 
 use crate::callers;
-use crate::events::{EventSplitter, first_data};
+use crate::events::{DONE, Events, Verdict};
 use crate::shell::Shell;
 
 /// The header field that names the adapter that served the request.
@@ -286,61 +287,64 @@
     Ok(Attempt::Finished)
 }
 
-/// Relays a streamed response event by event, and resumes it if it breaks.
+/// Relays a streamed response event by event, and resumes it if it is broken.
 async fn relay_stream(
     guard: &Guard,
     connection: &mut Connection,
     mut incoming: Incoming,
     source: Source<'_>,
 ) -> Result<Attempt, Error> {
-    let mut events = EventSplitter::default();
     let headers = response_headers(&incoming, source.expected);
+    let mut events = Events::default();
     let mut resumes = 0;
     // Whether the served name in the first event since the stream was opened or resumed has been
     // checked.
     let mut checked = false;
     let mut response_started = false;
     loop {
-        let chunk = match next_chunk(connection, &mut incoming).await? {
-            Some(Ok(chunk)) => chunk,
-            Some(Err(_)) if !response_started => return Ok(Attempt::Failed(Failure::Broken)),
-            Some(Err(_)) => {
-                events.discard();
-                match resume(guard, connection, &incoming, &source, &events, &mut resumes).await? {
+        let chunk = next_chunk(connection, &mut incoming).await?;
+        let received = events.receive(chunk, incoming.framing, source.expected.is_some());
+        if let Some(first) = received.first_data.as_deref().filter(|_| !checked) {
+            if !is_served_by(first, source.expected) {
+                return match response_started {
+                    true => end_with_error(connection).await,
+                    false => Ok(Attempt::Failed(Failure::Broken)),
+                };
+            }
+            checked = true;
+        }
+        if !received.bytes.is_empty() {
+            if !response_started {
+                connection.start_response(incoming.status, &headers).await?;
+            }
+            connection.write_chunk(&received.bytes).await?;
+            if !response_started {
+                response_started = true;
+                guard.shell.handle(Event::Progress {
+                    request: guard.key,
+                    progress: Progress::ResponseStarted,
+                });
+            }
+        }
+        match received.verdict {
+            Verdict::Open => {}
+            _ if !response_started => return Ok(Attempt::Failed(Failure::Broken)),
+            Verdict::Complete => {
+                connection.finish_response().await?;
+                return Ok(Attempt::Finished);
+            }
+            Verdict::Broken(cause) => {
+                info!(guard.shell.log, "stream broken off"; "upstream" => source.address.to_string(),
+                    "events" => events.count, "cause" => cause);
+                match resume(guard, connection, &incoming, &source, events.count, &mut resumes)
+                    .await?
+                {
                     Some(resumed) => incoming = resumed,
                     None => return end_with_error(connection).await,
                 }
+                events.restart();
                 checked = false;
-                continue;
-            }
-            None if !response_started => return Ok(Attempt::Failed(Failure::Broken)),
-            None => {
-                connection.write_chunk(&events.finish()).await?;
-                connection.finish_response().await?;
-                return Ok(Attempt::Finished);
             }
-        };
-        let complete = events.push(chunk);
-        if complete.is_empty() {
-            continue;
-        }
-        if !checked && !is_served_by(&complete, source.expected) {
-            return match response_started {
-                true => end_with_error(connection).await,
-                false => Ok(Attempt::Failed(Failure::Broken)),
-            };
-        }
-        checked = true;
-        if !response_started {
-            connection.start_response(incoming.status, &headers).await?;
-        }
-        connection.write_chunk(&complete).await?;
-        if !response_started {
-            response_started = true;
-            guard.shell.handle(Event::Progress {
-                request: guard.key,
-                progress: Progress::ResponseStarted,
-            });
         }
     }
 }
@@ -364,12 +368,12 @@
     connection: &mut Connection,
     broken: &Incoming,
     source: &Source<'_>,
-    events: &EventSplitter,
+    events: u64,
     resumes: &mut u32,
 ) -> Result<Option<Incoming>, Error> {
     let id = broken.headers.get(STREAM_ID).and_then(|value| value.to_str().ok());
     let (Some(id), true) = (id, source.expected.is_some()) else { return Ok(None) };
-    let count = events.count().to_string();
+    let count = events.to_string();
     let call = source.call.clone().header(RESUME_STREAM, id).header(RESUME_EVENTS, &count);
     let pool = &guard.shell.pool;
     while *resumes < MAX_RESUMES {
@@ -391,20 +395,14 @@
     Ok(None)
 }
 
-/// Returns whether the first event was served by the expected revision.
-fn is_served_by(events: &[u8], expected: Option<&str>) -> bool {
+/// Returns whether an event with this data was served by the expected revision.
+fn is_served_by(data: &[u8], expected: Option<&str>) -> bool {
     match expected {
-        Some(expected) => {
-            let data = first_data(events);
-            data == DONE || served_name(data).as_deref() == Some(expected)
-        }
+        Some(expected) => data == DONE || served_name(data).as_deref() == Some(expected),
         None => true,
     }
 }
 
-/// The data of the event that ends a stream, which carries no served name.
-const DONE: &[u8] = b"[DONE]";
-
 /// The field of a response with the served name.
 #[derive(Deserialize)]
 struct Served {
--- a/crates/orioleroute-wire/src/client.rs
+++ b/crates/orioleroute-wire/src/client.rs
@@ -228,6 +228,7 @@
             peer,
             status: response.head.status,
             headers: response.head.headers.clone(),
+            framing: response.head.framing,
             response: Some(response),
             pool: self.clone(),
         })
@@ -260,6 +261,8 @@
     pub status: StatusCode,
     /// The header fields.
     pub headers: HeaderMap,
+    /// How the end of the body is determined.
+    pub framing: Framing,
     /// The address of the peer.
     pub peer: SocketAddr,
     /// The response, until it has been read to its end or has failed.
@@ -268,11 +271,6 @@
 }
 
 impl Incoming {
-    /// Returns how the end of the body is determined, while the body is being read.
-    pub fn framing(&self) -> Option<Framing> {
-        self.response.as_ref().map(|response| response.head.framing)
-    }
-
     /// Reads the rest of the body.
     async fn collect(mut self) -> Result<Answer, Error> {
         let body = match &mut self.response {
--- a/crates/orioleroute-wire/tests/sse.rs
+++ b/crates/orioleroute-wire/tests/sse.rs
@@ -43,22 +43,47 @@
 }
 
 #[rstest]
-#[case::one_event(&["data: a\n\n"], &["data: a\n\n"])]
-#[case::two_at_once(&["data: a\n\ndata: b\n\n"], &["data: a\n\n", "data: b\n\n"])]
-#[case::split(&["da", "ta: a\n", "\ndata: b"], &["data: a\n\n"])]
-#[case::with_carriage_returns(&["data: a\r\n\r\nda"], &["data: a\r\n\r\n"])]
-#[case::between_cr_and_lf(&["data: a\r\n\r", "\nda"], &["data: a\r\n\r\n"])]
-#[case::bare_carriage_returns(&["data: a\r\r"], &["data: a\r\r"])]
-#[case::mixed_line_ends(&["data: a\n\r\ndata: b\r\n\n"], &["data: a\n\r\n", "data: b\r\n\n"])]
-#[case::data_within_data(&["data: the\ndata: b\n\n"], &["data: the\ndata: b\n\n"])]
-#[case::comment(&[": wait\n\n"], &[": wait\n\n"])]
-#[case::retry(&["retry: 10\n\n"], &["retry: 10\n\n"])]
-fn only_complete_events_are_passed_on(#[case] parts: &[&str], #[case] expected: &[&str]) {
-    let parts: Vec<&[u8]> = parts.iter().map(|part| part.as_bytes()).collect();
+#[case::one_event(&["data: a\n\n"], &["data: a\n\n"], 1)]
+#[case::two_in_turn(&["data: a\n\n", "data: b\n\n"], &["data: a\n\n", "data: b\n\n"], 2)]
+#[case::two_at_once(&["data: a\n\ndata: b\n\n"], &["data: a\n\n", "data: b\n\n"], 2)]
+#[case::split(&["da", "ta: a\n", "\ndata: b"], &["data: a\n\n"], 1)]
+#[case::with_carriage_returns(&["data: a\r\n\r\nda"], &["data: a\r\n\r\n"], 1)]
+#[case::between_cr_and_lf(&["data: a\r\n\r", "\nda"], &["data: a\r\n\r\n"], 1)]
+#[case::bare_carriage_returns(&["data: a\r\r"], &["data: a\r\r"], 1)]
+#[case::mixed_line_ends(&["data: a\n\r\ndata: b\r\n\n"], &["data: a\n\r\n", "data: b\r\n\n"], 2)]
+#[case::data_within_data(&["data: the data: b\n\n"], &["data: the data: b\n\n"], 1)]
+#[case::two_lines_of_data(&["data: a\ndata: b\n\n"], &["data: a\ndata: b\n\n"], 1)]
+#[case::comment(&[": wait\n\n"], &[": wait\n\n"], 0)]
+#[case::retry(&["retry: 10\n\n"], &["retry: 10\n\n"], 0)]
+fn only_complete_events_are_passed_on(
+    #[case] parts: &[&str],
+    #[case] expected: &[&str],
+    #[case] with_data: usize,
+) {
+    let mut splitter = Splitter::default();
 
-    let split = split(Splitter::default(), &parts, None);
+    let mut events = Vec::new();
+    for part in parts {
+        splitter.push(part.as_bytes());
+        while let Some(event) = splitter.next().unwrap() {
+            events.push(event);
+        }
+    }
 
-    assert_eq!(split, Split { passed_on: owned(expected), broken: None });
+    assert_eq!(events.iter().map(text).collect::<Vec<_>>(), expected);
+    assert_eq!(events.iter().filter(|event| event.has_data).count(), with_data);
+}
+
+#[rstest]
+#[case::the_first_line("data: a\ndata: b\n\n", Some("a"))]
+#[case::without_a_space("id: 1\r\ndata:a\r\n\r\n", Some("a"))]
+#[case::without_a_value("data\n\n", Some(""))]
+#[case::another_field("database: a\n\n", None)]
+fn the_data_of_an_event_is_its_first_data_line(
+    #[case] event: &str,
+    #[case] expected: Option<&str>,
+) {
+    assert_eq!(sse::data(event.as_bytes()), expected.map(str::as_bytes));
 }
 
 /// An event must not wait for the next one because its last line end could be continued.
@@ -157,10 +182,6 @@
     assert_eq!(sse::is_stream(&headers), expected);
 }
 
-fn owned(texts: &[&str]) -> Vec<String> {
-    texts.iter().map(|text| (*text).to_owned()).collect()
-}
-
 /// An event as it is sent, by its lines and its kind of line end.
 fn event() -> impl Strategy<Value = Vec<String>> {
     let line = prop_oneof!["data: [a-z:]{0,6}", "id: [0-9]{1,2}", ": [a-z]{0,4}", "retry: 5"];
