Bound what is read of a response without an end

Causes: interim responses, trailers and chunk extensions had no bound, since each was handled and forgotten; the limit of a body counted its data only; chunks of a byte each cost a step of the relay with its timers; and a task whose peer sends faster than it reads never let another one run, so that no timer expired either.

A read returns all data that it received, and a socket yields after 16 reads that did not have to wait.

--- a/crates/orioleroute-wire/src/http1/body.rs
+++ b/crates/orioleroute-wire/src/http1/body.rs
@@ -8,6 +8,15 @@
 /// The maximum length of a chunk size line with its extensions, or of a trailer field, in bytes.
 const MAX_LINE_BYTES: usize = 4_096;
 
+/// The most bytes of trailer fields.
+const MAX_TRAILER_BYTES: u64 = 32 << 10;
+
+/// How many bytes of framing a chunked body may have for each byte of its data. A chunk with one byte has five.
+const MAX_FRAMING_RATIO: u64 = 8;
+
+/// How many bytes of framing it may have besides.
+const FRAMING_ALLOWANCE: u64 = 16 << 10;
+
 /// How the length of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -60,8 +69,16 @@
 }
 
 /// An incremental decoder for one body.
+///
+/// The framing of a chunked body is bounded by its data, so that a peer cannot keep a reader busy with chunk
+/// extensions or trailers that have no end.
 #[derive(Clone, Debug)]
-pub struct Decoder(State);
+pub struct Decoder {
+    state: State,
+    data_bytes: u64,
+    framing_bytes: u64,
+    trailer_bytes: u64,
+}
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -72,28 +89,30 @@
     ChunkEnd,
     Trailers,
     Done,
+    Failed(Malformed),
 }
 
 impl Decoder {
     /// Creates a decoder for a body with this framing.
     pub fn new(framing: Framing) -> Self {
-        Self(match framing {
+        let state = match framing {
             Framing::Length(0) => State::Done,
             Framing::Length(length) => State::Length(length),
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
-        })
+        };
+        Self { state, data_bytes: 0, framing_bytes: 0, trailer_bytes: 0 }
     }
 
     /// Returns whether the whole body has been decoded.
     pub fn is_done(&self) -> bool {
-        self.0 == State::Done
+        self.state == State::Done
     }
 
     /// Handles an orderly end of the connection and returns whether the body is complete.
     pub fn finish(&mut self) -> bool {
-        if self.0 == State::UntilClose {
-            self.0 = State::Done;
+        if self.state == State::UntilClose {
+            self.state = State::Done;
         }
         self.is_done()
     }
@@ -103,10 +122,20 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Malformed::Chunk`] if the chunks are malformed.
+    /// Fails with [`Malformed::Chunk`] if the chunks are malformed, and with [`Malformed::TooMuchFraming`] if they
+    /// have more framing than data warrants. It fails in the same way from then on.
     pub fn decode(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
+        let decoded = self.decode_next(input);
+        if let Err(error) = decoded {
+            self.state = State::Failed(error);
+        }
+        decoded
+    }
+
+    fn decode_next(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
         loop {
-            match self.0 {
+            match self.state {
+                State::Failed(error) => return Err(error),
                 State::Done => return Ok(None),
                 State::UntilClose => {
                     return Ok((!input.is_empty()).then(|| input.split().freeze()));
@@ -114,38 +143,54 @@
                 State::Length(left) => {
                     let Some(data) = take(input, left) else { return Ok(None) };
                     let left = left - data.len() as u64;
-                    self.0 = if left == 0 { State::Done } else { State::Length(left) };
+                    self.state = if left == 0 { State::Done } else { State::Length(left) };
                     return Ok(Some(data));
                 }
                 State::ChunkData(left) => {
                     let Some(data) = take(input, left) else { return Ok(None) };
+                    self.data_bytes += data.len() as u64;
                     let left = left - data.len() as u64;
-                    self.0 = if left == 0 { State::ChunkEnd } else { State::ChunkData(left) };
+                    self.state = if left == 0 { State::ChunkEnd } else { State::ChunkData(left) };
                     return Ok(Some(data));
                 }
                 State::ChunkSize => {
-                    let Some(line) = take_line(input)? else { return Ok(None) };
-                    self.0 = match chunk_size(&line)? {
+                    let Some(line) = self.take_framing(input)? else { return Ok(None) };
+                    self.state = match chunk_size(&line)? {
                         0 => State::Trailers,
                         size => State::ChunkData(size),
                     };
                 }
                 State::ChunkEnd => {
-                    let Some(line) = take_line(input)? else { return Ok(None) };
+                    let Some(line) = self.take_framing(input)? else { return Ok(None) };
                     if !line.is_empty() {
                         return Err(Malformed::Chunk);
                     }
-                    self.0 = State::ChunkSize;
+                    self.state = State::ChunkSize;
                 }
                 State::Trailers => {
-                    let Some(line) = take_line(input)? else { return Ok(None) };
+                    let Some(line) = self.take_framing(input)? else { return Ok(None) };
+                    self.trailer_bytes += line.len() as u64 + 2;
+                    if self.trailer_bytes > MAX_TRAILER_BYTES {
+                        return Err(Malformed::TooMuchFraming);
+                    }
                     if line.is_empty() {
-                        self.0 = State::Done;
+                        self.state = State::Done;
                     }
                 }
             }
         }
     }
+
+    /// Removes a line of framing from the front of `input`.
+    fn take_framing(&mut self, input: &mut BytesMut) -> Result<Option<BytesMut>, Malformed> {
+        let line = take_line(input)?;
+        self.framing_bytes += line.as_ref().map_or(0, |line| line.len() as u64 + 2);
+        let allowed = FRAMING_ALLOWANCE + MAX_TRAILER_BYTES + MAX_FRAMING_RATIO * self.data_bytes;
+        match self.framing_bytes > allowed {
+            true => Err(Malformed::TooMuchFraming),
+            false => Ok(line),
+        }
+    }
 }
 
 /// Appends `data` as one chunk. Empty data is skipped, since an empty chunk would end the body.
--- a/crates/orioleroute-wire/src/http1/incoming.rs
+++ b/crates/orioleroute-wire/src/http1/incoming.rs
@@ -1,6 +1,6 @@
 //! Sends a request over a connection and reads the response as it arrives.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::Method;
 
 use super::Malformed;
@@ -8,7 +8,7 @@
 use super::head::Response;
 use super::socket::Socket;
 
-/// The largest head of a response, in bytes.
+/// The largest head of a response together with the interim responses before it, in bytes.
 pub const MAX_HEAD_BYTES: usize = 32 << 10;
 
 /// A response whose body is still arriving.
@@ -19,6 +19,8 @@
     pub head: Response,
     socket: Socket,
     decoder: Decoder,
+    /// The bytes of the body received, with its framing.
+    body_bytes: usize,
     is_request_sent: bool,
 }
 
@@ -61,32 +63,49 @@
         mut request: Bytes,
         method: &Method,
     ) -> Result<Self, Cut> {
+        let mut received = 0;
         loop {
             if let Some(head) = Response::parse(&mut socket.input, method, MAX_HEAD_BYTES)? {
-                let decoder = Decoder::new(head.framing);
-                return Ok(Self { head, socket, decoder, is_request_sent: request.is_empty() });
+                return Ok(Self {
+                    decoder: Decoder::new(head.framing),
+                    body_bytes: socket.input.len(),
+                    is_request_sent: request.is_empty(),
+                    head,
+                    socket,
+                });
             }
-            if socket.write_or_fill(&mut request).await? == Some(0) {
-                return Err(Cut::Unanswered);
+            if received > MAX_HEAD_BYTES {
+                return Err(Malformed::HeadTooLarge(MAX_HEAD_BYTES).into());
+            }
+            match socket.write_or_fill(&mut request).await? {
+                Some(0) => return Err(Cut::Unanswered),
+                read => received += read.unwrap_or_default(),
             }
         }
     }
 
-    /// Returns the next part of the body, or `None` at its end.
+    /// Returns how many bytes of the body have been received, with its framing.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
+    /// Returns the next part of the body, all of it that one read has received, or `None` at its end.
     ///
     /// # Errors
     ///
     /// Fails if the body is truncated or malformed.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
         loop {
-            if let Some(data) = self.decoder.decode(&mut self.socket.input)? {
+            if let Some(data) = self.decode_received()? {
                 return Ok(Some(data));
             }
             if self.decoder.is_done() {
                 return Ok(None);
             }
-            if self.socket.fill().await? == 0 {
-                return if self.decoder.finish() { Ok(None) } else { Err(Cut::ClosedEarly) };
+            match self.socket.fill().await? {
+                0 if self.decoder.finish() => return Ok(None),
+                0 => return Err(Cut::ClosedEarly),
+                read => self.body_bytes += read,
             }
         }
     }
@@ -95,11 +114,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body is truncated, malformed or longer than `limit` bytes.
+    /// Fails if the body is truncated, malformed or longer than `limit` bytes with its framing.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, Cut> {
         let mut whole = Vec::new();
         while let Some(part) = self.next().await? {
-            if whole.len() + part.len() > limit {
+            if self.body_bytes > limit {
                 return Err(Cut::TooLong(limit));
             }
             whole.extend_from_slice(&part);
@@ -107,6 +126,21 @@
         Ok(whole.into())
     }
 
+    /// Decodes what has been received. A peer may send chunks of single bytes, so that a step of the caller for each
+    /// of them would cost more than its bytes.
+    fn decode_received(&mut self) -> Result<Option<Bytes>, Malformed> {
+        let Some(first) = self.decoder.decode(&mut self.socket.input)? else { return Ok(None) };
+        let mut joined = BytesMut::new();
+        // An error is returned once what precedes it has been passed on.
+        while let Ok(Some(part)) = self.decoder.decode(&mut self.socket.input) {
+            if joined.is_empty() {
+                joined.extend_from_slice(&first);
+            }
+            joined.extend_from_slice(&part);
+        }
+        Ok(Some(if joined.is_empty() { first } else { joined.freeze() }))
+    }
+
     /// Returns the connection if it can be used for another request: this one was sent in full, the response was
     /// read in full with nothing after it, and the peer keeps the connection open.
     pub fn into_reusable(self) -> Option<Socket> {
--- a/crates/orioleroute-wire/src/http1/mod.rs
+++ b/crates/orioleroute-wire/src/http1/mod.rs
@@ -41,4 +41,7 @@
     /// The chunked body violates the HTTP/1.1 grammar.
     #[error("a chunk does not follow the grammar")]
     Chunk,
+    /// The chunked body has much more framing than data.
+    #[error("the body has too much framing")]
+    TooMuchFraming,
 }
--- a/crates/orioleroute-wire/src/http1/socket.rs
+++ b/crates/orioleroute-wire/src/http1/socket.rs
@@ -18,9 +18,14 @@
 /// The size of the buffer for one read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 
+/// The number of reads in a row that need not wait for input, after which other tasks run. A peer that sends faster
+/// than its input is handled would otherwise occupy the thread, and no timer would expire.
+const MAX_READY_READS: u32 = 16;
+
 /// A connected TCP socket.
 pub struct Socket {
     io: TcpStreamPoll,
+    ready_reads: u32,
     /// Input that has been received but not parsed yet.
     pub input: BytesMut,
 }
@@ -54,7 +59,7 @@
     }
 
     fn new(stream: TcpStream) -> Result<Self> {
-        Ok(Self { io: stream.into_poll_io()?, input: BytesMut::new() })
+        Ok(Self { io: stream.into_poll_io()?, ready_reads: 0, input: BytesMut::new() })
     }
 
     /// Reads more input and returns the number of bytes read; 0 if the peer has closed its side.
@@ -107,6 +112,7 @@
     /// Returns whether there is no unread input and the peer has not closed the connection.
     pub fn is_idle(&mut self) -> bool {
         let mut context = Context::from_waker(Waker::noop());
+        self.ready_reads = 0;
         self.input.is_empty() && self.poll_fill(&mut context).is_pending()
     }
 
@@ -120,16 +126,25 @@
     }
 
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<Result<usize>> {
+        if self.ready_reads >= MAX_READY_READS {
+            self.ready_reads = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         self.input.reserve(READ_BYTES);
         let mut buffer = [0_u8; READ_BYTES];
         let mut read = ReadBuf::new(&mut buffer);
         match Pin::new(&mut self.io).poll_read(context, &mut read) {
             Poll::Ready(Ok(())) => {
+                self.ready_reads += 1;
                 self.input.extend_from_slice(read.filled());
                 Poll::Ready(Ok(read.filled().len()))
             }
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending => Poll::Pending,
+            Poll::Pending => {
+                self.ready_reads = 0;
+                Poll::Pending
+            }
         }
     }
 }
