Log and count each lost response with its cause

A response that was lost or cut showed only as text in the line of its request. The line "response lost" has the upstream, the cause, the framing, the bytes, the last event and what is done next; orioleroute_responses_lost_total has the cause as a label. The causes are types: what cut the message (http1::incoming::Cut), what broke its events (sse::Broken), and what the exchange makes of both (exchange::Loss).

--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use orioleroute_wire::http1::head::{self, Response};
 use orioleroute_wire::http1::incoming::{self, Cut};
 use orioleroute_wire::http1::socket::Socket;
+use orioleroute_wire::sse::Broken;
 
 /// The longest wait for a connection. A round trip between regions takes 24 ms; a lost packet costs
 /// another second, and trying another upstream is faster than that.
@@ -57,10 +58,42 @@
     #[error("connect: {0}")]
     Unreachable(String),
     /// The connection ended early or the response was malformed; the request may have run.
-    #[error("answer: {0}")]
+    #[error(transparent)]
     Broken(#[from] Cut),
 }
 
+/// Why a response is lost to the client, although the request may have run.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Loss {
+    /// It was not received in full.
+    #[error(transparent)]
+    Cut(#[from] Cut),
+    /// Its body was received in full, but its events are incomplete.
+    #[error(transparent)]
+    Stream(#[from] Broken),
+    /// A started stream sent nothing for too long.
+    #[error("silent")]
+    Silent,
+    /// It answers another request.
+    #[error("an answer to another request")]
+    Mismatched,
+    /// It should continue a stream, but is none.
+    #[error("resumed with status {0}")]
+    NotResumed(u16),
+}
+
+impl Loss {
+    /// Returns the name of the innermost cause, for metrics.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Self::Cut(cut) => cut.into(),
+            Self::Stream(broken) => broken.into(),
+            other => other.into(),
+        }
+    }
+}
+
 /// The pool of idle connections to upstreams.
 #[derive(Default)]
 pub struct Connections {
@@ -139,6 +172,11 @@
         &self.response.head
     }
 
+    /// Returns how many bytes of the body have been received, with its framing.
+    pub fn body_bytes(&self) -> usize {
+        self.response.body_bytes()
+    }
+
     /// Returns the next part of the body, or `None` at its end.
     ///
     /// # Errors
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -15,7 +15,7 @@
 use orioleroute_wire::sse;
 use slog::info;
 
-use super::exchange::{Failure, Incoming, Outgoing, Target};
+use super::exchange::{Failure, Incoming, Loss, Outgoing, Target};
 use super::placement::{self, Permit, PermitRequest, Refusal};
 use super::relaying::RelayOutcome;
 use super::response::{Response, State};
@@ -142,7 +142,7 @@
     /// The upstream did not run the request.
     NotRun(Permit, RunResult),
     /// The upstream may have run the request, but its response is lost.
-    Lost(Permit, String),
+    Lost(Permit, Loss),
 }
 
 impl Relay<'_> {
@@ -162,7 +162,9 @@
                 TryOutcome::NotRun(permit, result) => {
                     self.handle_not_run(response, permit, result).await
                 }
-                TryOutcome::Lost(permit, cause) => self.handle_lost(response, permit, &cause).await,
+                TryOutcome::Lost(permit, loss) => {
+                    self.handle_lost(response, permit, &loss, None).await
+                }
             };
             if let Some(end) = next {
                 return end;
@@ -197,7 +199,7 @@
                 self.possible_runs.set(self.possible_runs.get() - 1);
                 TryOutcome::NotRun(permit, RunResult::Unreachable)
             }
-            Err(Failure::Broken(cut)) => TryOutcome::Lost(permit, cut.to_string()),
+            Err(Failure::Broken(cut)) => TryOutcome::Lost(permit, cut.into()),
         }
     }
 
@@ -207,9 +209,7 @@
             ingress::classify_response(incoming.head().status, &incoming.head().headers, id);
         match class {
             ResponseClass::Valid => TryOutcome::Answered(permit, Box::new(incoming)),
-            ResponseClass::Mismatched => {
-                TryOutcome::Lost(permit, "an answer to another request".into())
-            }
+            ResponseClass::Mismatched => TryOutcome::Lost(permit, Loss::Mismatched),
             ResponseClass::NotRun | ResponseClass::Misdirected => {
                 self.possible_runs.set(self.possible_runs.get() - 1);
                 let result = match class {
@@ -277,9 +277,7 @@
         let relayed = match is_stream {
             true => self.relay_stream(response, &permit, &mut incoming).await,
             // Only events can continue a started stream.
-            false if response.is_started() => {
-                RelayOutcome::Lost(format!("resumed with status {}", status.as_u16()))
-            }
+            false if response.is_started() => RelayOutcome::Lost(Loss::NotResumed(status.as_u16())),
             false => self.relay_buffered(response, &mut incoming).await,
         };
         match relayed {
@@ -299,7 +297,9 @@
                 permit.end(RunResult::Abandoned);
                 Some(self.time_out(response).await)
             }
-            RelayOutcome::Lost(cause) => self.handle_lost(response, permit, &cause).await,
+            RelayOutcome::Lost(loss) => {
+                self.handle_lost(response, permit, &loss, Some(&incoming)).await
+            }
         }
     }
 
@@ -338,12 +338,25 @@
         &mut self,
         response: &mut Response<'_>,
         permit: Permit,
-        cause: &str,
+        loss: &Loss,
+        incoming: Option<&Incoming>,
     ) -> Option<(Disposition, &'static str)> {
-        self.tried_upstreams.push(format!("{} lost: {cause}", permit.upstream));
+        self.tried_upstreams.push(format!("{} lost: {loss}", permit.upstream));
         let upstream = permit.upstream.clone();
         permit.end(RunResult::Broken);
-        if self.may_retry() {
+        let may_retry = self.may_retry();
+        let next = match (may_retry, response.is_started()) {
+            (true, true) => "resume",
+            (true, false) => "retry",
+            (false, true) => "cut",
+            (false, false) => "fail",
+        };
+        metrics::counter!("orioleroute_responses_lost_total", "cause" => loss.cause()).increment(1);
+        info!(self.gateway.log, "response lost"; "request" => self.attempt.id.as_deref(),
+            "upstream" => &*upstream, "cause" => loss.to_string(), "next" => next,
+            "framing" => incoming.map(|it| <&'static str>::from(it.head().framing)),
+            "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event);
+        if may_retry {
             self.excluded.push(upstream);
             self.observe_retry();
             return None;
@@ -418,11 +431,6 @@
         }
     }
 
-    /// Returns the id that the client gave to this request, for the log.
-    pub(super) fn attempt_id(&self) -> Option<&str> {
-        self.attempt.id.as_deref()
-    }
-
     fn log_departed(&self, permit: &Permit) {
         let standing = self.gateway.registry().standing(&permit.upstream);
         metrics::counter!("orioleroute_grants_departed_total").increment(1);
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -3,9 +3,8 @@
 use orioleroute::prelude::*;
 use orioleroute_wire::http1::head;
 use orioleroute_wire::sse::{Broken, Splitter};
-use slog::info;
 
-use super::exchange::Incoming;
+use super::exchange::{Incoming, Loss};
 use super::forward::Relay;
 use super::placement::Permit;
 use super::response::{Disconnected, Response, Started, State};
@@ -25,8 +24,8 @@
     ClientClosed,
     /// The deadline has passed.
     TimedOut,
-    /// The connection to the upstream ended early, or the stream was silent for too long.
-    Lost(String),
+    /// The response of the upstream is lost.
+    Lost(Loss),
 }
 
 impl From<Result<(), Disconnected>> for RelayOutcome {
@@ -52,7 +51,7 @@
         };
         let body = match collected {
             Ok(body) => body,
-            Err(failure) => return RelayOutcome::Lost(failure.to_string()),
+            Err(cut) => return RelayOutcome::Lost(cut.into()),
         };
         let mut output = self.response_head(incoming);
         head::write_field(&mut output, "content-length", body.len().to_string());
@@ -60,7 +59,9 @@
         output.extend_from_slice(&body);
         match response.state() {
             State::Unstarted(unstarted) => unstarted.send(&output).await.into(),
-            State::Started(_) => RelayOutcome::Lost("not a stream".into()),
+            State::Started(_) => {
+                RelayOutcome::Lost(Loss::NotResumed(incoming.head().status.as_u16()))
+            }
         }
     }
 
@@ -85,13 +86,13 @@
                 () = monoio::time::sleep(remaining.min(idle_timeout)) => {
                     return match remaining <= idle_timeout {
                         true => RelayOutcome::TimedOut,
-                        false => RelayOutcome::Lost("silent".into()),
+                        false => RelayOutcome::Lost(Loss::Silent),
                     };
                 }
             };
             let chunk = match chunk {
                 Ok(chunk) => chunk,
-                Err(failure) => return RelayOutcome::Lost(failure.to_string()),
+                Err(cut) => return RelayOutcome::Lost(cut.into()),
             };
             let is_end = chunk.is_none();
             match chunk {
@@ -100,7 +101,7 @@
             }
             let (events, broken) = self.take_events(&mut splitter);
             if is_end {
-                self.observe_end(permit, incoming, broken);
+                observe_end(incoming, broken);
             }
             let is_complete = is_end && broken.is_none();
             if is_complete || !events.is_empty() {
@@ -111,7 +112,7 @@
                 }
             }
             if let Some(broken) = broken {
-                return RelayOutcome::Lost(broken.to_string());
+                return RelayOutcome::Lost(broken.into());
             }
         }
     }
@@ -164,25 +165,20 @@
         output
     }
 
-    /// Reports how a stream ended, and whether that was inside an event.
-    fn observe_end(&self, permit: &Permit, incoming: &Incoming, broken: Option<Broken>) {
-        let framing: &'static str = incoming.head().framing.into();
-        let position = match broken {
-            None => "after_event",
-            Some(Broken::Empty) => "before_first_event",
-            Some(_) => "inside_event",
-        };
-        metrics::counter!("orioleroute_stream_ends_total", "framing" => framing, "position" => position)
-            .increment(1);
-        if let Some(broken) = broken {
-            info!(self.gateway.log, "stream broken off"; "request" => self.attempt_id(),
-                "upstream" => &*permit.upstream, "framing" => framing,
-                "last_event" => self.last_event, "cause" => broken.to_string());
-        }
-    }
-
     fn observe_first_event(&self) {
         let time = self.gateway.now().since(self.inbound.arrived);
         metrics::histogram!("orioleroute_time_to_first_token_seconds").record(time.as_secs_f64());
     }
 }
+
+/// Counts the end of a stream by what marked it and where it was.
+fn observe_end(incoming: &Incoming, broken: Option<Broken>) {
+    let framing: &'static str = incoming.head().framing.into();
+    let position = match broken {
+        None => "after_event",
+        Some(Broken::Empty) => "before_first_event",
+        Some(_) => "inside_event",
+    };
+    metrics::counter!("orioleroute_stream_ends_total", "framing" => framing, "position" => position)
+        .increment(1);
+}
--- a/crates/orioleroute-wire/src/sse.rs
+++ b/crates/orioleroute-wire/src/sse.rs
@@ -38,7 +38,8 @@
 }
 
 /// Why a stream is broken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Broken {
     /// The stream ended between the first byte of an event and the empty line after it.
     #[error("ended inside an event, {bytes} bytes after the last one")]
