Bound what is discarded of a rejected client's input

An instance discards the input of a client that it has rejected, so that the client gets the rejection, but only for a time: a client that goes on sending had 64 MB and more taken in half a second, three at once, with the processor that this costs.

--- a/crates/orioleroute-wire/src/http1/socket.rs
+++ b/crates/orioleroute-wire/src/http1/socket.rs
@@ -18,6 +18,9 @@
 /// The size of the buffer for one read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 
+/// The most input that is discarded before a connection is closed, in bytes.
+const MAX_DISCARDED_BYTES: usize = 4 << 20;
+
 /// The number of reads in a row that need not wait for input, after which other tasks run. A peer that sends faster
 /// than its input is handled would otherwise occupy the thread, and no timer would expire.
 const MAX_READY_READS: u32 = 16;
@@ -109,6 +112,27 @@
         .await
     }
 
+    /// Shuts down the write side and discards input until the peer closes the connection, so that it gets what was
+    /// written: closing a connection with unread input resets it. Ends after `limit`, or once more than
+    /// [`MAX_DISCARDED_BYTES`] have arrived.
+    pub async fn close_after_write(&mut self, limit: Duration) {
+        if self.shutdown().await.is_err() {
+            return;
+        }
+        let discard = async {
+            let mut discarded = 0;
+            while discarded <= MAX_DISCARDED_BYTES {
+                match self.fill().await {
+                    Ok(read) if read > 0 => discarded += read,
+                    _ => return,
+                }
+                self.input.clear();
+            }
+        };
+        // A peer that is still sending after the limit may not receive what was written.
+        let _ = monoio::time::timeout(limit, discard).await;
+    }
+
     /// Returns whether there is no unread input and the peer has not closed the connection.
     pub fn is_idle(&mut self) -> bool {
         let mut context = Context::from_waker(Waker::noop());
--- a/crates/orioleroute-wire/src/server/connection.rs
+++ b/crates/orioleroute-wire/src/server/connection.rs
@@ -211,17 +211,9 @@
     /// Writes an error response and closes the connection in a way that lets the response arrive.
     pub(super) async fn reject(&mut self, response: Response) {
         self.closing = true;
-        if self.respond(response).await.is_err() || self.socket.shutdown().await.is_err() {
-            return;
+        if self.respond(response).await.is_ok() {
+            self.socket.close_after_write(DISCARD_TIMEOUT).await;
         }
-        // Closing with unread input would reset the connection before the peer reads the response.
-        let discard = async {
-            while matches!(self.socket.fill().await, Ok(read) if read > 0) {
-                self.socket.input.clear();
-            }
-        };
-        // A peer that is still sending after the timeout may not receive the response.
-        let _ = monoio::time::timeout(DISCARD_TIMEOUT, discard).await;
     }
 
     /// Writes `bytes` and returns the buffer for reuse.
