Search a long line between instances once

A message between instances is a line. Found by looking at each loop that reads from a peer.

The limits are those of before; they also hold for a line that arrives complete now.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -13,11 +13,12 @@
 use orioleroute::ingress::roster::Member;
 use orioleroute::prelude::*;
 use orioleroute_wire::http1::socket::Socket;
+use orioleroute_wire::lines::Lines;
 use slog::{debug, info};
 use strum::IntoEnumIterator;
 
 use super::state::Gateway;
-use super::{link, sync};
+use super::sync;
 
 /// How often an instance checks whether it is a reader and whom it follows.
 const ROLE_INTERVAL: Duration = Duration::from_millis(200);
@@ -286,11 +287,17 @@
     if let Err(error) = socket.write(message.as_bytes()).await {
         return error.to_string();
     }
+    let mut lines = Lines::new(MAX_MESSAGE_BYTES);
     // The first update of a table is what the reader knew before.
     let mut has_state = false;
     while is_wanted.get() {
-        while let Some(bytes) = link::take_line(&mut socket.input) {
-            match serde_json::from_slice(&bytes) {
+        loop {
+            let message = match lines.take(&mut socket.input) {
+                Ok(Some(line)) => serde_json::from_slice(&line),
+                Ok(None) => break,
+                Err(error) => return error.to_string(),
+            };
+            match message {
                 Ok(Message::Update(update)) => {
                     if update.table == Table::Upstreams && std::mem::replace(&mut has_state, true) {
                         gateway.feed.record_served(gateway.now());
@@ -311,9 +318,6 @@
                 Err(error) => return error.to_string(),
             }
         }
-        if socket.input.len() > MAX_MESSAGE_BYTES {
-            return "message too long".into();
-        }
         match monoio::time::timeout(IDLE_TIMEOUT, socket.fill()).await {
             Ok(Ok(read)) if read > 0 => {}
             Ok(Ok(_)) => return "closed".into(),
--- a/crates/orioleroute-node/src/gateway/link.rs
+++ b/crates/orioleroute-node/src/gateway/link.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::BytesMut;
 use local_sync::mpsc;
 use monoio::net::TcpListener;
 use orioleroute::ingress::feed::{Subscription, ToReader};
@@ -13,6 +12,7 @@
 use orioleroute::scheduler::Client;
 use orioleroute::scheduler::message::{ToInstance, ToScheduler};
 use orioleroute_wire::http1::socket::Socket;
+use orioleroute_wire::lines::Lines;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use slog::{debug, info, warn};
@@ -238,16 +238,19 @@
     mut messages: mpsc::unbounded::Rx<S>,
     mut receive: impl FnMut(R),
 ) -> String {
+    let mut lines = Lines::new(MAX_LINE_BYTES);
     loop {
-        while let Some(line) = take_line(&mut socket.input) {
-            match serde_json::from_slice(&line) {
+        loop {
+            let message = match lines.take(&mut socket.input) {
+                Ok(Some(line)) => serde_json::from_slice(&line),
+                Ok(None) => break,
+                Err(error) => return error.to_string(),
+            };
+            match message {
                 Ok(message) => receive(message),
                 Err(error) => return error.to_string(),
             }
         }
-        if socket.input.len() > MAX_LINE_BYTES {
-            return "line too long".into();
-        }
         let outgoing = monoio::select! {
             read = socket.fill() => match read {
                 Ok(0) => return "closed".into(),
@@ -284,7 +287,7 @@
             else {
                 return Ok(None);
             };
-            take_line(&mut socket.input);
+            let _ = socket.input.split_to(end + 1);
             return Ok(Some(subscription));
         }
         if socket.input.len() > MAX_LINE_BYTES || socket.fill().await? == 0 {
@@ -299,11 +302,3 @@
         lines.push(b'\n');
     }
 }
-
-/// Removes a line from the front of `input` and returns it without its end, or `None` if it is incomplete.
-pub fn take_line(input: &mut BytesMut) -> Option<BytesMut> {
-    let end = input.iter().position(|byte| *byte == b'\n')?;
-    let mut line = input.split_to(end + 1);
-    line.truncate(end);
-    Some(line)
-}
--- a/crates/orioleroute-wire/src/lib.rs
+++ b/crates/orioleroute-wire/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Everything runs on one `monoio` thread with the epoll driver. [`http1`] parses and forwards messages,
 //! [`server`] reads requests with it and writes responses, [`client`] pools connections, [`sse`] splits streams of
-//! events, and [`rpc`] carries typed peer messages as JSON-RPC notifications. `docs/DESIGN.md`, section
+//! events, [`lines`] the messages between instances, and [`rpc`] carries typed peer messages as JSON-RPC notifications. `docs/DESIGN.md`, section
 //! "HTTP", gives the reasons.
 //!
 //! ```no_run
@@ -20,6 +20,7 @@
 mod connect;
 mod error;
 pub mod http1;
+pub mod lines;
 pub mod rpc;
 pub mod runtime;
 pub mod server;
