Disconnect clients whose head never ends at the auxiliary endpoints

At the ready, directory and metrics addresses each read of a request's head had 15 s of its own, so that a client that sends a byte now and then kept its connection for up to 8 KiB of them; a response that is not read was waited for without a limit; and the body of a request was read as the next request.

A head has 1 s from its first byte now, a response 5 s to be read, and a request with a body ends the connection.

--- a/crates/orioleroute-node/src/gateway/endpoints.rs
+++ b/crates/orioleroute-node/src/gateway/endpoints.rs
@@ -7,6 +7,7 @@
 use monoio::net::TcpListener;
 use orioleroute::prelude::*;
 use orioleroute_platform::ingress;
+use orioleroute_wire::http1::body::Framing;
 use orioleroute_wire::http1::head::{self, Request};
 use orioleroute_wire::http1::socket::Socket;
 use slog::warn;
@@ -19,6 +20,12 @@
 /// The longest wait for the next request on a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// The longest time from the first byte of a request to its end.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The longest wait for a client to read a response.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The pause after a failed accept, which is mostly due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -87,15 +94,7 @@
     answer: &impl Fn(&Rc<Gateway>, &Request) -> (StatusCode, Vec<u8>),
     content_type: &str,
 ) -> std::io::Result<()> {
-    loop {
-        let request = match Request::parse(&mut socket.input, MAX_HEAD_BYTES) {
-            Ok(Some(request)) => request,
-            Ok(None) => match monoio::time::timeout(IDLE_TIMEOUT, socket.fill()).await {
-                Ok(Ok(read)) if read > 0 => continue,
-                _ => return Ok(()),
-            },
-            Err(_) => return Ok(()),
-        };
+    while let Some(request) = read_request(&mut socket).await {
         let (status, body) = answer(gateway, &request);
         let mut output = Vec::with_capacity(256 + body.len());
         head::write_response(&mut output, status, &http::HeaderMap::new());
@@ -103,9 +102,31 @@
         head::write_field(&mut output, "content-length", body.len().to_string());
         output.extend_from_slice(b"\r\n");
         output.extend_from_slice(&body);
-        socket.write(&output).await?;
+        let written = monoio::time::timeout(WRITE_TIMEOUT, socket.write(&output)).await;
+        written.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
         if !request.keeps_alive {
             return socket.shutdown().await;
         }
     }
+    Ok(())
+}
+
+/// Reads a request without a body. Returns `None` if the client closes the connection or is idle for too long, or if the
+/// request is malformed, too slow or has a body, which these endpoints do not take.
+async fn read_request(socket: &mut Socket) -> Option<Request> {
+    if socket.input.is_empty() {
+        let read = monoio::time::timeout(IDLE_TIMEOUT, socket.fill()).await.ok()?.ok()?;
+        (read > 0).then_some(())?;
+    }
+    let read = async {
+        loop {
+            match Request::parse(&mut socket.input, MAX_HEAD_BYTES) {
+                Ok(Some(request)) => return Some(request),
+                Ok(None) if socket.fill().await.ok()? > 0 => {}
+                _ => return None,
+            }
+        }
+    };
+    let request = monoio::time::timeout(HEAD_TIMEOUT, read).await.ok()??;
+    (request.framing == Framing::Length(0)).then_some(request)
 }
