--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -45,6 +45,12 @@
 /// The longest time without data within a response, after which it counts as broken.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The largest body of a response that is not a stream, in bytes.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
+
+/// The longest time from the head of such a response to the end of its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// A request with its routing parameters.
 pub struct Job {
     /// The request.
@@ -267,12 +273,16 @@
     mut incoming: Incoming,
     expected: Option<&str>,
 ) -> Result<Attempt, Error> {
+    let started = std::time::Instant::now();
     let mut body = Vec::new();
     while let Some(chunk) = next_chunk(connection, &mut incoming).await? {
         match chunk {
             Ok(chunk) => body.extend_from_slice(&chunk),
             Err(_) => return Ok(Attempt::Failed(Failure::Broken)),
         }
+        if body.len() > MAX_RESPONSE_BYTES || started.elapsed() > BODY_TIMEOUT {
+            return Ok(Attempt::Failed(Failure::Broken));
+        }
     }
     let success = incoming.status.is_success();
     if let Some(expected) = expected
--- a/crates/orioleroute-node/tests/faults.rs
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -52,7 +52,7 @@
     let system = System::start(3);
     let home = system.home(0, "milk");
     let other = (home + 1) % 3;
-    set_faults(system.service, &service::Faults { delay_ms: 1_500, replies_lost: false });
+    set_faults(system.service, &service::Faults { delay_ms: 1_500, ..Default::default() });
     let address = system.callers(home);
     let booking = std::thread::spawn(move || book(address, "frozen"));
     wait_until("the booking runs", || system.runs("frozen") == 1);
@@ -236,6 +236,26 @@
     assert!(!broken.text.contains("{\"id\n") && !broken.text.contains("{\"iddata"));
 }
 
+/// A service sends without an end. Its caller gets an error, and callers of models are served meanwhile.
+#[test]
+fn a_response_of_a_service_without_an_end_is_cut() {
+    let system = System::start(2);
+    let address = system.callers(system.home(0, "milk"));
+    assert!(is_served_by(complete(address, "milk", "before").as_ref(), "milk@v1"));
+    set_faults(system.service, &service::Faults { endless: true, ..Default::default() });
+    let start = Instant::now();
+    let booking = std::thread::spawn(move || book(address, "endless"));
+    wait_until("the booking runs", || system.runs("endless") == 1);
+
+    let served = complete(address, "milk", "meanwhile");
+
+    assert!(is_served_by(served.as_ref(), "milk@v1"), "{served:?}");
+    let booking = booking.join().expect("it was asked").expect("it was answered");
+    assert!(!booking.status.is_success(), "{}", booking.status);
+    assert_eq!(ran(&booking), Some("may-have-run"));
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+}
+
 #[test]
 fn a_stalled_stream_is_resumed() {
     let engines = [system::start_engine(engine::Settings::default())];
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use monoio::net::TcpListener;
 use orioleroute_wire::Error;
 use orioleroute_wire::server::{Connection, Request, Response};
@@ -19,8 +19,13 @@
     pub replies_lost: bool,
     /// The delay of every response, in milliseconds.
     pub delay_ms: u64,
+    /// Responses have no end.
+    pub endless: bool,
 }
 
+/// One chunk of a response without an end.
+const CHUNK: [u8; 16 << 10] = [b'x'; 16 << 10];
+
 #[derive(Default)]
 struct State {
     faults: Faults,
@@ -63,6 +68,12 @@
             if faults.delay_ms > 0 {
                 monoio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
             }
+            if faults.endless {
+                connection.start_response(StatusCode::OK, &HeaderMap::new()).await?;
+                loop {
+                    connection.write_chunk(&CHUNK).await?;
+                }
+            }
             connection.respond(Response::text(StatusCode::OK, request.body)).await
         }
     }
