--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -104,7 +104,7 @@
         tried_upstreams: Vec::new(),
     };
     let (disposition, outcome) = relay.run(response).await;
-    relay.log(outcome);
+    relay.report_end(outcome);
     disposition
 }
 
@@ -112,11 +112,11 @@
 pub struct Relay<'a> {
     pub(super) gateway: &'a Rc<Gateway>,
     pub(super) inbound: Inbound,
-    attempt: Attempt,
+    pub(super) attempt: Attempt,
     pub(super) route: Arc<Route>,
-    service: Arc<str>,
+    pub(super) service: Arc<str>,
     /// The version of the configuration that routed the request.
-    version: u64,
+    pub(super) version: u64,
     has_engine: bool,
     /// Whether the client retries after a refusal.
     is_return: bool,
@@ -130,7 +130,7 @@
     excluded: Vec<Arc<str>>,
     pub(super) last_event: Option<u64>,
     /// The upstreams tried and how each try ended, for the log.
-    tried_upstreams: Vec<String>,
+    pub(super) tried_upstreams: Vec<String>,
 }
 
 /// The outcome of one try at an upstream.
@@ -180,7 +180,7 @@
         };
         let list_version = self.gateway.registry().version();
         if self.gateway.registry().is_leaving(&permit.upstream, permit.entry_version) {
-            self.log_departed(&permit);
+            self.report_departed(&permit);
             return TryOutcome::NotRun(permit, RunResult::Departed { list_version });
         }
         let target = Target { id: permit.upstream.clone(), address: permit.address };
@@ -270,7 +270,7 @@
         let status = incoming.head().status;
         if status.is_server_error() && self.may_retry() {
             permit.end(RunResult::Erred);
-            self.observe_retry();
+            self.report_retry();
             return None;
         }
         let is_stream = status.is_success() && sse::is_stream(&incoming.head().headers);
@@ -351,14 +351,10 @@
             (false, true) => "cut",
             (false, false) => "fail",
         };
-        metrics::counter!("orioleroute_responses_lost_total", "cause" => loss.cause()).increment(1);
-        info!(self.gateway.log, "response lost"; "request" => self.attempt.id.as_deref(),
-            "upstream" => &*upstream, "cause" => loss.to_string(), "next" => next,
-            "framing" => incoming.map(|it| <&'static str>::from(it.head().framing)),
-            "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event);
+        self.report_loss(&upstream, loss, next, incoming);
         if may_retry {
             self.excluded.push(upstream);
-            self.observe_retry();
+            self.report_retry();
             return None;
         }
         Some(self.fail(response, StatusCode::BAD_GATEWAY, "answer lost").await)
@@ -373,10 +369,6 @@
             && self.gateway.withdraw_retry(&self.service)
     }
 
-    fn observe_retry(&self) {
-        metrics::counter!("orioleroute_retries_total").increment(1);
-    }
-
     async fn refuse(
         &self,
         response: &mut Response<'_>,
@@ -430,23 +422,6 @@
             false => Disposition::KeepAlive,
         }
     }
-
-    fn log_departed(&self, permit: &Permit) {
-        let standing = self.gateway.registry().standing(&permit.upstream);
-        metrics::counter!("orioleroute_grants_departed_total").increment(1);
-        info!(self.gateway.log, "grant not used"; "request" => self.attempt.id.as_deref(),
-            "upstream" => &*permit.upstream, "standing" => standing.to_string());
-    }
-
-    fn log(&self, outcome: &'static str) {
-        let time = self.gateway.now().since(self.inbound.arrived);
-        metrics::counter!("orioleroute_requests_total", "outcome" => outcome).increment(1);
-        metrics::histogram!("orioleroute_request_duration_seconds").record(time.as_secs_f64());
-        info!(self.gateway.log, "request"; "request" => self.attempt.id.as_deref(),
-            "route" => &*self.route.name, "service" => &*self.service,
-            "version" => self.version, "upstreams" => self.tried_upstreams.join(", "),
-            "outcome" => outcome, "ms" => time.as_millis() as u64);
-    }
 }
 
 /// The least urgent priority that upstreams accept.
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod orders;
 mod placement;
 mod relaying;
+mod reporting;
 mod response;
 mod server;
 mod settings;
--- /dev/null
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -0,0 +1,48 @@
+//! The log lines and metrics of one request while it is forwarded.
+
+use slog::info;
+
+use super::exchange::{Incoming, Loss};
+use super::forward::Relay;
+use super::placement::Permit;
+
+impl Relay<'_> {
+    pub(super) fn report_retry(&self) {
+        metrics::counter!("orioleroute_retries_total").increment(1);
+    }
+
+    /// Reports a grant for an upstream that this instance knows to leave.
+    pub(super) fn report_departed(&self, permit: &Permit) {
+        let standing = self.gateway.registry().standing(&permit.upstream);
+        metrics::counter!("orioleroute_grants_departed_total").increment(1);
+        info!(self.gateway.log, "grant not used"; "request" => self.attempt.id.as_deref(),
+            "upstream" => &*permit.upstream, "standing" => standing.to_string());
+    }
+
+    /// Reports a lost response, what was received of it, and what is done next.
+    pub(super) fn report_loss(
+        &self,
+        upstream: &str,
+        loss: &Loss,
+        next: &'static str,
+        incoming: Option<&Incoming>,
+    ) {
+        let framing = |incoming: &Incoming| -> &'static str { incoming.head().framing.into() };
+        metrics::counter!("orioleroute_responses_lost_total", "cause" => loss.cause()).increment(1);
+        info!(self.gateway.log, "response lost"; "request" => self.attempt.id.as_deref(),
+            "upstream" => upstream, "cause" => loss.to_string(), "next" => next,
+            "framing" => incoming.map(framing),
+            "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event);
+    }
+
+    /// Reports the outcome of the request.
+    pub(super) fn report_end(&self, outcome: &'static str) {
+        let time = self.gateway.now().since(self.inbound.arrived);
+        metrics::counter!("orioleroute_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("orioleroute_request_duration_seconds").record(time.as_secs_f64());
+        info!(self.gateway.log, "request"; "request" => self.attempt.id.as_deref(),
+            "route" => &*self.route.name, "service" => &*self.service,
+            "version" => self.version, "upstreams" => self.tried_upstreams.join(", "),
+            "outcome" => outcome, "ms" => time.as_millis() as u64);
+    }
+}
--- a/crates/orioleroute-wire/src/sse.rs
+++ b/crates/orioleroute-wire/src/sse.rs
@@ -58,7 +58,7 @@
 /// An incremental splitter for one stream.
 ///
 /// Input is added with [`push`](Self::push) and [`close`](Self::close), and [`next`](Self::next) returns what can be
-/// passed on. Each byte is examined once.
+/// passed on. The search for the end of an event examines each byte once, however the input is split.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     input: BytesMut,
@@ -87,12 +87,12 @@
     has_field: bool,
 }
 
-/// What the ids of events mean.
+/// How the ids of events are used.
 #[derive(Clone, Copy, Debug, Default)]
 enum Numbering {
-    /// Nothing.
+    /// They are ignored.
     #[default]
-    None,
+    Ignored,
     /// They increase. An event up to the last one that was returned is a repetition.
     Increasing { last: Option<u64> },
 }
@@ -139,11 +139,9 @@
             return Err(Broken::NoEvent);
         }
         let Some(end) = self.end else { return Ok(None) };
-        if end == Framing::UntilClose && !self.has_event && self.input.is_empty() {
-            return Err(Broken::Empty);
-        }
         if self.input.is_empty() {
-            return Ok(None);
+            let is_plausible = end != Framing::UntilClose || self.has_event;
+            return if is_plausible { Ok(None) } else { Err(Broken::Empty) };
         }
         if self.block.has_field || self.block.is_in_line {
             return Err(Broken::InsideEvent { bytes: self.input.len() });
