--- a/crates/orioleroute-wire/src/http1/socket.rs
+++ b/crates/orioleroute-wire/src/http1/socket.rs
@@ -114,7 +114,7 @@
 
     /// Shuts down the write side and discards input until the peer closes the connection, so that it gets what was
     /// written: closing a connection with unread input resets it. Ends after `limit`, or once more than
-    /// [`MAX_DISCARDED_BYTES`] have arrived.
+    /// 4 MiB have arrived.
     pub async fn close_after_write(&mut self, limit: Duration) {
         if self.shutdown().await.is_err() {
             return;
