Log how long an upstream was silent and why a stream was not resumed

The logs could not tell a loss by the relay's own time limit from one by the limits of the connection, did not say which refusal ended a started stream, and had no line for a request whose body was not received. "response lost" has silent_ms, "request" has refusal, "rejected" is new, and connections closed by the idle limit are counted. No decision is changed.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -102,6 +102,8 @@
         declines: 0,
         excluded: Vec::new(),
         tried_upstreams: Vec::new(),
+        received_at: None,
+        refusal: None,
     };
     let (disposition, outcome) = relay.run(response).await;
     relay.report_end(outcome);
@@ -131,6 +133,10 @@
     pub(super) last_event: Option<u64>,
     /// The upstreams tried and how each try ended, for the log.
     pub(super) tried_upstreams: Vec<String>,
+    /// When the last data of an upstream arrived, for the log.
+    pub(super) received_at: Option<Instant>,
+    /// Why the last permit that was not granted was refused, for the log.
+    pub(super) refusal: Option<Reason>,
 }
 
 /// The outcome of one try at an upstream.
@@ -267,6 +273,7 @@
             permit.upstream,
             incoming.head().status.as_u16()
         ));
+        self.received_at = Some(self.gateway.now());
         let status = incoming.head().status;
         if status.is_server_error() && self.may_retry() {
             permit.end(RunResult::Erred);
@@ -370,10 +377,11 @@
     }
 
     async fn refuse(
-        &self,
+        &mut self,
         response: &mut Response<'_>,
         refusal: Refusal,
     ) -> (Disposition, &'static str) {
+        self.refusal = Some(refusal.reason);
         if response.is_started() {
             return (Disposition::Close, "stream not resumed");
         }
@@ -406,7 +414,7 @@
     }
 
     /// Writes the final response after the deadline.
-    async fn time_out(&self, response: &mut Response<'_>) -> (Disposition, &'static str) {
+    async fn time_out(&mut self, response: &mut Response<'_>) -> (Disposition, &'static str) {
         match self.possible_runs.get() {
             0 => {
                 let refusal = Refusal::new(Reason::TooLate, Duration::ZERO);
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -94,6 +94,7 @@
                 Ok(chunk) => chunk,
                 Err(cut) => return RelayOutcome::Lost(cut.into()),
             };
+            self.received_at = Some(self.gateway.now());
             let is_end = chunk.is_none();
             match chunk {
                 Some(data) => splitter.push(&data),
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -1,5 +1,6 @@
 //! The log lines and metrics of one request while it is forwarded.
 
+use orioleroute::prelude::*;
 use slog::info;
 
 use super::exchange::{Incoming, Loss};
@@ -32,7 +33,8 @@
         info!(self.gateway.log, "response lost"; "request" => self.attempt.id.as_deref(),
             "upstream" => upstream, "cause" => loss.to_string(), "next" => next,
             "framing" => incoming.map(framing),
-            "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event);
+            "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event,
+            "silent_ms" => self.silence().map(|silence| silence.as_millis() as u64));
     }
 
     /// Reports the outcome of the request.
@@ -43,6 +45,12 @@
         info!(self.gateway.log, "request"; "request" => self.attempt.id.as_deref(),
             "route" => &*self.route.name, "service" => &*self.service,
             "version" => self.version, "upstreams" => self.tried_upstreams.join(", "),
-            "outcome" => outcome, "ms" => time.as_millis() as u64);
+            "outcome" => outcome, "refusal" => self.refusal.map(|reason| reason.to_string()),
+            "ms" => time.as_millis() as u64);
+    }
+
+    /// Returns how long ago the last data of an upstream arrived, if any has.
+    fn silence(&self) -> Option<Duration> {
+        self.received_at.map(|received| self.gateway.now().since(received))
     }
 }
--- a/crates/orioleroute-node/src/gateway/server.rs
+++ b/crates/orioleroute-node/src/gateway/server.rs
@@ -13,7 +13,7 @@
 use orioleroute_wire::http1::body::{Decoder, Framing};
 use orioleroute_wire::http1::head::{self, Request};
 use orioleroute_wire::http1::socket::Socket;
-use slog::warn;
+use slog::{info, warn};
 
 use super::forward::{self, Disposition, Inbound};
 use super::state::Gateway;
@@ -78,7 +78,11 @@
         let id = ingress::attempt(&head.headers).id;
         let body = match read_body(gateway, client, &head, &limits).await {
             Ok(body) => body,
-            Err(rejection) => return reject(client, id.as_deref(), rejection).await,
+            Err(rejection) => {
+                info!(gateway.log, "rejected"; "request" => id.as_deref(),
+                    "status" => rejection.status().as_u16(), "reason" => ?rejection);
+                return reject(client, id.as_deref(), rejection).await;
+            }
         };
         let bytes = body.len();
         let keeps_alive = head.keeps_alive;
@@ -121,7 +125,11 @@
     if client.input.is_empty() {
         match monoio::time::timeout(limits.idle_timeout, client.fill()).await {
             Ok(Ok(read)) if read > 0 => {}
-            _ => return Ok(None),
+            Ok(_) => return Ok(None),
+            Err(_) => {
+                metrics::counter!("orioleroute_idle_connections_closed_total").increment(1);
+                return Ok(None);
+            }
         }
     }
     let read = async {
