Keep a silent stream's upstream until another has taken the stream over

Cause: after 1.3 s of silence the relay dropped the connection to the upstream and then looked for another one. If there was none (a refused permit, a spent budget, used-up attempts, an engine that declines, errs or hangs) nothing was left to pass on, and the client's connection was closed. Class: the absence of data taken for the loss of the peer, and what is held given up before its replacement is secured.

Change: the relay goes on reading while another upstream is asked, and follows the first that sends data. Silence alone ends nothing; the deadline, the client and the upstream's own failure do. A retry that was not sent goes back to the budget.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards a client's request to upstreams and relays exactly one final response.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -100,8 +100,8 @@
         is_return: elapsed >= MIN_RETURN_DELAY,
         possible_runs: Cell::new(0),
         declines: 0,
-        excluded: Vec::new(),
-        tried_upstreams: Vec::new(),
+        excluded: RefCell::default(),
+        tried_upstreams: RefCell::default(),
         received_at: None,
         refusal: None,
     };
@@ -129,10 +129,11 @@
     /// The number of upstreams that may have run the request.
     possible_runs: Cell<u32>,
     declines: u32,
-    excluded: Vec<Arc<str>>,
+    /// The upstreams that have failed the request.
+    excluded: RefCell<Vec<Arc<str>>>,
     pub(super) last_event: Option<u64>,
     /// The upstreams tried and how each try ended, for the log.
-    pub(super) tried_upstreams: Vec<String>,
+    pub(super) tried_upstreams: RefCell<Vec<String>>,
     /// When the last data of an upstream arrived, for the log.
     pub(super) received_at: Option<Instant>,
     /// Why the last permit that was not granted was refused, for the log.
@@ -140,7 +141,7 @@
 }
 
 /// The outcome of one try at an upstream.
-enum TryOutcome {
+pub(super) enum TryOutcome {
     /// The head of the response has arrived.
     Answered(Permit, Box<Incoming>),
     /// No permit was granted.
@@ -179,7 +180,7 @@
     }
 
     /// Acquires a permit, sends the request and waits for the head of the response.
-    async fn try_once(&self) -> TryOutcome {
+    pub(super) async fn try_once(&self) -> TryOutcome {
         let permit = match self.acquire_permit().await {
             Ok(permit) => permit,
             Err(refusal) => return TryOutcome::NoPermit(refusal),
@@ -228,6 +229,7 @@
     }
 
     async fn acquire_permit(&self) -> Result<Permit, Refusal> {
+        let excluded = self.excluded.borrow().clone();
         match &self.attempt.generation {
             Some(generation) if self.has_engine => {
                 let request = PermitRequest {
@@ -236,13 +238,13 @@
                     priority: self.route.priority,
                     deadline: self.deadline,
                     objective: self.objective,
-                    excluded: &self.excluded,
+                    excluded: &excluded,
                     attempt: self.attempt.id.as_ref(),
                     is_return: self.is_return,
                 };
                 placement::acquire(self.gateway, &request).await
             }
-            _ => placement::acquire_plain(self.gateway, &self.service, &self.excluded),
+            _ => placement::acquire_plain(self.gateway, &self.service, &excluded),
         }
     }
 
@@ -265,14 +267,10 @@
     async fn relay_response(
         &mut self,
         response: &mut Response<'_>,
-        permit: Permit,
+        mut permit: Permit,
         mut incoming: Incoming,
     ) -> Option<(Disposition, &'static str)> {
-        self.tried_upstreams.push(format!(
-            "{} {}",
-            permit.upstream,
-            incoming.head().status.as_u16()
-        ));
+        self.note(format!("{} {}", permit.upstream, incoming.head().status.as_u16()));
         self.received_at = Some(self.gateway.now());
         let status = incoming.head().status;
         if status.is_server_error() && self.may_retry() {
@@ -282,7 +280,7 @@
         }
         let is_stream = status.is_success() && sse::is_stream(&incoming.head().headers);
         let relayed = match is_stream {
-            true => self.relay_stream(response, &permit, &mut incoming).await,
+            true => self.relay_stream(response, &mut permit, &mut incoming).await,
             // Only events can continue a started stream.
             false if response.is_started() => RelayOutcome::Lost(Loss::NotResumed(status.as_u16())),
             false => self.relay_buffered(response, &mut incoming).await,
@@ -317,13 +315,12 @@
         permit: Permit,
         result: RunResult,
     ) -> Option<(Disposition, &'static str)> {
-        self.tried_upstreams.push(format!("{} {result:?}", permit.upstream));
-        self.excluded.push(permit.upstream.clone());
+        self.note(format!("{} {result:?}", permit.upstream));
+        self.exclude(&permit.upstream);
         permit.end(result);
         self.declines += 1;
-        let was_sent = !matches!(result, RunResult::Unreachable | RunResult::Departed { .. });
         let may_try_again = self.declines < MAX_DECLINES
-            && (!was_sent || self.gateway.withdraw_retry(&self.service));
+            && (!result.was_sent() || self.gateway.withdraw_retry(&self.service));
         if may_try_again {
             return None;
         }
@@ -348,7 +345,7 @@
         loss: &Loss,
         incoming: Option<&Incoming>,
     ) -> Option<(Disposition, &'static str)> {
-        self.tried_upstreams.push(format!("{} lost: {loss}", permit.upstream));
+        self.note(format!("{} lost: {loss}", permit.upstream));
         let upstream = permit.upstream.clone();
         permit.end(RunResult::Broken);
         let may_retry = self.may_retry();
@@ -360,7 +357,7 @@
         };
         self.report_loss(&upstream, loss, next, incoming);
         if may_retry {
-            self.excluded.push(upstream);
+            self.exclude(&upstream);
             self.report_retry();
             return None;
         }
@@ -369,13 +366,26 @@
 
     /// Returns whether the request may be sent to another upstream although one may have run it. If so,
     /// withdraws a retry from the budget.
-    fn may_retry(&self) -> bool {
+    pub(super) fn may_retry(&self) -> bool {
         self.route.is_repeatable()
             && self.possible_runs.get() < self.route.attempts
             && self.deadline > self.gateway.now()
             && self.gateway.withdraw_retry(&self.service)
     }
 
+    /// Excludes an upstream from further tries.
+    pub(super) fn exclude(&self, upstream: &Arc<str>) {
+        let mut excluded = self.excluded.borrow_mut();
+        if !excluded.contains(upstream) {
+            excluded.push(upstream.clone());
+        }
+    }
+
+    /// Notes for the log how a try ended.
+    pub(super) fn note(&self, end: String) {
+        self.tried_upstreams.borrow_mut().push(end);
+    }
+
     async fn refuse(
         &mut self,
         response: &mut Response<'_>,
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod startup;
 mod state;
 mod sync;
+mod takeover;
 
 use std::process::ExitCode;
 use std::rc::Rc;
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -1,21 +1,19 @@
 //! Relays the response of an upstream to the client, streams in whole events.
 
-use orioleroute::prelude::*;
+use bytes::Bytes;
 use orioleroute_wire::http1::head;
+use orioleroute_wire::http1::incoming::Cut;
 use orioleroute_wire::sse::{Broken, Splitter};
 
 use super::exchange::{Incoming, Loss};
 use super::forward::Relay;
 use super::placement::Permit;
 use super::response::{Disconnected, Response, Started, State};
+use super::takeover::Successor;
 
 /// The largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
-/// How long a started stream may be silent before it is resumed at another upstream, if its route
-/// permits. This is below the two seconds after which clients disconnect.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_300);
-
 /// The outcome of relaying a response.
 pub enum RelayOutcome {
     /// The response was written to the client.
@@ -28,6 +26,14 @@
     Lost(Loss),
 }
 
+/// What a stream goes on with.
+enum Next {
+    /// Data of its upstream, or the end of the response.
+    Chunk(Result<Option<Bytes>, Cut>),
+    /// Another upstream, because its own is silent.
+    Successor(Successor),
+}
+
 impl From<Result<(), Disconnected>> for RelayOutcome {
     fn from(written: Result<(), Disconnected>) -> Self {
         match written {
@@ -69,25 +75,24 @@
     pub(super) async fn relay_stream(
         &mut self,
         response: &mut Response<'_>,
-        permit: &Permit,
+        permit: &mut Permit,
         incoming: &mut Incoming,
     ) -> RelayOutcome {
         let mut splitter = Splitter::numbered(self.last_event);
         loop {
-            let now = self.gateway.now();
-            let remaining = self.deadline.since(now);
-            let idle_timeout = match response.is_started() && self.route.is_resumable {
-                true => STREAM_IDLE_TIMEOUT,
-                false => remaining,
-            };
-            let chunk = monoio::select! {
-                chunk = incoming.next() => chunk,
+            let remaining = self.deadline.since(self.gateway.now());
+            let is_started = response.is_started();
+            let next = monoio::select! {
+                chunk = incoming.next() => Next::Chunk(chunk),
                 () = response.closed() => return RelayOutcome::ClientClosed,
-                () = monoio::time::sleep(remaining.min(idle_timeout)) => {
-                    return match remaining <= idle_timeout {
-                        true => RelayOutcome::TimedOut,
-                        false => RelayOutcome::Lost(Loss::Silent),
-                    };
+                () = monoio::time::sleep(remaining) => return RelayOutcome::TimedOut,
+                successor = self.find_successor(permit), if is_started => Next::Successor(successor),
+            };
+            let chunk = match next {
+                Next::Chunk(chunk) => chunk,
+                Next::Successor(successor) => {
+                    splitter = Splitter::numbered(self.last_event);
+                    Ok(Some(self.adopt(successor, permit, incoming)))
                 }
             };
             let chunk = match chunk {
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -44,7 +44,7 @@
         metrics::histogram!("orioleroute_request_duration_seconds").record(time.as_secs_f64());
         info!(self.gateway.log, "request"; "request" => self.attempt.id.as_deref(),
             "route" => &*self.route.name, "service" => &*self.service,
-            "version" => self.version, "upstreams" => self.tried_upstreams.join(", "),
+            "version" => self.version, "upstreams" => self.tried_upstreams.borrow().join(", "),
             "outcome" => outcome, "refusal" => self.refusal.map(|reason| reason.to_string()),
             "ms" => time.as_millis() as u64);
     }
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -208,6 +208,12 @@
         retries.entry(service.clone()).or_default().withdraw(fixed, instances, now)
     }
 
+    /// Returns a withdrawn retry of a service that was not made.
+    pub fn restore_retry(&self, service: &Arc<str>) {
+        let now = self.now();
+        self.retries.borrow_mut().entry(service.clone()).or_default().restore(now);
+    }
+
     /// Returns how long a client of a route has been waiting since its first attempt, estimated from
     /// the `time_left` until its deadline.
     pub fn elapsed_at_client(&self, route: &Arc<str>, time_left: Duration) -> Duration {
--- a/crates/orioleroute/src/retry.rs
+++ b/crates/orioleroute/src/retry.rs
@@ -136,6 +136,12 @@
         has_retry
     }
 
+    /// Returns a withdrawn retry that was not made.
+    pub fn restore(&mut self, now: Instant) {
+        let last = self.current(now);
+        last.retries = last.retries.saturating_sub(1);
+    }
+
     /// Returns the span of the time `now`, after dropping those that no longer count. One span more than
     /// the window has is kept, because the window may begin and end within a span.
     fn current(&mut self, now: Instant) -> &mut Span {
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -125,6 +125,13 @@
     Abandoned,
 }
 
+impl RunResult {
+    /// Returns whether the request was sent to the engine.
+    pub fn was_sent(self) -> bool {
+        !matches!(self, Self::Unreachable | Self::Departed { .. })
+    }
+}
+
 impl From<RunResult> for Outcome {
     fn from(result: RunResult) -> Self {
         match result {
--- a/crates/orioleroute/tests/retries.rs
+++ b/crates/orioleroute/tests/retries.rs
@@ -120,6 +120,20 @@
     assert_eq!(made, wanted);
 }
 
+/// A stream that finds no other upstream keeps its own, and has not used the budget.
+#[test]
+fn a_retry_that_was_not_made_can_be_made_later() {
+    let now = Instant::from_millis(500);
+    let mut allowance = Allowance::default();
+    assert!(allowance.withdraw(1, 1, now));
+    assert!(!allowance.withdraw(1, 1, now));
+
+    allowance.restore(now);
+
+    assert!(allowance.withdraw(1, 1, now));
+    assert!(!allowance.withdraw(1, 1, now));
+}
+
 #[test]
 fn a_brown_out_is_not_amplified() {
     let mut world = world(0);
