Judge a request on an open connection by the limits in force when it arrives

Cause: the limits were taken before the wait for the next request, which lasts as long as the client is idle. Class: a decision on data that is older than the change that it has to follow.

Change: the wait ends by the idle time of the configuration that is in force then, and the head and body are read under the limits in force when they begin to arrive. A shorter idle time still takes effect with the next wait.

--- a/crates/orioleroute-node/src/gateway/server.rs
+++ b/crates/orioleroute-node/src/gateway/server.rs
@@ -65,9 +65,10 @@
 /// Serves the requests of one connection sequentially.
 async fn serve_connection(gateway: &Rc<Gateway>, client: &mut Socket) {
     loop {
-        let limits = gateway
-            .configuration()
-            .map_or_else(Limits::default, |configuration| configuration.limits);
+        if !await_request(gateway, client).await {
+            return;
+        }
+        let limits = limits(gateway);
         let head = match read_head(client, &limits).await {
             Ok(Some(head)) => head,
             Ok(None) => return,
@@ -120,18 +121,32 @@
     }
 }
 
-/// Reads a request head, or returns `None` if the client closes the connection or is idle for too long.
-async fn read_head(client: &mut Socket, limits: &Limits) -> Result<Option<Request>, Rejection> {
-    if client.input.is_empty() {
-        match monoio::time::timeout(limits.idle_timeout, client.fill()).await {
+/// Returns the limits in force.
+fn limits(gateway: &Gateway) -> Limits {
+    gateway.configuration().map_or_else(Limits::default, |configuration| configuration.limits)
+}
+
+/// Waits for the next request on a connection, and returns whether its first bytes have arrived. They have not if the
+/// client closes the connection or is idle for longer than the configuration in force at the end of the wait permits.
+async fn await_request(gateway: &Gateway, client: &mut Socket) -> bool {
+    let since = gateway.now();
+    while client.input.is_empty() {
+        let left = limits(gateway).idle_timeout.saturating_sub(gateway.now().since(since));
+        if left.is_zero() {
+            metrics::counter!("orioleroute_idle_connections_closed_total").increment(1);
+            return false;
+        }
+        match monoio::time::timeout(left, client.fill()).await {
             Ok(Ok(read)) if read > 0 => {}
-            Ok(_) => return Ok(None),
-            Err(_) => {
-                metrics::counter!("orioleroute_idle_connections_closed_total").increment(1);
-                return Ok(None);
-            }
+            Ok(_) => return false,
+            Err(_) => {}
         }
     }
+    true
+}
+
+/// Reads a request head, or returns `None` if the client closes the connection.
+async fn read_head(client: &mut Socket, limits: &Limits) -> Result<Option<Request>, Rejection> {
     let read = async {
         loop {
             match Request::parse(&mut client.input, limits.max_head_bytes) {
