Keep a successor that is being asked when the silent engine breaks off

What callers saw: since a stream was cut if its silent engine broke off while another one had the request already, and the route allows two attempts.

Cause: the search for a successor ended with the next result of the first engine's connection, so the run that was to continue the stream was thrown away, with the attempt that it had used: the class of the fault that fixes.

Change: the loss of the first engine waits for the engine that is being asked. The log says when a successor is sought.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -90,7 +90,7 @@
         gateway,
         deadline: inbound.arrived + timeout,
         objective: inbound.arrived + route.objective.saturating_sub(elapsed),
-        last_event: attempt.last_event,
+        last_event: Cell::new(attempt.last_event),
         inbound,
         attempt,
         route,
@@ -102,7 +102,7 @@
         declines: 0,
         excluded: RefCell::default(),
         tried_upstreams: RefCell::default(),
-        received_at: None,
+        received_at: Cell::default(),
         refusal: None,
     };
     let (disposition, outcome) = relay.run(response).await;
@@ -131,11 +131,11 @@
     declines: u32,
     /// The upstreams that have failed the request.
     excluded: RefCell<Vec<Arc<str>>>,
-    pub(super) last_event: Option<u64>,
+    pub(super) last_event: Cell<Option<u64>>,
     /// The upstreams tried and how each try ended, for the log.
     pub(super) tried_upstreams: RefCell<Vec<String>>,
     /// When the last data of an upstream arrived, for the log.
-    pub(super) received_at: Option<Instant>,
+    pub(super) received_at: Cell<Option<Instant>>,
     /// Why the last permit that was not granted was refused, for the log.
     pub(super) refusal: Option<Reason>,
 }
@@ -257,7 +257,7 @@
             time_left: self.deadline.since(self.gateway.now()),
             adapter_version: permit.version,
             priority: self.has_engine.then_some(self.route.priority.min(MAX_PRIORITY)),
-            last_event: self.last_event,
+            last_event: self.last_event.get(),
         };
         ingress::set_dispatch_headers(&mut headers, &dispatch);
         headers
@@ -271,7 +271,7 @@
         mut incoming: Incoming,
     ) -> Option<(Disposition, &'static str)> {
         self.note(format!("{} {}", permit.upstream, incoming.head().status.as_u16()));
-        self.received_at = Some(self.gateway.now());
+        self.received_at.set(Some(self.gateway.now()));
         let status = incoming.head().status;
         if status.is_server_error() && self.may_retry() {
             permit.end(RunResult::Erred);
@@ -373,6 +373,11 @@
             && self.gateway.withdraw_retry(&self.service)
     }
 
+    /// Returns the number of upstreams that may have run the request.
+    pub(super) fn possible_runs(&self) -> u32 {
+        self.possible_runs.get()
+    }
+
     /// Excludes an upstream from further tries.
     pub(super) fn exclude(&self, upstream: &Arc<str>) {
         let mut excluded = self.excluded.borrow_mut();
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -1,15 +1,16 @@
 //! Relays the response of an upstream to the client, streams in whole events.
 
+use std::pin::pin;
+
 use bytes::Bytes;
 use orioleroute_wire::http1::head;
-use orioleroute_wire::http1::incoming::Cut;
 use orioleroute_wire::sse::{Broken, Splitter};
 
 use super::exchange::{Incoming, Loss};
 use super::forward::Relay;
 use super::placement::Permit;
 use super::response::{Disconnected, Response, Started, State};
-use super::takeover::Successor;
+use super::takeover::Search;
 
 /// The largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -26,12 +27,12 @@
     Lost(Loss),
 }
 
-/// What a stream goes on with.
-enum Next {
-    /// Data of its upstream, or the end of the response.
-    Chunk(Result<Option<Bytes>, Cut>),
-    /// Another upstream, because its own is silent.
-    Successor(Successor),
+/// What became of a stream with one chunk of it.
+enum Passed {
+    /// It goes on.
+    Open,
+    /// It has ended.
+    Ended(RelayOutcome),
 }
 
 impl From<Result<(), Disconnected>> for RelayOutcome {
@@ -73,64 +74,97 @@
 
     /// Relays a stream in whole events, so that another upstream can resume it after the last one.
     pub(super) async fn relay_stream(
-        &mut self,
+        &self,
         response: &mut Response<'_>,
         permit: &mut Permit,
         incoming: &mut Incoming,
     ) -> RelayOutcome {
-        let mut splitter = Splitter::numbered(self.last_event);
+        let mut splitter = Splitter::numbered(self.last_event.get());
         loop {
             let remaining = self.deadline.since(self.gateway.now());
-            let is_started = response.is_started();
-            let next = monoio::select! {
-                chunk = incoming.next() => Next::Chunk(chunk),
+            let may_search = response.is_started() && self.route.is_resumable;
+            let search = Search::default();
+            let silent = permit.upstream.clone();
+            let mut successor = pin!(search.run(self, &silent));
+            let chunk = monoio::select! {
+                chunk = incoming.next() => chunk,
                 () = response.closed() => return RelayOutcome::ClientClosed,
                 () = monoio::time::sleep(remaining) => return RelayOutcome::TimedOut,
-                successor = self.find_successor(permit), if is_started => Next::Successor(successor),
+                successor = &mut successor, if may_search => {
+                    splitter = Splitter::numbered(self.last_event.get());
+                    Ok(Some(self.adopt(successor, &Loss::Silent, permit, incoming)))
+                }
             };
-            let chunk = match next {
-                Next::Chunk(chunk) => chunk,
-                Next::Successor(successor) => {
-                    splitter = Splitter::numbered(self.last_event);
-                    Ok(Some(self.adopt(successor, permit, incoming)))
+            self.received_at.set(Some(self.gateway.now()));
+            let passed = match chunk {
+                Ok(chunk) => {
+                    self.pass_chunk(response, permit, incoming, &mut splitter, chunk).await
                 }
+                Err(cut) => Passed::Ended(RelayOutcome::Lost(cut.into())),
             };
-            let chunk = match chunk {
-                Ok(chunk) => chunk,
-                Err(cut) => return RelayOutcome::Lost(cut.into()),
+            let outcome = match passed {
+                Passed::Open => continue,
+                Passed::Ended(outcome) => outcome,
             };
-            self.received_at = Some(self.gateway.now());
-            let is_end = chunk.is_none();
-            match chunk {
-                Some(data) => splitter.push(&data),
-                None => splitter.close(incoming.head().framing),
-            }
-            let (events, broken) = self.take_events(&mut splitter);
-            if is_end {
-                observe_end(incoming, broken);
-            }
-            let is_complete = is_end && broken.is_none();
-            if is_complete || !events.is_empty() {
-                match self.pass_on(response, permit, incoming, &events).await {
-                    Ok(started) if is_complete => return started.end().await.into(),
-                    Ok(_) => {}
-                    Err(Disconnected) => return RelayOutcome::ClientClosed,
-                }
+            let RelayOutcome::Lost(loss) = outcome else { return outcome };
+            // The upstream that is being asked has the request already.
+            let remaining = self.deadline.since(self.gateway.now());
+            let successor = monoio::select! {
+                successor = search.finish(successor) => successor,
+                () = response.closed() => return RelayOutcome::ClientClosed,
+                () = monoio::time::sleep(remaining) => return RelayOutcome::TimedOut,
+            };
+            let Some(successor) = successor else { return RelayOutcome::Lost(loss) };
+            splitter = Splitter::numbered(self.last_event.get());
+            let data = self.adopt(successor, &loss, permit, incoming);
+            let passed =
+                self.pass_chunk(response, permit, incoming, &mut splitter, Some(data)).await;
+            if let Passed::Ended(outcome) = passed {
+                return outcome;
             }
-            if let Some(broken) = broken {
-                return RelayOutcome::Lost(broken.into());
+        }
+    }
+
+    /// Passes on the events in a chunk of a stream; `None` is its end.
+    async fn pass_chunk(
+        &self,
+        response: &mut Response<'_>,
+        permit: &Permit,
+        incoming: &Incoming,
+        splitter: &mut Splitter,
+        chunk: Option<Bytes>,
+    ) -> Passed {
+        let is_end = chunk.is_none();
+        match chunk {
+            Some(data) => splitter.push(&data),
+            None => splitter.close(incoming.head().framing),
+        }
+        let (events, broken) = self.take_events(splitter);
+        if is_end {
+            observe_end(incoming, broken);
+        }
+        let is_complete = is_end && broken.is_none();
+        if is_complete || !events.is_empty() {
+            match self.pass_on(response, permit, incoming, &events).await {
+                Ok(started) if is_complete => return Passed::Ended(started.end().await.into()),
+                Ok(_) => {}
+                Err(Disconnected) => return Passed::Ended(RelayOutcome::ClientClosed),
             }
         }
+        match broken {
+            Some(broken) => Passed::Ended(RelayOutcome::Lost(broken.into())),
+            None => Passed::Open,
+        }
     }
 
     /// Returns the events that the client has not received yet, and why no more follow if the stream is
     /// broken.
-    fn take_events(&mut self, splitter: &mut Splitter) -> (Vec<u8>, Option<Broken>) {
+    fn take_events(&self, splitter: &mut Splitter) -> (Vec<u8>, Option<Broken>) {
         let mut events = Vec::new();
         loop {
             match splitter.next() {
                 Ok(Some(event)) => {
-                    self.last_event = event.id.or(self.last_event);
+                    self.last_event.set(event.id.or(self.last_event.get()));
                     events.extend_from_slice(&event.bytes);
                 }
                 Ok(None) => return (events, None),
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -20,6 +20,14 @@
             "upstream" => &*permit.upstream, "standing" => standing.to_string());
     }
 
+    /// Reports that another upstream is asked to take a stream over from a silent one.
+    pub(super) fn report_silence(&self, upstream: &str) {
+        metrics::counter!("orioleroute_successor_searches_total").increment(1);
+        info!(self.gateway.log, "asking for a successor"; "request" => self.attempt.id.as_deref(),
+            "upstream" => upstream, "last_event" => self.last_event.get(),
+            "silent_ms" => self.silence().map(|silence| silence.as_millis() as u64));
+    }
+
     /// Reports a lost response, what was received of it, and what is done next.
     pub(super) fn report_loss(
         &self,
@@ -33,7 +41,7 @@
         info!(self.gateway.log, "response lost"; "request" => self.attempt.id.as_deref(),
             "upstream" => upstream, "cause" => loss.to_string(), "next" => next,
             "framing" => incoming.map(framing),
-            "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event,
+            "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event.get(),
             "silent_ms" => self.silence().map(|silence| silence.as_millis() as u64));
     }
 
@@ -51,6 +59,6 @@
 
     /// Returns how long ago the last data of an upstream arrived, if any has.
     fn silence(&self) -> Option<Duration> {
-        self.received_at.map(|received| self.gateway.now().since(received))
+        self.received_at.get().map(|received| self.gateway.now().since(received))
     }
 }
