Log the parts of prompts, and how far a response had come when it was lost

No line named the parts of a prompt, so neither the part that crashes have in common nor a prompt that comes back could be seen; and "response lost" did not say in which phase the run was. "request" and "response lost" have "parts" (all but the last, which is the request's own), "response lost" has "phase", and losses are counted by phase. No decision is changed.

--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -37,12 +37,16 @@
         incoming: Option<&Incoming>,
     ) {
         let framing = |incoming: &Incoming| -> &'static str { incoming.head().framing.into() };
+        let phase = Phase::of(incoming);
         metrics::counter!("orioleroute_responses_lost_total", "cause" => loss.cause()).increment(1);
+        metrics::counter!("orioleroute_responses_lost_by_phase_total", "phase" => <&str>::from(phase))
+            .increment(1);
         info!(self.gateway.log, "response lost"; "request" => self.attempt.id.as_deref(),
             "upstream" => upstream, "cause" => loss.to_string(), "next" => next,
             "framing" => incoming.map(framing),
             "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event.get(),
-            "silent_ms" => self.silence().map(|silence| silence.as_millis() as u64));
+            "silent_ms" => self.silence().map(|silence| silence.as_millis() as u64),
+            "phase" => <&str>::from(phase), "parts" => self.shared_parts());
     }
 
     /// Reports the outcome of the request.
@@ -53,12 +57,38 @@
         info!(self.gateway.log, "request"; "request" => self.attempt.id.as_deref(),
             "route" => &*self.route.name, "service" => &*self.service,
             "version" => self.version, "upstreams" => self.tried_upstreams.borrow().join(", "),
-            "outcome" => outcome, "refusal" => self.refusal.map(|reason| reason.to_string()),
+            "outcome" => outcome, "parts" => self.shared_parts(), "refusal" => self.refusal.map(|reason| reason.to_string()),
             "ms" => time.as_millis() as u64);
     }
 
+    /// Returns the ids of the prompt's parts that other requests may share, which are all but the last.
+    fn shared_parts(&self) -> Option<String> {
+        let (_, shared) = self.attempt.generation.as_ref()?.parts.split_last()?;
+        let ids: Vec<String> = shared.iter().map(|part| format!("{:x}", part.id)).collect();
+        Some(ids.join(","))
+    }
+
     /// Returns how long ago the last data of an upstream arrived, if any has.
     fn silence(&self) -> Option<Duration> {
         self.received_at.get().map(|received| self.gateway.now().since(received))
     }
 }
+
+/// How far a response had come when it was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Phase {
+    BeforeHead,
+    BeforeBody,
+    InBody,
+}
+
+impl Phase {
+    fn of(incoming: Option<&Incoming>) -> Self {
+        match incoming.map(Incoming::body_bytes) {
+            None => Self::BeforeHead,
+            Some(0) => Self::BeforeBody,
+            Some(_) => Self::InBody,
+        }
+    }
+}
