Use every try to resume a stream when the engine answers late

What callers saw: a stream whose connection broke ended with an error event 2 s later, although the engine was sound, could resume it, and tries were left.

Cause: at the documents edge, a try without an answer within RESUME_TIMEOUT ended the resumption; only a try whose connection failed was followed by another one. Class: the absence of data within a limit taken for the loss of the peer, and the open try given up before another one had an answer.

Evidence: the new test on the code before, both cases (every answer 2.5 s late; no answer to the first try): 5 of 10 events, then the error event.

Change: after RESUME_TIMEOUT the engine is asked again while tries are left, and the earlier tries stay open; the first answer decides. The limit and the number of tries stay, so a resumption ends after 6 s at the latest (3 tries of 2 s). The count in the confirmation is checked as before.

Measured: both cases pass, as do the other tests of streams in faults.rs (12 passed). The engine of the tests can now delay the answers to resumptions.

--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -1,14 +1,17 @@
 //! Runs one request of a caller: executes the steps that the core decides and relays the response.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use orioleroute::document::Importance;
 use orioleroute::prelude::*;
 use orioleroute::request::{Dispatch, Failure, Progress, Spec, Step};
-use orioleroute_wire::client::{Call, Incoming};
+use orioleroute_wire::client::{Call, Incoming, Pool};
 use orioleroute_wire::server::{Connection, Request, Response};
 use orioleroute_wire::{Error, Step as WireStep};
 use serde::Deserialize;
@@ -39,7 +42,7 @@
 /// The maximum number of times that one stream is resumed.
 const MAX_RESUMES: u32 = 3;
 
-/// The longest wait for an engine to resume a stream.
+/// The longest wait for an engine to resume a stream, after which it is asked again if tries are left.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The longest time without data within a response, after which it counts as broken.
@@ -304,6 +307,7 @@
     mut incoming: Incoming,
     source: Source<'_>,
 ) -> Result<Attempt, Error> {
+    let pool = &guard.shell.pool;
     let headers = response_headers(&incoming, source.expected);
     let mut events = Events::default();
     let mut resumes = 0;
@@ -346,9 +350,11 @@
             Verdict::Broken(cause) => {
                 info!(guard.shell.log, "stream broken off"; "upstream" => source.address.to_string(),
                     "events" => events.count, "cause" => cause);
-                match resume(guard, connection, &incoming, &source, events.count, &mut resumes)
-                    .await?
-                {
+                let resumed = monoio::select! {
+                    resumed = resume(pool, &incoming, &source, events.count, &mut resumes) => resumed,
+                    _ = connection.closed() => return Err(caller_disconnected(connection)),
+                };
+                match resumed {
                     Some(resumed) => incoming = resumed,
                     None => return end_with_error(connection).await,
                 }
@@ -368,41 +374,58 @@
 
 /// Asks the engine to resume a stream, and returns the resumed stream if the engine confirms it.
 ///
-/// A connection that fails without an answer is followed by another one, because an engine may close
-/// several connections one after another. All tries of a stream count towards [`MAX_RESUMES`].
+/// A try whose connection fails is followed by another one, because an engine may close several connections one
+/// after another. So is a try without an answer, which stays open meanwhile: its answer may only be late, and the
+/// first answer decides. All tries of a stream count towards [`MAX_RESUMES`].
 ///
 /// The engine has to confirm that it continues after the last event that arrived; otherwise the caller
 /// could receive the beginning of the stream a second time.
 async fn resume(
-    guard: &Guard,
-    connection: &mut Connection,
+    pool: &Pool,
     broken: &Incoming,
     source: &Source<'_>,
     events: u64,
     resumes: &mut u32,
-) -> Result<Option<Incoming>, Error> {
+) -> Option<Incoming> {
     let id = broken.headers.get(STREAM_ID).and_then(|value| value.to_str().ok());
-    let (Some(id), true) = (id, source.expected.is_some()) else { return Ok(None) };
+    let (Some(id), true) = (id, source.expected.is_some()) else { return None };
     let count = events.to_string();
     let call = source.call.clone().header(RESUME_STREAM, id).header(RESUME_EVENTS, &count);
-    let pool = &guard.shell.pool;
-    while *resumes < MAX_RESUMES {
-        *resumes += 1;
-        let open = pool.open_new(source.address, call.clone());
-        let opened = monoio::select! {
-            opened = monoio::time::timeout(RESUME_TIMEOUT, open) => opened,
-            _ = connection.closed() => return Err(caller_disconnected(connection)),
-        };
-        let incoming = match opened {
-            Ok(Ok(incoming)) => incoming,
-            Ok(Err(_)) => continue,
-            Err(_) => return Ok(None),
-        };
-        let after = incoming.headers.get(RESUMED_AFTER).and_then(|value| value.to_str().ok());
-        let confirmed = incoming.status.is_success() && after == Some(count.as_str());
-        return Ok(confirmed.then_some(incoming));
+    let mut tries = Vec::new();
+    let mut patience = monoio::time::Instant::now();
+    loop {
+        if *resumes < MAX_RESUMES {
+            *resumes += 1;
+            tries.push(Box::pin(pool.open_new(source.address, call.clone())));
+            patience = monoio::time::Instant::now() + RESUME_TIMEOUT;
+        }
+        match monoio::time::timeout_at(patience, first_completed(&mut tries)).await {
+            Ok(Some(Ok(incoming))) => {
+                let after = incoming.headers.get(RESUMED_AFTER);
+                let is_confirmed = incoming.status.is_success()
+                    && after.is_some_and(|after| after.as_bytes() == count.as_bytes());
+                return is_confirmed.then_some(incoming);
+            }
+            Ok(Some(Err(_))) => {}
+            Ok(None) => return None,
+            Err(_) if *resumes >= MAX_RESUMES => return None,
+            Err(_) => {}
+        }
     }
-    Ok(None)
+}
+
+/// Waits for the first of several futures to complete and removes it. Returns `None` if there are none.
+async fn first_completed<F: Future + Unpin>(futures: &mut Vec<F>) -> Option<F::Output> {
+    poll_fn(|context| {
+        for index in 0..futures.len() {
+            if let Poll::Ready(output) = Pin::new(&mut futures[index]).poll(context) {
+                drop(futures.swap_remove(index));
+                return Poll::Ready(Some(output));
+            }
+        }
+        if futures.is_empty() { Poll::Ready(None) } else { Poll::Pending }
+    })
+    .await
 }
 
 /// Returns whether an event with this data was served by the expected revision.
--- a/crates/orioleroute-node/tests/faults.rs
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -256,6 +256,25 @@
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
 }
 
+/// The connection of a stream breaks, and the engine answers a request to resume it only after more than the 2 s
+/// that one try waits. The tries that were left were not used, and the stream ended with an error.
+#[rstest]
+#[case::every_answer_is_late(engine::Faults {
+    break_after: 5, late_resumes: u32::MAX, resume_delay_ms: 2_500, ..Default::default()
+})]
+#[case::the_first_has_no_answer(engine::Faults {
+    break_after: 5, late_resumes: 1, resume_delay_ms: 60_000, ..Default::default()
+})]
+fn a_broken_stream_is_resumed_by_an_engine_that_answers_late(#[case] faults: engine::Faults) {
+    let system = System::start(2);
+    system.engines.iter().for_each(|engine| set_faults(*engine, &faults));
+
+    let resumed = stream(system.callers(system.home(0, "milk")), "milk", 10);
+
+    let resumed = resumed.join().expect("it was read");
+    assert!(resumed.is_complete(10), "{} {:?}", resumed.text, resumed.error);
+}
+
 #[test]
 fn a_stalled_stream_is_resumed() {
     let engines = [system::start_engine(engine::Settings::default())];
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -57,6 +57,10 @@
     pub break_as: Break,
     /// Broken streams cannot be resumed.
     pub no_resume: bool,
+    /// The number of requests to resume a stream, from the next one on, whose answer is delayed.
+    pub late_resumes: u32,
+    /// The delay of these answers, in milliseconds.
+    pub resume_delay_ms: u64,
     /// The engine restarts once, with no adapters loaded.
     pub restart: bool,
     /// The engine drains: its reports say so and it declines new requests.
@@ -256,6 +260,13 @@
         (is_known && !self.faults.no_resume).then_some((id, first))
     }
 
+    /// Counts a request to resume a stream, and returns whether its answer is delayed.
+    fn take_late_resume(&mut self) -> bool {
+        let left = self.faults.late_resumes.checked_sub(1);
+        self.faults.late_resumes = left.unwrap_or(0);
+        left.is_some()
+    }
+
     fn adjust_running(&mut self, name: &str, change: i32) {
         if let Some(running) = self.loaded.get_mut(name) {
             *running = running.saturating_add_signed(change);
@@ -325,6 +336,13 @@
     }
     let mut headers = HeaderMap::new();
     headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    if resumed && state.borrow_mut().take_late_resume() {
+        let delay = Duration::from_millis(state.borrow().faults.resume_delay_ms);
+        monoio::select! {
+            _ = monoio::time::sleep(delay) => {}
+            _ = connection.closed() => return Ok(()),
+        }
+    }
     let Some((stream, first)) = state.borrow_mut().open_stream(request, &name) else {
         return connection.respond(Response::empty(StatusCode::GONE)).await;
     };
