Keep a silent stream's connection until a resumed one has sent data

What callers saw: a stream whose engine paused for more than 10 s ended with an error event if the engine did not resume it, although it went on sending on the connection that it had.

Cause: at the documents edge, 10 s without data counted as a break. The open response was not read any more while the engine was asked to resume, and was dropped when that failed. Class: the absence of data taken for the loss of the peer, and what is held given up before its replacement is secured.

Change: after 10 s of silence the engine is asked to resume as before, but the response is read on, and whichever sends data first is followed. The other one is dropped, and a resumed stream still has to confirm the number of events, so no event comes twice. If the old connection ends meanwhile, the tries under way go on. A silent stream ends at the caller's deadline; if that has passed, when the resumption has failed, as before. A stream that is silent before its first event is treated in the same way: its engine is asked to resume it after 0 events, and it is no longer retried elsewhere after 10 s. A stream that is not resumable, or that comes from another node, is read on until the deadline too.

--- a/crates/orioleroute-node/src/events.rs
+++ b/crates/orioleroute-node/src/events.rs
@@ -85,6 +85,11 @@
         received.first_data.get_or_insert_with(|| Bytes::copy_from_slice(data));
     }
 
+    /// Returns whether the event that ends a model's stream has arrived.
+    pub fn is_done(&self) -> bool {
+        self.is_done
+    }
+
     /// Prepares for a connection that continues the stream.
     pub fn restart(&mut self) {
         self.splitter = Splitter::default();
--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
 
@@ -45,7 +45,8 @@
 /// The longest wait for an engine to resume a stream, after which it is asked again if tries are left.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The longest time without data within a response, after which it counts as broken.
+/// The longest time without data within a response. After it, the engine of a stream is asked to resume it; any
+/// other response counts as broken.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The largest body of a response that is not a stream, in bytes.
@@ -107,17 +108,17 @@
                 let expected = dispatch.name.as_deref();
                 let timeout = dispatch.timeout;
                 let address = dispatch.address;
-                let source = Source { address, call, expected };
-                attempt(&guard, connection, source, timeout, stream).await?
+                let source = Source { address, call, expected, deadline: Deadline::after(timeout) };
+                attempt(&guard, connection, source, stream).await?
             }
             Some(Step::Forward { address, timeout, queue_timeout, may_have_run, .. }) => {
                 let call = call_instance(&request, may_have_run)
                     .header(callers::HOPS, (hops + 1).to_string())
                     .header("x-deadline-ms", timeout.as_millis().to_string())
                     .header(callers::QUEUE_TIMEOUT, queue_timeout.as_millis().to_string());
-                let timeout = timeout + FORWARD_MARGIN;
-                let source = Source { address, call, expected: None };
-                attempt(&guard, connection, source, timeout, stream).await?
+                let deadline = Deadline::after(timeout.saturating_add(FORWARD_MARGIN));
+                let source = Source { address, call, expected: None, deadline };
+                attempt(&guard, connection, source, stream).await?
             }
         };
         match attempt {
@@ -213,18 +214,38 @@
     call: Call,
     /// The served name that the response must carry; `None` for a plain service or another instance.
     expected: Option<&'a str>,
+    /// Until when the caller waits.
+    deadline: Deadline,
+}
+
+/// The end of the time that a caller waits, which may be set as far away as the caller likes.
+#[derive(Clone, Copy)]
+struct Deadline {
+    started: std::time::Instant,
+    timeout: Duration,
+}
+
+impl Deadline {
+    fn after(timeout: Duration) -> Self {
+        Self { started: std::time::Instant::now(), timeout }
+    }
+
+    /// Returns the time that is left, which is zero once the deadline has passed.
+    fn remaining(self) -> Duration {
+        self.timeout.saturating_sub(self.started.elapsed())
+    }
 }
 
 async fn attempt(
     guard: &Guard,
     connection: &mut Connection,
     source: Source<'_>,
-    timeout: Duration,
     stream: bool,
 ) -> Result<Attempt, Error> {
     let pool = &guard.shell.pool;
+    let open = pool.open(source.address, source.call.clone());
     let opened = monoio::select! {
-        opened = monoio::time::timeout(timeout, pool.open(source.address, source.call.clone())) => opened,
+        opened = monoio::time::timeout(source.deadline.remaining(), open) => opened,
         _ = connection.closed() => return Err(caller_disconnected(connection)),
     };
     let incoming = match opened {
@@ -264,12 +285,16 @@
     monoio::select! {
         chunk = monoio::time::timeout(STALL_TIMEOUT, incoming.next()) => match chunk {
             Ok(chunk) => Ok(chunk),
-            Err(_) => Ok(Some(Err(Error::new(WireStep::Body, peer, "no data within the stall timeout")))),
+            Err(_) => Ok(Some(Err(stalled(peer)))),
         },
         _ = connection.closed() => Err(caller_disconnected(connection)),
     }
 }
 
+fn stalled(peer: SocketAddr) -> Error {
+    Error::new(WireStep::Body, peer, "no data within the stall timeout")
+}
+
 /// Relays a response once it is complete and was served by the expected revision.
 async fn relay_buffered(
     connection: &mut Connection,
@@ -300,7 +325,17 @@
     Ok(Attempt::Finished)
 }
 
-/// Relays a streamed response event by event, and resumes it if it is broken.
+/// What a stream goes on with.
+enum Next {
+    /// A part of the response, or its end.
+    Chunk(Option<Result<Bytes, Error>>),
+    /// The resumed stream with its first part, because the response is silent.
+    Resumed(Box<Incoming>, Bytes),
+    /// Nothing: the response is silent and not resumed, and either the deadline has passed or it needs nothing more.
+    Silence,
+}
+
+/// Relays a streamed response event by event, and resumes it if it is broken or silent.
 async fn relay_stream(
     guard: &Guard,
     connection: &mut Connection,
@@ -316,7 +351,22 @@
     let mut checked = false;
     let mut response_started = false;
     loop {
-        let chunk = next_chunk(connection, &mut incoming).await?;
+        let next = monoio::select! {
+            next = next_of_stream(pool, &mut incoming, &source, &events, &mut resumes) => next,
+            _ = connection.closed() => return Err(caller_disconnected(connection)),
+        };
+        let is_silent = matches!(next, Next::Silence);
+        let chunk = match next {
+            Next::Chunk(chunk) => chunk,
+            Next::Resumed(resumed, first) => {
+                log_break(guard, &source, events.count, &stalled(source.address).cause);
+                incoming = *resumed;
+                events.restart();
+                checked = false;
+                Some(Ok(first))
+            }
+            Next::Silence => Some(Err(stalled(source.address))),
+        };
         let received = events.receive(chunk, incoming.framing, source.expected.is_some());
         if let Some(first) = received.first_data.as_deref().filter(|_| !checked) {
             if !is_served_by(first, source.expected) {
@@ -348,10 +398,13 @@
                 return Ok(Attempt::Finished);
             }
             Verdict::Broken(cause) => {
-                info!(guard.shell.log, "stream broken off"; "upstream" => source.address.to_string(),
-                    "events" => events.count, "cause" => cause);
+                log_break(guard, &source, events.count, &cause);
+                if is_silent {
+                    return end_with_error(connection).await;
+                }
+                let stream_id = incoming.headers.get(STREAM_ID);
                 let resumed = monoio::select! {
-                    resumed = resume(pool, &incoming, &source, events.count, &mut resumes) => resumed,
+                    resumed = resume(pool, stream_id, &source, events.count, &mut resumes) => resumed,
                     _ = connection.closed() => return Err(caller_disconnected(connection)),
                 };
                 match resumed {
@@ -365,6 +418,69 @@
     }
 }
 
+fn log_break(guard: &Guard, source: &Source<'_>, events: u64, cause: &str) {
+    info!(guard.shell.log, "stream broken off"; "upstream" => source.address.to_string(),
+        "events" => events, "cause" => cause);
+}
+
+/// Waits for the next part of a stream. If it is silent for [`STALL_TIMEOUT`], the engine is asked to resume it.
+///
+/// The silent response is read on until a resumed stream has sent data, because it may go on itself. Whichever sends
+/// first is followed and the other one dropped, so the caller gets no event twice.
+async fn next_of_stream(
+    pool: &Pool,
+    incoming: &mut Incoming,
+    source: &Source<'_>,
+    events: &Events,
+    resumes: &mut u32,
+) -> Next {
+    if let Ok(chunk) = monoio::time::timeout(STALL_TIMEOUT, incoming.next()).await {
+        return Next::Chunk(chunk);
+    }
+    if events.is_done() {
+        return Next::Silence;
+    }
+    let stream_id = incoming.headers.get(STREAM_ID).cloned();
+    let mut replacement = pin!(replace(pool, stream_id.as_ref(), source, events.count, resumes));
+    let replaced = monoio::select! {
+        replaced = replacement.as_mut() => replaced,
+        chunk = incoming.next() => match chunk {
+            Some(Ok(_)) => return Next::Chunk(chunk),
+            // An engine may end the old connection before it answers on the new one.
+            _ => match replacement.await {
+                Some((resumed, first)) => return Next::Resumed(Box::new(resumed), first),
+                None => return Next::Chunk(chunk),
+            },
+        },
+    };
+    if let Some((resumed, first)) = replaced {
+        return Next::Resumed(Box::new(resumed), first);
+    }
+    match monoio::time::timeout(source.deadline.remaining(), incoming.next()).await {
+        Ok(chunk) => Next::Chunk(chunk),
+        Err(_) => Next::Silence,
+    }
+}
+
+/// Returns a resumed stream and its first part.
+async fn replace(
+    pool: &Pool,
+    stream_id: Option<&HeaderValue>,
+    source: &Source<'_>,
+    events: u64,
+    resumes: &mut u32,
+) -> Option<(Incoming, Bytes)> {
+    loop {
+        let mut resumed = resume(pool, stream_id, source, events, resumes).await?;
+        let patience = source.deadline.remaining().max(STALL_TIMEOUT);
+        match monoio::time::timeout(patience, resumed.next()).await {
+            Ok(Some(Ok(first))) => return Some((resumed, first)),
+            Ok(Some(Err(_)) | None) => {}
+            Err(_) => return None,
+        }
+    }
+}
+
 /// Ends a caller's stream with an error event.
 async fn end_with_error(connection: &mut Connection) -> Result<Attempt, Error> {
     connection.write_chunk(&callers::error_event()).await?;
@@ -382,13 +498,13 @@
 /// could receive the beginning of the stream a second time.
 async fn resume(
     pool: &Pool,
-    broken: &Incoming,
+    stream_id: Option<&HeaderValue>,
     source: &Source<'_>,
     events: u64,
     resumes: &mut u32,
 ) -> Option<Incoming> {
-    let id = broken.headers.get(STREAM_ID).and_then(|value| value.to_str().ok());
-    let (Some(id), true) = (id, source.expected.is_some()) else { return None };
+    source.expected?;
+    let id = stream_id?.to_str().ok()?;
     let count = events.to_string();
     let call = source.call.clone().header(RESUME_STREAM, id).header(RESUME_EVENTS, &count);
     let mut tries = Vec::new();
--- a/crates/orioleroute-node/tests/faults.rs
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -14,7 +14,7 @@
 use standins::{engine, platform, service};
 use support::{
     System, book, complete, complete_within, disconnect_early, is_served_by, ran, receive, send,
-    stream,
+    stream, stream_within,
 };
 
 /// The longest time that an immediate refusal may take.
@@ -288,6 +288,84 @@
     assert!(stalled.is_complete(300), "{} {:?}", stalled.text, stalled.error);
 }
 
+/// An engine is silent within a stream for longer than the 10 s after which it is asked to resume the stream, and
+/// then goes on. Its connection was given up when the resumption failed, and the stream ended with an error.
+#[rstest]
+#[case::it_cannot_resume(engine::Faults { no_resume: true, ..Default::default() })]
+#[case::it_does_not_answer(engine::Faults {
+    late_resumes: u32::MAX, resume_delay_ms: 60_000, ..Default::default()
+})]
+fn a_stalled_stream_that_is_not_resumed_goes_on(#[case] resumption: engine::Faults) {
+    // The only node forwards nothing.
+    let system = System::start(1);
+    let faults = engine::Faults { pause_after: 5, pause_ms: 12_500, ..resumption };
+    system.engines.iter().for_each(|engine| set_faults(*engine, &faults));
+
+    let silent = stream(system.callers(0), "milk", 10);
+
+    let silent = silent.join().expect("it was read");
+    assert!(silent.is_complete(10), "{} {:?}", silent.text, silent.error);
+}
+
+/// An engine is silent within a stream for good. The stream must not be kept open without a limit.
+#[test]
+fn a_stalled_stream_that_is_not_resumed_ends_after_its_deadline() {
+    let system = System::start(1);
+    let faults =
+        engine::Faults { pause_after: 5, pause_ms: 60_000, no_resume: true, ..Default::default() };
+    system.engines.iter().for_each(|engine| set_faults(*engine, &faults));
+    let start = Instant::now();
+
+    let silent = stream_within(system.callers(0), "milk", 10, Duration::from_secs(12));
+
+    let silent = silent.join().expect("it was read");
+    let lasted = start.elapsed();
+    assert!(silent.ends_with_error(), "{} {:?}", silent.text, silent.error);
+    assert!(lasted > Duration::from_secs(12) && lasted < Duration::from_secs(15), "{lasted:?}");
+}
+
+/// The connection of a silent stream breaks while its engine, which is slow to answer, has been asked to resume it.
+/// The tries already under way must not be dropped, because too few are left.
+#[test]
+fn a_stalled_stream_whose_connection_breaks_while_it_is_resumed_is_complete() {
+    let system = System::start(1);
+    let faults = engine::Faults {
+        pause_after: 5,
+        pause_ms: 11_000,
+        break_after: 5,
+        late_resumes: u32::MAX,
+        resume_delay_ms: 4_500,
+        ..Default::default()
+    };
+    system.engines.iter().for_each(|engine| set_faults(*engine, &faults));
+
+    let broken = stream(system.callers(0), "milk", 10);
+
+    let broken = broken.join().expect("it was read");
+    assert!(broken.is_complete(10), "{} {:?}", broken.text, broken.error);
+}
+
+/// An engine goes on with a silent stream just as it answers the request to resume it. Only one of the two may be
+/// followed, else the caller gets events twice.
+#[test]
+fn a_stalled_stream_that_goes_on_while_it_is_resumed_has_every_event_once() {
+    let system = System::start(1);
+    let faults = engine::Faults {
+        pause_after: 5,
+        pause_ms: 12_000,
+        late_resumes: u32::MAX,
+        resume_delay_ms: 2_000,
+        ..Default::default()
+    };
+    system.engines.iter().for_each(|engine| set_faults(*engine, &faults));
+
+    let streams: Vec<_> = (0..8).map(|_| stream(system.callers(0), "milk", 20)).collect();
+
+    for read in streams.into_iter().map(|stream| stream.join().expect("it was read")) {
+        assert!(read.is_complete(20), "{} {:?}", read.text, read.error);
+    }
+}
+
 #[test]
 fn a_terminated_node_completes_its_streams() {
     let mut system = System::start(2);
--- a/crates/orioleroute-node/tests/support/mod.rs
+++ b/crates/orioleroute-node/tests/support/mod.rs
@@ -252,8 +252,22 @@
 
 /// Reads a stream on a separate thread, and returns once its first chunk has arrived.
 pub fn stream(address: SocketAddr, model: &str, tokens: u32) -> JoinHandle<Stream> {
-    let (sender, first_chunk) = std::sync::mpsc::channel();
+    read_stream(address, completion(model, tokens, true))
+}
+
+/// Reads a stream with a deadline as [`stream`] does.
+pub fn stream_within(
+    address: SocketAddr,
+    model: &str,
+    tokens: u32,
+    limit: Duration,
+) -> JoinHandle<Stream> {
     let request = completion(model, tokens, true);
+    read_stream(address, request.header("x-deadline-ms", limit.as_millis().to_string()))
+}
+
+fn read_stream(address: SocketAddr, request: Call) -> JoinHandle<Stream> {
+    let (sender, first_chunk) = std::sync::mpsc::channel();
     let reader = std::thread::spawn(move || {
         runtime::block_on(async move {
             let mut read = Stream { text: String::new(), error: None };
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -55,6 +55,10 @@
     pub break_after: u32,
     /// How these streams end.
     pub break_as: Break,
+    /// The number of tokens after which the engine pauses a stream that it has not resumed; 0 disables this.
+    pub pause_after: u32,
+    /// The length of that pause, in milliseconds.
+    pub pause_ms: u64,
     /// Broken streams cannot be resumed.
     pub no_resume: bool,
     /// The number of requests to resume a stream, from the next one on, whose answer is delayed.
@@ -323,7 +327,7 @@
     let running = RunningRequest::begin(state, &name, &id, resumed);
     let tokens = body["max_tokens"].as_u64().unwrap_or(8) as u32;
     let token_interval = state.borrow().settings.token_interval;
-    let break_after = state.borrow().faults.break_after;
+    let Faults { break_after, pause_after, pause_ms, .. } = state.borrow().faults;
     if body["stream"].as_bool() != Some(true) {
         monoio::select! {
             _ = monoio::time::sleep(token_interval * tokens) => {}
@@ -350,6 +354,12 @@
     headers.insert("x-resumed-after", HeaderValue::from(first));
     connection.start_response(StatusCode::OK, &headers).await?;
     for index in first..tokens {
+        if !resumed && pause_after > 0 && index == pause_after {
+            monoio::select! {
+                _ = monoio::time::sleep(Duration::from_millis(pause_ms)) => {}
+                _ = connection.closed() => return Ok(()),
+            }
+        }
         if break_after > 0 && index - first >= break_after {
             let break_as = state.borrow().faults.break_as;
             if break_as != Break::Closed {
