Wait for a silent response until its caller's deadline

What callers saw: a call of a service that may run only once failed with 502, may-have-run, after 10 s of silence within its response, although it ran, its response was completed later, and the caller's deadline (30 s unless set) had not passed. A repeatable one was run once more, or failed when no attempt was left.

Cause: at the documents edge, STALL_TIMEOUT ended a response that is not a stream whatever its deadline. Before the head of a response the deadline was the only limit. Class: the absence of data within a limit taken for the loss of the peer.

Change: such a response is given up when 10 s without data and the deadline have both passed. The limits of its size and of the time for its body stay.

The service of the tests can now pause.

--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -45,8 +45,8 @@
 /// The longest wait for an engine to resume a stream, after which it is asked again if tries are left.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The longest time without data within a response. After it, the engine of a stream is asked to resume it; any
-/// other response counts as broken.
+/// The longest time without data within a response. After it, the engine of a stream is asked to resume it. Any
+/// other response counts as broken, unless its caller still waits.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The largest body of a response that is not a stream, in bytes.
@@ -265,7 +265,7 @@
     }
     match stream && incoming.status.is_success() {
         true => relay_stream(guard, connection, incoming, source).await,
-        false => relay_buffered(connection, incoming, source.expected).await,
+        false => relay_buffered(connection, incoming, &source).await,
     }
 }
 
@@ -275,15 +275,17 @@
 
 /// Returns the next chunk of a response, or `None` at its end.
 ///
-/// A chunk that does not arrive within [`STALL_TIMEOUT`] counts as an error of the upstream; the outer
-/// error means that the caller disconnected.
+/// A chunk that arrives neither within [`STALL_TIMEOUT`] nor before the deadline counts as an error of the upstream;
+/// the outer error means that the caller disconnected.
 async fn next_chunk(
     connection: &mut Connection,
     incoming: &mut Incoming,
+    deadline: Deadline,
 ) -> Result<Option<Result<Bytes, Error>>, Error> {
     let peer = incoming.peer;
+    let patience = deadline.remaining().max(STALL_TIMEOUT);
     monoio::select! {
-        chunk = monoio::time::timeout(STALL_TIMEOUT, incoming.next()) => match chunk {
+        chunk = monoio::time::timeout(patience, incoming.next()) => match chunk {
             Ok(chunk) => Ok(chunk),
             Err(_) => Ok(Some(Err(stalled(peer)))),
         },
@@ -299,11 +301,12 @@
 async fn relay_buffered(
     connection: &mut Connection,
     mut incoming: Incoming,
-    expected: Option<&str>,
+    source: &Source<'_>,
 ) -> Result<Attempt, Error> {
+    let expected = source.expected;
     let started = std::time::Instant::now();
     let mut body = Vec::new();
-    while let Some(chunk) = next_chunk(connection, &mut incoming).await? {
+    while let Some(chunk) = next_chunk(connection, &mut incoming, source.deadline).await? {
         match chunk {
             Ok(chunk) => body.extend_from_slice(&chunk),
             Err(_) => return Ok(Attempt::Failed(Failure::Broken)),
--- a/crates/orioleroute-node/tests/faults.rs
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -366,6 +366,30 @@
     }
 }
 
+/// A service is silent within a response for longer than 10 s, and then completes it within the caller's deadline. The
+/// connection was given up after 10 s, and the caller of a service that may run only once got a failure.
+#[rstest]
+#[case::directly(1)]
+#[case::through_another_node(2)]
+fn a_response_that_pauses_within_its_deadline_is_delivered(#[case] nodes: usize) {
+    let system = System::start(nodes);
+    set_faults(system.service, &service::Faults { pause_ms: 11_500, ..Default::default() });
+
+    // One of two nodes forwards.
+    let bookings: Vec<_> = (0..nodes)
+        .map(|node| system.callers(node))
+        .enumerate()
+        .map(|(index, address)| std::thread::spawn(move || book(address, &format!("slow-{index}"))))
+        .collect();
+
+    for (index, booking) in bookings.into_iter().enumerate() {
+        let answer = booking.join().expect("it was asked").expect("it was answered");
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        assert_eq!(answer.body, "one seat");
+        assert_eq!(system.runs(&format!("slow-{index}")), 1);
+    }
+}
+
 #[test]
 fn a_terminated_node_completes_its_streams() {
     let mut system = System::start(2);
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -19,6 +19,8 @@
     pub replies_lost: bool,
     /// The delay of every response, in milliseconds.
     pub delay_ms: u64,
+    /// The pause after the first part of a response, in milliseconds; 0 disables this.
+    pub pause_ms: u64,
     /// Responses have no end.
     pub endless: bool,
 }
@@ -74,6 +76,14 @@
                     connection.write_chunk(&CHUNK).await?;
                 }
             }
+            if faults.pause_ms > 0 {
+                connection.start_response(StatusCode::OK, &HeaderMap::new()).await?;
+                let (first, rest) = request.body.split_at(request.body.len() / 2);
+                connection.write_chunk(first).await?;
+                monoio::time::sleep(Duration::from_millis(faults.pause_ms)).await;
+                connection.write_chunk(rest).await?;
+                return connection.finish_response().await;
+            }
             connection.respond(Response::text(StatusCode::OK, request.body)).await
         }
     }
