Give another instance the time to resume a silent stream

What callers saw: a stream through two instances that was silent for 10 s after its deadline ended with an error event, although the instance next to the engine was about to resume it.

The one that forwards cannot resume a stream itself, and ended it milliseconds after the other one had begun to.

Change: the limit for a response of another instance is what that instance may need by its own limits: 10 s of silence, 3 tries of 2 s, 10 s until the first data of the resumed stream, and the 0.5 s that are allowed for a forward anyway, so 26.5 s. An instance that gives up says so itself before. The end is later only when the other instance keeps its connection up and says nothing at all.

--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -49,6 +49,13 @@
 /// other response counts as broken, unless its caller still waits.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The same for a response of another instance, which first waits for its upstream, then for the answer to each request
+/// to resume the stream, and then for the first data of the resumed stream.
+const FORWARD_STALL_TIMEOUT: Duration = STALL_TIMEOUT
+    .saturating_add(RESUME_TIMEOUT.saturating_mul(MAX_RESUMES))
+    .saturating_add(STALL_TIMEOUT)
+    .saturating_add(FORWARD_MARGIN);
+
 /// The largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -106,9 +113,10 @@
             Some(Step::Dispatch(dispatch)) => {
                 let call = call_upstream(&request, &dispatch);
                 let expected = dispatch.name.as_deref();
-                let timeout = dispatch.timeout;
+                let deadline = Deadline::after(dispatch.timeout);
                 let address = dispatch.address;
-                let source = Source { address, call, expected, deadline: Deadline::after(timeout) };
+                let source =
+                    Source { address, call, expected, deadline, stall_timeout: STALL_TIMEOUT };
                 attempt(&guard, connection, source, stream).await?
             }
             Some(Step::Forward { address, timeout, queue_timeout, may_have_run, .. }) => {
@@ -117,7 +125,13 @@
                     .header("x-deadline-ms", timeout.as_millis().to_string())
                     .header(callers::QUEUE_TIMEOUT, queue_timeout.as_millis().to_string());
                 let deadline = Deadline::after(timeout.saturating_add(FORWARD_MARGIN));
-                let source = Source { address, call, expected: None, deadline };
+                let source = Source {
+                    address,
+                    call,
+                    expected: None,
+                    deadline,
+                    stall_timeout: FORWARD_STALL_TIMEOUT,
+                };
                 attempt(&guard, connection, source, stream).await?
             }
         };
@@ -216,6 +230,8 @@
     expected: Option<&'a str>,
     /// Until when the caller waits.
     deadline: Deadline,
+    /// The longest time without data within a response.
+    stall_timeout: Duration,
 }
 
 /// The end of the time that a caller waits, which may be set as far away as the caller likes.
@@ -275,15 +291,15 @@
 
 /// Returns the next chunk of a response, or `None` at its end.
 ///
-/// A chunk that arrives neither within [`STALL_TIMEOUT`] nor before the deadline counts as an error of the upstream;
+/// A chunk that arrives neither within the stall timeout nor before the deadline counts as an error of the upstream;
 /// the outer error means that the caller disconnected.
 async fn next_chunk(
     connection: &mut Connection,
     incoming: &mut Incoming,
-    deadline: Deadline,
+    source: &Source<'_>,
 ) -> Result<Option<Result<Bytes, Error>>, Error> {
     let peer = incoming.peer;
-    let patience = deadline.remaining().max(STALL_TIMEOUT);
+    let patience = source.deadline.remaining().max(source.stall_timeout);
     monoio::select! {
         chunk = monoio::time::timeout(patience, incoming.next()) => match chunk {
             Ok(chunk) => Ok(chunk),
@@ -306,7 +322,7 @@
     let expected = source.expected;
     let started = std::time::Instant::now();
     let mut body = Vec::new();
-    while let Some(chunk) = next_chunk(connection, &mut incoming, source.deadline).await? {
+    while let Some(chunk) = next_chunk(connection, &mut incoming, source).await? {
         match chunk {
             Ok(chunk) => body.extend_from_slice(&chunk),
             Err(_) => return Ok(Attempt::Failed(Failure::Broken)),
@@ -426,7 +442,7 @@
         "events" => events, "cause" => cause);
 }
 
-/// Waits for the next part of a stream. If it is silent for [`STALL_TIMEOUT`], the engine is asked to resume it.
+/// Waits for the next part of a stream. If it is silent for the stall timeout, the engine is asked to resume it.
 ///
 /// The silent response is read on until a resumed stream has sent data, because it may go on itself. Whichever sends
 /// first is followed and the other one dropped, so the caller gets no event twice.
@@ -437,7 +453,7 @@
     events: &Events,
     resumes: &mut u32,
 ) -> Next {
-    if let Ok(chunk) = monoio::time::timeout(STALL_TIMEOUT, incoming.next()).await {
+    if let Ok(chunk) = monoio::time::timeout(source.stall_timeout, incoming.next()).await {
         return Next::Chunk(chunk);
     }
     if events.is_done() {
--- a/crates/orioleroute-node/tests/faults.rs
+++ b/crates/orioleroute-node/tests/faults.rs
@@ -307,6 +307,33 @@
     assert!(silent.is_complete(10), "{} {:?}", silent.text, silent.error);
 }
 
+/// A stream through two nodes is silent after its deadline, and its engine resumes it 1 s after it was asked. The node
+/// that forwards had the same limit of 10 s as the other one, and ended the stream before the resumption.
+#[test]
+fn a_stalled_stream_through_another_node_is_resumed() {
+    let system = System::start(2);
+    let addresses = [system.callers(0), system.callers(1)];
+    for address in addresses {
+        assert!(is_served_by(complete(address, "milk", "before").as_ref(), "milk@v1"));
+    }
+    let faults = engine::Faults {
+        pause_after: 5,
+        pause_ms: 60_000,
+        late_resumes: u32::MAX,
+        resume_delay_ms: 1_000,
+        ..Default::default()
+    };
+    system.engines.iter().for_each(|engine| set_faults(*engine, &faults));
+
+    // One of the nodes forwards.
+    let limit = Duration::from_secs(2);
+    let streams = addresses.map(|address| stream_within(address, "milk", 10, limit));
+
+    for stalled in streams.map(|stream| stream.join().expect("it was read")) {
+        assert!(stalled.is_complete(10), "{} {:?}", stalled.text, stalled.error);
+    }
+}
+
 /// An engine is silent within a stream for good. The stream must not be kept open without a limit.
 #[test]
 fn a_stalled_stream_that_is_not_resumed_ends_after_its_deadline() {
