--- a/crates/orioleroute-node/src/relay.rs
+++ b/crates/orioleroute-node/src/relay.rs
@@ -1,14 +1,17 @@
 //! Runs one request of a caller: executes the steps that the core decides and relays the response.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::Poll;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use orioleroute::document::Importance;
 use orioleroute::prelude::*;
 use orioleroute::request::{Dispatch, Failure, Progress, Spec, Step};
-use orioleroute_wire::client::{Call, Incoming};
+use orioleroute_wire::client::{Call, Incoming, Pool};
 use orioleroute_wire::server::{Connection, Request, Response};
 use orioleroute_wire::{Error, Step as WireStep};
 use serde::Deserialize;
@@ -39,12 +42,20 @@
 /// The maximum number of times that one stream is resumed.
 const MAX_RESUMES: u32 = 3;
 
-/// The longest wait for an engine to resume a stream.
+/// The longest wait for an engine to resume a stream, after which it is asked again if tries are left.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The longest time without data within a response, after which it counts as broken.
+/// The longest time without data within a response. After it, the engine of a stream is asked to resume it. Any
+/// other response counts as broken, unless its caller still waits.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The same for a response of another instance, which first waits for its upstream, then for the answer to each request
+/// to resume the stream, and then for the first data of the resumed stream.
+const FORWARD_STALL_TIMEOUT: Duration = STALL_TIMEOUT
+    .saturating_add(RESUME_TIMEOUT.saturating_mul(MAX_RESUMES))
+    .saturating_add(STALL_TIMEOUT)
+    .saturating_add(FORWARD_MARGIN);
+
 /// The largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -102,19 +113,26 @@
             Some(Step::Dispatch(dispatch)) => {
                 let call = call_upstream(&request, &dispatch);
                 let expected = dispatch.name.as_deref();
-                let timeout = dispatch.timeout;
+                let deadline = Deadline::after(dispatch.timeout);
                 let address = dispatch.address;
-                let source = Source { address, call, expected };
-                attempt(&guard, connection, source, timeout, stream).await?
+                let source =
+                    Source { address, call, expected, deadline, stall_timeout: STALL_TIMEOUT };
+                attempt(&guard, connection, source, stream).await?
             }
             Some(Step::Forward { address, timeout, queue_timeout, may_have_run, .. }) => {
                 let call = call_instance(&request, may_have_run)
                     .header(callers::HOPS, (hops + 1).to_string())
                     .header("x-deadline-ms", timeout.as_millis().to_string())
                     .header(callers::QUEUE_TIMEOUT, queue_timeout.as_millis().to_string());
-                let timeout = timeout + FORWARD_MARGIN;
-                let source = Source { address, call, expected: None };
-                attempt(&guard, connection, source, timeout, stream).await?
+                let deadline = Deadline::after(timeout.saturating_add(FORWARD_MARGIN));
+                let source = Source {
+                    address,
+                    call,
+                    expected: None,
+                    deadline,
+                    stall_timeout: FORWARD_STALL_TIMEOUT,
+                };
+                attempt(&guard, connection, source, stream).await?
             }
         };
         match attempt {
@@ -210,18 +228,40 @@
     call: Call,
     /// The served name that the response must carry; `None` for a plain service or another instance.
     expected: Option<&'a str>,
+    /// Until when the caller waits.
+    deadline: Deadline,
+    /// The longest time without data within a response.
+    stall_timeout: Duration,
+}
+
+/// The end of the time that a caller waits, which may be set as far away as the caller likes.
+#[derive(Clone, Copy)]
+struct Deadline {
+    started: std::time::Instant,
+    timeout: Duration,
+}
+
+impl Deadline {
+    fn after(timeout: Duration) -> Self {
+        Self { started: std::time::Instant::now(), timeout }
+    }
+
+    /// Returns the time that is left, which is zero once the deadline has passed.
+    fn remaining(self) -> Duration {
+        self.timeout.saturating_sub(self.started.elapsed())
+    }
 }
 
 async fn attempt(
     guard: &Guard,
     connection: &mut Connection,
     source: Source<'_>,
-    timeout: Duration,
     stream: bool,
 ) -> Result<Attempt, Error> {
     let pool = &guard.shell.pool;
+    let open = pool.open(source.address, source.call.clone());
     let opened = monoio::select! {
-        opened = monoio::time::timeout(timeout, pool.open(source.address, source.call.clone())) => opened,
+        opened = monoio::time::timeout(source.deadline.remaining(), open) => opened,
         _ = connection.closed() => return Err(caller_disconnected(connection)),
     };
     let incoming = match opened {
@@ -241,7 +281,7 @@
     }
     match stream && incoming.status.is_success() {
         true => relay_stream(guard, connection, incoming, source).await,
-        false => relay_buffered(connection, incoming, source.expected).await,
+        false => relay_buffered(connection, incoming, &source).await,
     }
 }
 
@@ -251,31 +291,38 @@
 
 /// Returns the next chunk of a response, or `None` at its end.
 ///
-/// A chunk that does not arrive within [`STALL_TIMEOUT`] counts as an error of the upstream; the outer
-/// error means that the caller disconnected.
+/// A chunk that arrives neither within the stall timeout nor before the deadline counts as an error of the upstream;
+/// the outer error means that the caller disconnected.
 async fn next_chunk(
     connection: &mut Connection,
     incoming: &mut Incoming,
+    source: &Source<'_>,
 ) -> Result<Option<Result<Bytes, Error>>, Error> {
     let peer = incoming.peer;
+    let patience = source.deadline.remaining().max(source.stall_timeout);
     monoio::select! {
-        chunk = monoio::time::timeout(STALL_TIMEOUT, incoming.next()) => match chunk {
+        chunk = monoio::time::timeout(patience, incoming.next()) => match chunk {
             Ok(chunk) => Ok(chunk),
-            Err(_) => Ok(Some(Err(Error::new(WireStep::Body, peer, "no data within the stall timeout")))),
+            Err(_) => Ok(Some(Err(stalled(peer)))),
         },
         _ = connection.closed() => Err(caller_disconnected(connection)),
     }
 }
 
+fn stalled(peer: SocketAddr) -> Error {
+    Error::new(WireStep::Body, peer, "no data within the stall timeout")
+}
+
 /// Relays a response once it is complete and was served by the expected revision.
 async fn relay_buffered(
     connection: &mut Connection,
     mut incoming: Incoming,
-    expected: Option<&str>,
+    source: &Source<'_>,
 ) -> Result<Attempt, Error> {
+    let expected = source.expected;
     let started = std::time::Instant::now();
     let mut body = Vec::new();
-    while let Some(chunk) = next_chunk(connection, &mut incoming).await? {
+    while let Some(chunk) = next_chunk(connection, &mut incoming, source).await? {
         match chunk {
             Ok(chunk) => body.extend_from_slice(&chunk),
             Err(_) => return Ok(Attempt::Failed(Failure::Broken)),
@@ -297,13 +344,24 @@
     Ok(Attempt::Finished)
 }
 
-/// Relays a streamed response event by event, and resumes it if it is broken.
+/// What a stream goes on with.
+enum Next {
+    /// A part of the response, or its end.
+    Chunk(Option<Result<Bytes, Error>>),
+    /// The resumed stream with its first part, because the response is silent.
+    Resumed(Box<Incoming>, Bytes),
+    /// Nothing: the response is silent and not resumed, and either the deadline has passed or it needs nothing more.
+    Silence,
+}
+
+/// Relays a streamed response event by event, and resumes it if it is broken or silent.
 async fn relay_stream(
     guard: &Guard,
     connection: &mut Connection,
     mut incoming: Incoming,
     source: Source<'_>,
 ) -> Result<Attempt, Error> {
+    let pool = &guard.shell.pool;
     let headers = response_headers(&incoming, source.expected);
     let mut events = Events::default();
     let mut resumes = 0;
@@ -312,7 +370,22 @@
     let mut checked = false;
     let mut response_started = false;
     loop {
-        let chunk = next_chunk(connection, &mut incoming).await?;
+        let next = monoio::select! {
+            next = next_of_stream(pool, &mut incoming, &source, &events, &mut resumes) => next,
+            _ = connection.closed() => return Err(caller_disconnected(connection)),
+        };
+        let is_silent = matches!(next, Next::Silence);
+        let chunk = match next {
+            Next::Chunk(chunk) => chunk,
+            Next::Resumed(resumed, first) => {
+                log_break(guard, &source, events.count, &stalled(source.address).cause);
+                incoming = *resumed;
+                events.restart();
+                checked = false;
+                Some(Ok(first))
+            }
+            Next::Silence => Some(Err(stalled(source.address))),
+        };
         let received = events.receive(chunk, incoming.framing, source.expected.is_some());
         if let Some(first) = received.first_data.as_deref().filter(|_| !checked) {
             if !is_served_by(first, source.expected) {
@@ -344,11 +417,16 @@
                 return Ok(Attempt::Finished);
             }
             Verdict::Broken(cause) => {
-                info!(guard.shell.log, "stream broken off"; "upstream" => source.address.to_string(),
-                    "events" => events.count, "cause" => cause);
-                match resume(guard, connection, &incoming, &source, events.count, &mut resumes)
-                    .await?
-                {
+                log_break(guard, &source, events.count, &cause);
+                if is_silent {
+                    return end_with_error(connection).await;
+                }
+                let stream_id = incoming.headers.get(STREAM_ID);
+                let resumed = monoio::select! {
+                    resumed = resume(pool, stream_id, &source, events.count, &mut resumes) => resumed,
+                    _ = connection.closed() => return Err(caller_disconnected(connection)),
+                };
+                match resumed {
                     Some(resumed) => incoming = resumed,
                     None => return end_with_error(connection).await,
                 }
@@ -359,6 +437,69 @@
     }
 }
 
+fn log_break(guard: &Guard, source: &Source<'_>, events: u64, cause: &str) {
+    info!(guard.shell.log, "stream broken off"; "upstream" => source.address.to_string(),
+        "events" => events, "cause" => cause);
+}
+
+/// Waits for the next part of a stream. If it is silent for the stall timeout, the engine is asked to resume it.
+///
+/// The silent response is read on until a resumed stream has sent data, because it may go on itself. Whichever sends
+/// first is followed and the other one dropped, so the caller gets no event twice.
+async fn next_of_stream(
+    pool: &Pool,
+    incoming: &mut Incoming,
+    source: &Source<'_>,
+    events: &Events,
+    resumes: &mut u32,
+) -> Next {
+    if let Ok(chunk) = monoio::time::timeout(source.stall_timeout, incoming.next()).await {
+        return Next::Chunk(chunk);
+    }
+    if events.is_done() {
+        return Next::Silence;
+    }
+    let stream_id = incoming.headers.get(STREAM_ID).cloned();
+    let mut replacement = pin!(replace(pool, stream_id.as_ref(), source, events.count, resumes));
+    let replaced = monoio::select! {
+        replaced = replacement.as_mut() => replaced,
+        chunk = incoming.next() => match chunk {
+            Some(Ok(_)) => return Next::Chunk(chunk),
+            // An engine may end the old connection before it answers on the new one.
+            _ => match replacement.await {
+                Some((resumed, first)) => return Next::Resumed(Box::new(resumed), first),
+                None => return Next::Chunk(chunk),
+            },
+        },
+    };
+    if let Some((resumed, first)) = replaced {
+        return Next::Resumed(Box::new(resumed), first);
+    }
+    match monoio::time::timeout(source.deadline.remaining(), incoming.next()).await {
+        Ok(chunk) => Next::Chunk(chunk),
+        Err(_) => Next::Silence,
+    }
+}
+
+/// Returns a resumed stream and its first part.
+async fn replace(
+    pool: &Pool,
+    stream_id: Option<&HeaderValue>,
+    source: &Source<'_>,
+    events: u64,
+    resumes: &mut u32,
+) -> Option<(Incoming, Bytes)> {
+    loop {
+        let mut resumed = resume(pool, stream_id, source, events, resumes).await?;
+        let patience = source.deadline.remaining().max(STALL_TIMEOUT);
+        match monoio::time::timeout(patience, resumed.next()).await {
+            Ok(Some(Ok(first))) => return Some((resumed, first)),
+            Ok(Some(Err(_)) | None) => {}
+            Err(_) => return None,
+        }
+    }
+}
+
 /// Ends a caller's stream with an error event.
 async fn end_with_error(connection: &mut Connection) -> Result<Attempt, Error> {
     connection.write_chunk(&callers::error_event()).await?;
@@ -368,41 +509,58 @@
 
 /// Asks the engine to resume a stream, and returns the resumed stream if the engine confirms it.
 ///
-/// A connection that fails without an answer is followed by another one, because an engine may close
-/// several connections one after another. All tries of a stream count towards [`MAX_RESUMES`].
+/// A try whose connection fails is followed by another one, because an engine may close several connections one
+/// after another. So is a try without an answer, which stays open meanwhile: its answer may only be late, and the
+/// first answer decides. All tries of a stream count towards [`MAX_RESUMES`].
 ///
 /// The engine has to confirm that it continues after the last event that arrived; otherwise the caller
 /// could receive the beginning of the stream a second time.
 async fn resume(
-    guard: &Guard,
-    connection: &mut Connection,
-    broken: &Incoming,
+    pool: &Pool,
+    stream_id: Option<&HeaderValue>,
     source: &Source<'_>,
     events: u64,
     resumes: &mut u32,
-) -> Result<Option<Incoming>, Error> {
-    let id = broken.headers.get(STREAM_ID).and_then(|value| value.to_str().ok());
-    let (Some(id), true) = (id, source.expected.is_some()) else { return Ok(None) };
+) -> Option<Incoming> {
+    source.expected?;
+    let id = stream_id?.to_str().ok()?;
     let count = events.to_string();
     let call = source.call.clone().header(RESUME_STREAM, id).header(RESUME_EVENTS, &count);
-    let pool = &guard.shell.pool;
-    while *resumes < MAX_RESUMES {
-        *resumes += 1;
-        let open = pool.open_new(source.address, call.clone());
-        let opened = monoio::select! {
-            opened = monoio::time::timeout(RESUME_TIMEOUT, open) => opened,
-            _ = connection.closed() => return Err(caller_disconnected(connection)),
-        };
-        let incoming = match opened {
-            Ok(Ok(incoming)) => incoming,
-            Ok(Err(_)) => continue,
-            Err(_) => return Ok(None),
-        };
-        let after = incoming.headers.get(RESUMED_AFTER).and_then(|value| value.to_str().ok());
-        let confirmed = incoming.status.is_success() && after == Some(count.as_str());
-        return Ok(confirmed.then_some(incoming));
+    let mut tries = Vec::new();
+    let mut patience = monoio::time::Instant::now();
+    loop {
+        if *resumes < MAX_RESUMES {
+            *resumes += 1;
+            tries.push(Box::pin(pool.open_new(source.address, call.clone())));
+            patience = monoio::time::Instant::now() + RESUME_TIMEOUT;
+        }
+        match monoio::time::timeout_at(patience, first_completed(&mut tries)).await {
+            Ok(Some(Ok(incoming))) => {
+                let after = incoming.headers.get(RESUMED_AFTER);
+                let is_confirmed = incoming.status.is_success()
+                    && after.is_some_and(|after| after.as_bytes() == count.as_bytes());
+                return is_confirmed.then_some(incoming);
+            }
+            Ok(Some(Err(_))) => {}
+            Ok(None) => return None,
+            Err(_) if *resumes >= MAX_RESUMES => return None,
+            Err(_) => {}
+        }
     }
-    Ok(None)
+}
+
+/// Waits for the first of several futures to complete and removes it. Returns `None` if there are none.
+async fn first_completed<F: Future + Unpin>(futures: &mut Vec<F>) -> Option<F::Output> {
+    poll_fn(|context| {
+        for index in 0..futures.len() {
+            if let Poll::Ready(output) = Pin::new(&mut futures[index]).poll(context) {
+                drop(futures.swap_remove(index));
+                return Poll::Ready(Some(output));
+            }
+        }
+        if futures.is_empty() { Poll::Ready(None) } else { Poll::Pending }
+    })
+    .await
 }
 
 /// Returns whether an event with this data was served by the expected revision.
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -55,8 +55,16 @@
     pub break_after: u32,
     /// How these streams end.
     pub break_as: Break,
+    /// The number of tokens after which the engine pauses a stream that it has not resumed; 0 disables this.
+    pub pause_after: u32,
+    /// The length of that pause, in milliseconds.
+    pub pause_ms: u64,
     /// Broken streams cannot be resumed.
     pub no_resume: bool,
+    /// The number of requests to resume a stream, from the next one on, whose answer is delayed.
+    pub late_resumes: u32,
+    /// The delay of these answers, in milliseconds.
+    pub resume_delay_ms: u64,
     /// The engine restarts once, with no adapters loaded.
     pub restart: bool,
     /// The engine drains: its reports say so and it declines new requests.
@@ -256,6 +264,13 @@
         (is_known && !self.faults.no_resume).then_some((id, first))
     }
 
+    /// Counts a request to resume a stream, and returns whether its answer is delayed.
+    fn take_late_resume(&mut self) -> bool {
+        let left = self.faults.late_resumes.checked_sub(1);
+        self.faults.late_resumes = left.unwrap_or(0);
+        left.is_some()
+    }
+
     fn adjust_running(&mut self, name: &str, change: i32) {
         if let Some(running) = self.loaded.get_mut(name) {
             *running = running.saturating_add_signed(change);
@@ -312,7 +327,7 @@
     let running = RunningRequest::begin(state, &name, &id, resumed);
     let tokens = body["max_tokens"].as_u64().unwrap_or(8) as u32;
     let token_interval = state.borrow().settings.token_interval;
-    let break_after = state.borrow().faults.break_after;
+    let Faults { break_after, pause_after, pause_ms, .. } = state.borrow().faults;
     if body["stream"].as_bool() != Some(true) {
         monoio::select! {
             _ = monoio::time::sleep(token_interval * tokens) => {}
@@ -325,6 +340,13 @@
     }
     let mut headers = HeaderMap::new();
     headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    if resumed && state.borrow_mut().take_late_resume() {
+        let delay = Duration::from_millis(state.borrow().faults.resume_delay_ms);
+        monoio::select! {
+            _ = monoio::time::sleep(delay) => {}
+            _ = connection.closed() => return Ok(()),
+        }
+    }
     let Some((stream, first)) = state.borrow_mut().open_stream(request, &name) else {
         return connection.respond(Response::empty(StatusCode::GONE)).await;
     };
@@ -332,6 +354,12 @@
     headers.insert("x-resumed-after", HeaderValue::from(first));
     connection.start_response(StatusCode::OK, &headers).await?;
     for index in first..tokens {
+        if !resumed && pause_after > 0 && index == pause_after {
+            monoio::select! {
+                _ = monoio::time::sleep(Duration::from_millis(pause_ms)) => {}
+                _ = connection.closed() => return Ok(()),
+            }
+        }
         if break_after > 0 && index - first >= break_after {
             let break_as = state.borrow().faults.break_as;
             if break_as != Break::Closed {
