Refuse prompts with a part under which engines are lost

Cause: nothing connected the losses of engines with prompts. What was known of a loss was kept by engine, under an id that changes with its restart, apart in nine instances and three schedulers; every new request with the part was admitted as any other. Class: evidence that is spread over observers and kept under the wrong key.

Change: the scheduler of a zone, which knows what runs on its engines, has an engine checked when a run breaks off on it, and reports the parts of prompts that ran on a lost one, except those that runs have shown to be sound. All instances derive the same verdicts from the reports of all zones: the part that losses at three moments, on two engines and under two requests have in common is refused with 503 for ten minutes.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, StatusCode, header};
 use orioleroute::ingress::attempt::Attempt;
 use orioleroute::ingress::configuration::Route;
+use orioleroute::ingress::quarantine;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Reason, RunResult};
 use orioleroute_platform::ingress::{self, Dispatch, ResponseClass};
@@ -181,6 +182,10 @@
 
     /// Acquires a permit, sends the request and waits for the head of the response.
     pub(super) async fn try_once(&self) -> TryOutcome {
+        if self.blamed_part().is_some() {
+            let refusal = Refusal::new(Reason::Quarantined, quarantine::RETRY_AFTER);
+            return TryOutcome::NoPermit(refusal);
+        }
         let permit = match self.acquire_permit().await {
             Ok(permit) => permit,
             Err(refusal) => return TryOutcome::NoPermit(refusal),
@@ -378,6 +383,12 @@
         self.possible_runs.get()
     }
 
+    /// Returns the part of the prompt for which the request is refused, if there is one.
+    pub(super) fn blamed_part(&self) -> Option<u64> {
+        let generation = self.attempt.generation.as_ref()?;
+        self.gateway.suspects.blamed(&self.service, generation, self.gateway.now())
+    }
+
     /// Excludes an upstream from further tries.
     pub(super) fn exclude(&self, upstream: &Arc<str>) {
         let mut excluded = self.excluded.borrow_mut();
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -17,11 +17,11 @@
 use orioleroute::scheduler::message::{Placement, Reason, ToInstance, ToScheduler};
 use orioleroute::scheduler::order::{Order, Outcome, Report};
 use orioleroute::scheduler::overflow::Load;
-use orioleroute::scheduler::{Client, Decision, Output, RequestKey, Scheduler};
+use orioleroute::scheduler::{Client, Decision, EngineCheck, Output, RequestKey, Scheduler};
 use slog::{info, warn};
 
 use super::state::Gateway;
-use super::{copies, election, link, orders, sync};
+use super::{copies, election, link, orders, quarantine, sync};
 
 /// How often elections are run.
 pub const ELECTION_INTERVAL: Duration = Duration::from_millis(250);
@@ -242,6 +242,10 @@
                 let silence = gateway.leadership.timers.take_silence(&zone);
                 let mut scheduler = Scheduler::succeeding(entry.version, configuration, silence);
                 gateway.announcements().iter().for_each(|each| scheduler.announce(each));
+                if let Some(report) = gateway.suspects.report(&zone) {
+                    scheduler.restore_suspects(&report, gateway.now());
+                }
+                scheduler.update_quarantine(gateway.suspects.verdicts(), &zone, gateway.now());
                 info!(gateway.log, "scheduling begins"; "zone" => &*zone, "fencing" => entry.version);
                 schedulers.insert(zone, scheduler);
                 has_started = true;
@@ -357,6 +361,17 @@
                     upstream,
                 ));
             }
+            (Output::CheckEngine(address, check), Some(zone)) => {
+                monoio::spawn(quarantine::check_engine(
+                    gateway.clone(),
+                    zone.clone(),
+                    address,
+                    check,
+                ));
+            }
+            (Output::ReportSuspects(report), Some(zone)) => {
+                quarantine::publish(gateway, zone, report);
+            }
             (Output::Fenced, Some(zone)) => {
                 warn!(gateway.log, "fenced off"; "zone" => &**zone);
                 let scheduler = gateway.leadership.schedulers.borrow_mut().remove(zone);
@@ -423,6 +438,26 @@
     apply_outputs(gateway, Some(zone), outputs.unwrap_or_default());
 }
 
+/// Passes the result of the check of an engine to the scheduler of its zone.
+pub fn handle_check(gateway: &Rc<Gateway>, zone: &Arc<str>, check: EngineCheck, is_lost: bool) {
+    let outputs = {
+        let now = gateway.now();
+        let mut schedulers = gateway.leadership.schedulers.borrow_mut();
+        schedulers.get_mut(zone).map(|scheduler| {
+            scheduler.handle_check(check, is_lost, now);
+            scheduler.take_outputs()
+        })
+    };
+    apply_outputs(gateway, Some(zone), outputs.unwrap_or_default());
+}
+
+/// Passes the verdicts on prompt parts to the schedulers that run here.
+pub fn update_quarantine(gateway: &Rc<Gateway>) {
+    with_schedulers(gateway, |zone, scheduler, now| {
+        scheduler.update_quarantine(gateway.suspects.verdicts(), zone, now);
+    });
+}
+
 /// Returns whether an upstream is a model engine.
 pub fn has_engine(configuration: &Configuration, upstream: &Description) -> bool {
     let service = configuration.services.get(&upstream.service);
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod link;
 mod orders;
 mod placement;
+mod quarantine;
 mod relaying;
 mod reporting;
 mod response;
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use super::feed::Feed;
 use super::leadership::Leadership;
 use super::link::Links;
+use super::quarantine;
 use super::settings::{Outcome, Settings};
 use crate::log;
 
@@ -55,6 +56,8 @@
     pub links: Links,
     /// The tables of the store, and their feeds between instances.
     pub feed: Feed,
+    /// The verdicts on prompts that end engines.
+    pub suspects: quarantine::Shared,
     /// The leaders of the availability zones, and the schedulers that run here.
     pub leadership: Leadership,
     settings: RefCell<Settings>,
@@ -93,6 +96,7 @@
             connections: Connections::default(),
             links: Links::default(),
             feed: Feed::default(),
+            suspects: quarantine::Shared::default(),
             leadership: Leadership::default(),
             settings: RefCell::new(settings),
             started: StdInstant::now(),
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -13,6 +13,7 @@
 use slog::{info, warn};
 
 use super::leadership::{self, Leader};
+use super::quarantine;
 use super::state::Gateway;
 
 /// How long a watch waits for changes. A connection that has gone silent is detected after this time plus
@@ -331,6 +332,8 @@
                 warn!(gateway.log, "malformed row"; "row" => &*row.key, "error" => error.to_string());
             }
         }
+    } else if let Some(zone) = row.key.strip_prefix(quarantine::REPORT_PREFIX) {
+        quarantine::apply_row(gateway, zone, row.value.as_deref());
     } else if let Some(zone) = row.key.strip_prefix(LEADER_PREFIX) {
         let leader = row.value.as_deref().map(serde_json::from_str::<Leader>);
         match leader {
--- a/crates/orioleroute/src/ingress/mod.rs
+++ b/crates/orioleroute/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 pub mod feed;
 pub mod health;
 pub mod isolation;
+pub mod quarantine;
 pub mod registry;
 pub mod roster;
 pub mod upstream;
--- a/crates/orioleroute/src/scheduler/dispatch.rs
+++ b/crates/orioleroute/src/scheduler/dispatch.rs
@@ -4,6 +4,7 @@
 use super::placement::{self, Step};
 use super::runner::{AdapterSlot, SlotState};
 use super::{Output, Request, Scheduler, Waiting, admission, queue};
+use crate::ingress::quarantine;
 use crate::prelude::*;
 
 impl Scheduler {
@@ -65,6 +66,15 @@
             self.refuse_late(item, retry_after, now);
             return true;
         }
+        if self.is_blamed(&item.request, now) {
+            self.unassign(item);
+            let retry_after = quarantine::RETRY_AFTER;
+            self.refuse(item.key, &item.request, Reason::Quarantined, retry_after, now);
+            return true;
+        }
+        if self.is_held_back(&item.request, now) {
+            return false;
+        }
         if let Some(runner) = item.assigned {
             return self.advance_assigned(runner, item, now);
         }
--- a/crates/orioleroute/src/scheduler/in_flight.rs
+++ b/crates/orioleroute/src/scheduler/in_flight.rs
@@ -53,6 +53,8 @@
         let Some(runner) = self.runners.get_mut(upstream) else { return };
         let Some(entry) = runner.in_flight.remove(&key) else { return };
         runner.health.end(result.into(), now);
+        self.observe_run(upstream, &entry, result, now);
+        let Some(runner) = self.runners.get_mut(upstream) else { return };
         let slot = entry.adapter.as_ref().and_then(|adapter| runner.adapter_slots.get_mut(adapter));
         if let Some(slot) = slot {
             slot.users = slot.users.saturating_sub(1);
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -166,6 +166,8 @@
     TooLate,
     /// No engine can run the request.
     NoEngine,
+    /// A part of the prompt is blamed for the loss of engines.
+    Quarantined,
     /// The zone does not hold the adapter, whose home zone is more likely to hold it.
     NotHere,
     /// The instance is not, or no longer, the scheduler of the availability zone.
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -26,16 +26,19 @@
 pub mod runner;
 pub mod search;
 mod succession;
+mod suspects;
+mod suspicion;
 
 use slotmap::SlotMap;
 
-pub use output::{Decision, Output};
+pub use output::{Decision, EngineCheck, Output};
 pub use request::{CachedPart, Client, Request, RequestKey};
 
 use crate::hash;
 use crate::ingress::Configuration;
 use crate::ingress::configuration::Engine;
 use crate::ingress::health::Outcome as Health;
+use crate::ingress::quarantine::{self, Quarantine};
 use crate::ingress::upstream::{Announcement, Description};
 use crate::prelude::*;
 use copies::EngineCopies;
@@ -44,6 +47,7 @@
 use placement::{Candidate, Step};
 use popularity::Popularity;
 use runner::{BaseModel, Certainty, Runner, SlotState};
+use suspects::Suspects;
 
 /// How long after the previous scheduler's last orders a new one requests reports. Reports lag, and the
 /// first ones must show the effect of these orders.
@@ -76,6 +80,10 @@
     /// Request counts of adapters that no engine of the zone held.
     misses: Map<Arc<str>, Popularity>,
     fetches: fetches::Window,
+    /// What the zone's runs say about prompt parts.
+    suspects: Suspects,
+    /// The verdicts on prompt parts, from all zones.
+    quarantine: Quarantine,
     outputs: Vec<Output>,
 }
 
@@ -128,6 +136,8 @@
             newest_versions: Map::default(),
             misses: Map::default(),
             fetches: fetches::Window::default(),
+            suspects: Suspects::default(),
+            quarantine: Quarantine::default(),
             outputs: Vec::new(),
         }
     }
@@ -188,6 +198,10 @@
         let key = RequestKey { client, ticket: placement.ticket };
         let may_fetch = placement.may_fetch;
         let request = self.to_request(placement, now);
+        if self.is_blamed(&request, now) {
+            let retry_after = quarantine::RETRY_AFTER;
+            return self.refuse(key, &request, Reason::Quarantined, retry_after, now);
+        }
         let Some(engine) = self.engine(&request.service).cloned() else {
             return self.refuse(key, &request, Reason::NoEngine, Duration::ZERO, now);
         };
@@ -297,6 +311,7 @@
     /// Checks due loads and reports, and expires requests whose end was never reported.
     pub fn tick(&mut self, now: Instant) {
         self.expire_in_flight(now);
+        self.report_suspects(now);
         let keys: Vec<key::Upstream> = self.runners.keys().collect();
         for key in keys {
             self.check_engine(key, now);
@@ -335,6 +350,7 @@
         });
         Request {
             parts: parts.collect(),
+            part_ids: placement.parts.iter().map(|part| part.id).collect(),
             service: placement.service,
             model: placement.model,
             adapter,
--- a/crates/orioleroute/src/scheduler/output.rs
+++ b/crates/orioleroute/src/scheduler/output.rs
@@ -16,12 +16,21 @@
     /// Request a report from an engine. It is passed to
     /// [`Scheduler::handle_report`](super::Scheduler::handle_report).
     RequestReport(std::net::SocketAddr, Arc<str>),
+    /// Check whether an engine on which a run broke off is lost. The result is passed to
+    /// [`Scheduler::handle_check`](super::Scheduler::handle_check).
+    CheckEngine(std::net::SocketAddr, EngineCheck),
+    /// Publish what the zone's runs say about prompt parts.
+    ReportSuspects(crate::ingress::quarantine::Report),
     /// Another scheduler has issued orders, so this one must stop.
     Fenced,
     /// Log the decision on a request.
     LogDecision(Decision),
 }
 
+/// Identifies the check of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineCheck(pub(super) key::Upstream);
+
 /// The decision on a request and the estimates behind it, for the log.
 #[derive(Clone, Debug)]
 pub struct Decision {
--- a/crates/orioleroute/src/scheduler/request.rs
+++ b/crates/orioleroute/src/scheduler/request.rs
@@ -32,6 +32,8 @@
     pub output_tokens: u32,
     /// The parts of the prompt, as engines cache them.
     pub parts: Vec<CachedPart>,
+    /// The ids of the parts, as all requests share them; the last one is the request's own.
+    pub part_ids: Arc<[u64]>,
     /// The priority; 0 is the highest.
     pub priority: u8,
     /// When the client stops waiting.
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -142,18 +142,27 @@
 pub struct InFlightRequest {
     /// The adapter that the request uses.
     pub adapter: Option<Arc<str>>,
+    /// The ids of the prompt's parts; the last one is the request's own.
+    pub part_ids: Arc<[u64]>,
     /// The prompt tokens that the engine has to prefill.
     pub prefill_tokens: u32,
     /// The tokens of the prompt plus the maximum of the output.
     pub tokens: u64,
-    /// Whether the first event of the response has arrived.
-    pub is_started: bool,
+    /// When the first event of the response arrived, if it has.
+    pub started_at: Option<Instant>,
     /// When the request was granted.
     pub granted: Instant,
     /// When the request counts as ended if its end is not reported.
     pub expires: Instant,
 }
 
+impl InFlightRequest {
+    /// Returns whether the first event of the response has arrived.
+    pub fn is_started(&self) -> bool {
+        self.started_at.is_some()
+    }
+}
+
 impl AdapterSlot {
     /// Returns a slot for an adapter without users.
     pub fn new(version: Option<u64>, state: SlotState, now: Instant) -> Self {
@@ -308,7 +317,7 @@
 
     /// Returns the time until the engine has prefilled all prompts granted to it.
     pub fn backlog(&self) -> Duration {
-        let waiting = self.in_flight.values().filter(|entry| !entry.is_started);
+        let waiting = self.in_flight.values().filter(|entry| !entry.is_started());
         let tokens: u64 = waiting.map(|entry| u64::from(entry.prefill_tokens)).sum();
         self.prefill_time(tokens)
     }
@@ -335,14 +344,15 @@
 
     /// Records a granted request.
     pub fn record_grant(&mut self, key: RequestKey, request: &super::Request, now: Instant) {
-        if self.in_flight.values().all(|entry| entry.is_started) {
+        if self.in_flight.values().all(|entry| entry.is_started()) {
             self.busy_since = now;
         }
         let entry = InFlightRequest {
             adapter: request.adapter.clone(),
+            part_ids: request.part_ids.clone(),
             prefill_tokens: self.uncached_tokens(request),
             tokens: u64::from(request.prompt_tokens) + u64::from(request.output_tokens),
-            is_started: false,
+            started_at: None,
             granted: now,
             expires: request.deadline + IN_FLIGHT_GRACE,
         };
@@ -354,10 +364,10 @@
 
     /// Records the first event of a request's response, and updates the engine's prefill rate.
     pub fn record_first_event(&mut self, key: RequestKey, now: Instant) {
-        let Some(entry) = self.in_flight.get_mut(&key).filter(|entry| !entry.is_started) else {
+        let Some(entry) = self.in_flight.get_mut(&key).filter(|entry| !entry.is_started()) else {
             return;
         };
-        entry.is_started = true;
+        entry.started_at = Some(now);
         let span = now.since(self.busy_since.max(entry.granted)).as_secs_f64() * 1_000.0;
         let tokens = f64::from(entry.prefill_tokens);
         self.busy_since = now;
--- a/crates/orioleroute/src/scheduler/search.rs
+++ b/crates/orioleroute/src/scheduler/search.rs
@@ -96,6 +96,9 @@
     pub fn handle_refusal(&mut self, refused: Refused, left: Duration) -> Step {
         let Refused { reason, is_withdrawn } = refused;
         self.is_withdrawn |= is_withdrawn;
+        if reason == Reason::Quarantined {
+            return Step::Refuse;
+        }
         let is_elsewhere = matches!(reason, Reason::NotHere | Reason::NotScheduler);
         match self.stage {
             Stage::Diverted => Step::Ask(self.ask_own()),
--- /dev/null
+++ b/crates/orioleroute/src/scheduler/suspicion.rs
@@ -0,0 +1,101 @@
+//! Protects the zone's engines from prompts that end them.
+//!
+//! Load pattern: see [`crate::ingress::quarantine`]. Between the first loss and the verdict, the requests with a suspected
+//! part are run one at a time, so that they do not end many engines at once.
+
+use super::message::RunResult;
+use super::output::EngineCheck;
+use super::runner::InFlightRequest;
+use super::suspects::SOUND_TIME;
+use super::{Output, Request, Scheduler};
+use crate::ingress::quarantine::{Part, Quarantine, Report, Run};
+use crate::prelude::*;
+
+impl Scheduler {
+    /// Takes over the verdicts on prompt parts, and refuses the waiting requests that they concern.
+    pub fn update_quarantine(&mut self, quarantine: Quarantine, zone: &str, now: Instant) {
+        self.suspects.update(&quarantine, zone);
+        self.quarantine = quarantine;
+        self.dispatch(now);
+    }
+
+    /// Takes over what a predecessor has reported about prompt parts.
+    pub fn restore_suspects(&mut self, report: &Report, now: Instant) {
+        self.suspects.restore(report, now);
+    }
+
+    /// Handles the result of the check of an engine. Requests that wait for it go on at once if the engine lives, else
+    /// with the verdicts that follow from its loss.
+    pub fn handle_check(&mut self, check: EngineCheck, is_lost: bool, now: Instant) {
+        self.suspects.handle_check(check.0, is_lost, now);
+        self.report_suspects(now);
+        if !is_lost {
+            self.dispatch(now);
+        }
+    }
+
+    /// Draws conclusions about prompt parts from the end of a run.
+    pub(super) fn observe_run(
+        &mut self,
+        upstream: key::Upstream,
+        entry: &InFlightRequest,
+        result: RunResult,
+        now: Instant,
+    ) {
+        let Some((own, shared)) = entry.part_ids.split_last() else { return };
+        let Some(runner) = self.runners.get(upstream) else { return };
+        match result {
+            RunResult::Answered => self.suspects.record_sound(&runner.service, shared, now),
+            _ if is_sound(entry, now) => self.suspects.record_sound(&runner.service, shared, now),
+            RunResult::Broken => {
+                let run = Run { own: *own, parts: shared.to_vec() };
+                let engine = (&runner.service, runner.address);
+                if self.suspects.record_broken(upstream, engine, run, now) {
+                    let check = Output::CheckEngine(runner.address, EngineCheck(upstream));
+                    self.outputs.push(check);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Publishes what the runs say about prompt parts, if it has changed.
+    pub(super) fn report_suspects(&mut self, now: Instant) {
+        let report = self.suspects.take_report(now);
+        self.outputs.extend(report.map(Output::ReportSuspects));
+    }
+
+    pub(super) fn is_blamed(&self, request: &Request, now: Instant) -> bool {
+        let shared = request.part_ids.split_last().map(|(_, shared)| shared).unwrap_or_default();
+        self.quarantine.blamed(&request.service, shared.iter().copied(), now).is_some()
+    }
+
+    /// Returns whether a request has to wait because of a suspected part: one that runs in another request which has not
+    /// shown yet that it is sound, or that ran on an engine that is being checked.
+    pub(super) fn is_held_back(&self, request: &Request, now: Instant) -> bool {
+        if self.quarantine.suspects().is_empty() && !self.suspects.is_checking() {
+            return false;
+        }
+        let Some((_, shared)) = request.part_ids.split_last() else { return false };
+        shared.iter().any(|id| {
+            let part = Part { service: request.service.clone(), id: *id };
+            self.suspects.is_being_checked(&part, now)
+                || self.quarantine.suspects().contains(&part) && self.is_unproven(&part, now)
+        })
+    }
+
+    /// Returns whether a request with this part is running that has not shown yet that it is sound.
+    fn is_unproven(&self, part: &Part, now: Instant) -> bool {
+        let runners = self.runners.values().filter(|runner| runner.service == part.service);
+        let mut entries = runners.flat_map(|runner| runner.in_flight.values());
+        entries.any(|entry| {
+            let shared = entry.part_ids.split_last().map(|(_, shared)| shared);
+            !is_sound(entry, now) && shared.is_some_and(|shared| shared.contains(&part.id))
+        })
+    }
+}
+
+/// Returns whether a run has gone on for long enough after its first event to show that its prompt is sound.
+fn is_sound(entry: &InFlightRequest, now: Instant) -> bool {
+    entry.started_at.is_some_and(|started| now.since(started) >= SOUND_TIME)
+}
--- /dev/null
+++ b/crates/orioleroute/tests/quarantine.rs
@@ -0,0 +1,402 @@
+//! Verdicts on prompt parts that end the engines that run them.
+//!
+//! Guards against a part that ends one engine after the other because nothing connects the losses, and against blaming
+//! a part that sound requests share.
+
+mod scheduling;
+
+use std::net::SocketAddr;
+
+use orioleroute::ingress::attempt::Part as PromptPart;
+use orioleroute::ingress::quarantine::{Change, Loss, Part, Quarantine, Report, Run};
+use orioleroute::prelude::*;
+use orioleroute::scheduler::message::{Placement, Reason, RunResult};
+use orioleroute::scheduler::{Output, RequestKey, Scheduler};
+use rstest::rstest;
+use scheduling::{CLIENT, description, grants, placement, refusals, scheduler};
+
+/// The part that ends engines.
+const BAD: u64 = 0xbad;
+
+/// A part that all requests share.
+const SHARED: u64 = 1;
+
+const SERVICE: &str = "notices";
+
+/// The number of engines of a zone.
+const ENGINES: usize = 3;
+
+/// How long after its last loss a part is refused.
+const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+
+/// The schedulers of availability zones, which share their reports as instances do.
+struct Zones {
+    schedulers: Vec<Scheduler>,
+    quarantine: Quarantine,
+    now: Instant,
+    next_ticket: u64,
+}
+
+impl Zones {
+    fn new(count: usize) -> Self {
+        let schedulers = (0..count).map(zone_scheduler).collect();
+        let quarantine = Quarantine::default();
+        Self { schedulers, quarantine, now: scheduling::START, next_ticket: 1 }
+    }
+
+    /// Passes the reports of all schedulers on until there are none left, and returns the other outputs of `zone`.
+    fn share(&mut self, zone: usize) -> Vec<Output> {
+        let mut rest = Vec::new();
+        let mut has_ticked = false;
+        loop {
+            let mut reports = Vec::new();
+            for (number, scheduler) in self.schedulers.iter_mut().enumerate() {
+                for output in scheduler.take_outputs() {
+                    match output {
+                        Output::ReportSuspects(report) => reports.push((number, report)),
+                        output if number == zone => rest.push(output),
+                        _ => {}
+                    }
+                }
+            }
+            if reports.is_empty() && has_ticked {
+                return rest;
+            }
+            if reports.is_empty() {
+                has_ticked = true;
+                self.schedulers.iter_mut().for_each(|scheduler| scheduler.tick(self.now));
+            }
+            for (number, report) in reports {
+                self.quarantine.update(&zone_name(number), report, self.now);
+            }
+            for (number, scheduler) in self.schedulers.iter_mut().enumerate() {
+                let verdicts = self.quarantine.clone();
+                scheduler.update_quarantine(verdicts, &zone_name(number), self.now);
+            }
+        }
+    }
+
+    /// Places a request, and returns its ticket and what became of it at once.
+    fn place(&mut self, zone: usize, parts: &[u64]) -> (u64, Placed) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let parts = parts.iter().map(|id| PromptPart { id: *id, tokens: 100 });
+        let request = Placement { parts: parts.collect(), ..placement(ticket, "a1") };
+        self.schedulers[zone].place(CLIENT, request, self.now);
+        let outputs = self.share(zone);
+        let refusal = refusals(&outputs).into_iter().find(|(refused, _)| *refused == ticket);
+        let placed = match refusal {
+            Some((_, reason)) => Placed::Refused(reason),
+            None if grants(&outputs).contains(&ticket) => Placed::Granted,
+            None => Placed::Queued,
+        };
+        (ticket, placed)
+    }
+
+    /// Ends a run, and answers the checks of engines that follow.
+    fn end(&mut self, zone: usize, ticket: u64, result: RunResult, is_lost: bool) -> Vec<Output> {
+        let key = RequestKey { client: CLIENT, ticket };
+        self.schedulers[zone].handle_ended(key, Some(result), self.now);
+        let outputs = self.schedulers[zone].take_outputs();
+        for output in &outputs {
+            if let Output::CheckEngine(_, check) = output {
+                self.schedulers[zone].handle_check(*check, is_lost, self.now);
+            }
+        }
+        let rest = self.share(zone);
+        outputs.into_iter().chain(rest).collect()
+    }
+
+    /// Runs a request that ends its engine, if it is run, and returns whether it was.
+    fn crash(&mut self, zone: usize, parts: &[u64]) -> bool {
+        self.now += Duration::from_millis(500);
+        let (ticket, placed) = self.place(zone, parts);
+        if placed == Placed::Granted {
+            self.end(zone, ticket, RunResult::Broken, true);
+        }
+        placed == Placed::Granted
+    }
+
+    /// Runs a request that is answered, and returns what became of it.
+    fn answer(&mut self, zone: usize, parts: &[u64]) -> Placed {
+        self.now += Duration::from_millis(50);
+        let (ticket, placed) = self.place(zone, parts);
+        if placed == Placed::Granted {
+            self.end(zone, ticket, RunResult::Answered, false);
+        }
+        placed
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Placed {
+    Granted,
+    Queued,
+    Refused(Reason),
+}
+
+/// Returns the scheduler of a zone whose engines hold the adapter.
+fn zone_scheduler(zone: usize) -> Scheduler {
+    let engines = (zone * ENGINES..(zone + 1) * ENGINES).map(|number| description(number, &["a1"]));
+    scheduler(&engines.collect::<Vec<_>>()).0
+}
+
+fn zone_name(number: usize) -> Arc<str> {
+    format!("z{number}").into()
+}
+
+fn part(id: u64) -> Part {
+    Part { service: SERVICE.into(), id }
+}
+
+/// Returns a loss of the engine with this number under requests, each given by its own part and the others.
+fn loss(engine: u16, runs: &[(u64, &[u64])]) -> Loss {
+    let runs = runs.iter().map(|(own, parts)| Run { own: *own, parts: parts.to_vec() });
+    Loss {
+        service: SERVICE.into(),
+        engine: SocketAddr::from(([10, 0, 0, 1], engine)),
+        age_ms: 0,
+        runs: runs.collect(),
+    }
+}
+
+/// Returns a report of these losses, this far apart.
+fn report(losses: Vec<Loss>, distance: Duration) -> Report {
+    let ages = (0..losses.len()).rev().map(|number| distance * number as u32);
+    let losses = losses.into_iter().zip(ages);
+    let losses = losses.map(|(loss, age)| Loss { age_ms: age.as_millis() as u64, ..loss });
+    Report { losses: losses.collect(), sound: Vec::new() }
+}
+
+/// Returns the parts that these losses blame, in order.
+fn blamed(losses: Vec<Loss>) -> Vec<u64> {
+    blamed_by(report(losses, Duration::from_secs(1)))
+}
+
+fn blamed_by(report: Report) -> Vec<u64> {
+    let mut quarantine = Quarantine::default();
+    let changes = quarantine.update(&"z".into(), report, Instant::from_millis(60_000));
+    let mut ids: Vec<u64> = changes
+        .into_iter()
+        .filter_map(|change| match change {
+            Change::Blamed(part, _) => Some(part.id),
+            Change::Released(_) => None,
+        })
+        .collect();
+    ids.sort_unstable();
+    ids
+}
+
+#[test]
+fn the_part_that_the_losses_have_in_common_is_blamed_and_no_other() {
+    let losses = vec![
+        loss(1, &[(11, &[SHARED, BAD]), (12, &[SHARED, 7])]),
+        loss(2, &[(13, &[8, BAD])]),
+        loss(3, &[(14, &[BAD, 9]), (15, &[7])]),
+    ];
+
+    assert_eq!(blamed(losses), [BAD]);
+}
+
+#[rstest]
+#[case::two_losses(vec![loss(1, &[(11, &[BAD])]), loss(2, &[(12, &[BAD])])])]
+#[case::one_engine(vec![
+    loss(1, &[(11, &[BAD])]), loss(1, &[(12, &[BAD])]), loss(1, &[(13, &[BAD])])])]
+#[case::one_request(vec![
+    loss(1, &[(11, &[BAD])]), loss(2, &[(11, &[BAD])]), loss(3, &[(11, &[BAD])])])]
+fn too_little_evidence_blames_no_part(#[case] losses: Vec<Loss>) {
+    assert!(blamed(losses).is_empty());
+}
+
+#[test]
+fn losses_at_one_moment_blame_no_part() {
+    let losses = (0..6).map(|number| loss(number, &[(number.into(), &[BAD])])).collect();
+
+    assert!(blamed_by(report(losses, Duration::from_millis(40))).is_empty());
+}
+
+/// The other part of the first requests is in three losses as well.
+#[test]
+fn what_a_blamed_part_explains_blames_no_other() {
+    let losses = vec![
+        loss(1, &[(11, &[7, BAD])]),
+        loss(2, &[(11, &[7, BAD])]),
+        loss(3, &[(12, &[7, BAD])]),
+        loss(1, &[(13, &[8, BAD])]),
+    ];
+
+    assert_eq!(blamed(losses), [BAD]);
+}
+
+#[test]
+fn two_bad_parts_are_both_blamed() {
+    let losses = vec![
+        loss(1, &[(11, &[SHARED, 7])]),
+        loss(2, &[(12, &[SHARED, 8])]),
+        loss(3, &[(13, &[7])]),
+        loss(1, &[(14, &[8])]),
+        loss(2, &[(15, &[7])]),
+        loss(3, &[(16, &[8])]),
+    ];
+
+    assert_eq!(blamed(losses), [7, 8]);
+}
+
+#[test]
+fn a_part_that_is_sound_in_another_zone_is_not_blamed() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant::from_millis(60_000);
+    let losses = (0..4).map(|number| loss(number, &[(number.into(), &[BAD])])).collect();
+    quarantine.update(&"y".into(), report(losses, Duration::from_secs(1)), now);
+    assert_eq!(quarantine.blamed(&SERVICE.into(), [BAD], now), Some(BAD));
+
+    let report = Report { losses: Vec::new(), sound: vec![part(BAD)] };
+    let changes = quarantine.update(&"z".into(), report, now);
+
+    assert_eq!(changes, [Change::Released(part(BAD))]);
+    assert_eq!(quarantine.blamed(&SERVICE.into(), [BAD], now), None);
+}
+
+/// Requests come to all zones in turn, so that none of them sees more than a part of the losses.
+#[rstest]
+#[case::one_zone(1)]
+#[case::three_zones(3)]
+#[case::six_zones(6)]
+fn requests_with_a_part_that_ends_engines_end_few(#[case] zone_count: usize) {
+    let mut zones = Zones::new(zone_count);
+
+    let crashes = (0..60).filter(|number| {
+        let own = 1_000 + number;
+        zones.answer(*number as usize % zone_count, &[SHARED, 100 + number % 5, own]);
+        zones.crash(*number as usize % zone_count, &[SHARED, BAD, 5_000 + number])
+    });
+    let crashes = crashes.count();
+
+    assert!(crashes <= 4, "{crashes} engines ended");
+    let (_, placed) = zones.place(0, &[SHARED, BAD, 9_999]);
+    assert_eq!(placed, Placed::Refused(Reason::Quarantined));
+    for zone in 0..zone_count {
+        let placed = zones.answer(zone, &[SHARED, 100, 2_000 + zone as u64]);
+        assert_eq!(placed, Placed::Granted, "sound requests share the other parts");
+    }
+}
+
+/// Runs break off at engines that go on, as when answers are lost or spoilt on the way.
+#[test]
+fn runs_that_break_off_at_living_engines_blame_no_part() {
+    let mut zones = Zones::new(1);
+
+    for number in 0..20 {
+        let (ticket, placed) = zones.place(0, &[SHARED, 7, 1_000 + number]);
+        assert_eq!(placed, Placed::Granted);
+        zones.end(0, ticket, RunResult::Broken, false);
+    }
+}
+
+/// Prompts that are answered now and then run on engines that end for another reason.
+#[test]
+fn parts_of_sound_requests_are_not_blamed_when_engines_end_beside_them() {
+    let mut zones = Zones::new(3);
+
+    for number in 0..30 {
+        let zone = number as usize % 3;
+        let placed = zones.answer(zone, &[SHARED, 7, 1_000 + number]);
+        assert_eq!(placed, Placed::Granted);
+        assert!(zones.crash(zone, &[SHARED, 7, 2_000 + number]), "run {number} was refused");
+    }
+}
+
+#[test]
+fn engines_that_end_at_the_same_moment_blame_no_part() {
+    let mut zones = Zones::new(1);
+    let tickets: Vec<u64> =
+        (0..ENGINES as u64 * 2).map(|number| zones.place(0, &[7, number + 100]).0).collect();
+
+    for ticket in tickets {
+        zones.end(0, ticket, RunResult::Broken, true);
+    }
+
+    assert_eq!(zones.answer(0, &[7, 1_000]), Placed::Granted);
+}
+
+#[test]
+fn requests_with_a_suspected_part_run_one_at_a_time() {
+    let mut zones = Zones::new(1);
+    zones.crash(0, &[SHARED, BAD, 11]);
+
+    let (first, first_placed) = zones.place(0, &[SHARED, BAD, 12]);
+    let (second, second_placed) = zones.place(0, &[SHARED, BAD, 13]);
+    let outputs = zones.end(0, first, RunResult::Answered, false);
+
+    assert_eq!((first_placed, second_placed), (Placed::Granted, Placed::Queued));
+    assert_eq!(grants(&outputs), [second]);
+}
+
+#[test]
+fn a_request_that_waits_is_refused_when_its_part_is_blamed() {
+    let mut zones = Zones::new(1);
+    zones.crash(0, &[BAD, 11]);
+    zones.crash(0, &[BAD, 12]);
+    let (third, _) = zones.place(0, &[BAD, 13]);
+    let (waiting, placed) = zones.place(0, &[BAD, 14]);
+    assert_eq!(placed, Placed::Queued);
+
+    zones.now += Duration::from_millis(500);
+    let outputs = zones.end(0, third, RunResult::Broken, true);
+
+    assert_eq!(refusals(&outputs), [(waiting, Reason::Quarantined)]);
+}
+
+#[test]
+fn after_its_quarantine_a_part_is_tried_by_one_request() {
+    let mut zones = Zones::new(1);
+    for number in 0..5 {
+        zones.crash(0, &[SHARED, BAD, 10 + number]);
+    }
+    zones.now += QUARANTINE_TIME;
+
+    let tried = (0..5).filter(|number| zones.crash(0, &[SHARED, BAD, 100 + number])).count();
+
+    assert_eq!(tried, 1);
+}
+
+#[test]
+fn after_its_quarantine_a_part_that_has_become_sound_is_released() {
+    let mut zones = Zones::new(2);
+    for number in 0..5 {
+        zones.crash(0, &[SHARED, BAD, 10 + number]);
+    }
+    zones.now += QUARANTINE_TIME;
+
+    let placed: Vec<Placed> = (0..6)
+        .map(|number| zones.answer(number % 2, &[SHARED, BAD, 100 + number as u64]))
+        .collect();
+
+    assert_eq!(placed, [Placed::Granted; 6]);
+}
+
+/// A new scheduler of a zone knows only what its predecessor has reported.
+#[test]
+fn a_new_scheduler_of_a_zone_keeps_to_the_losses_that_its_predecessor_reported() {
+    let mut zones = Zones::new(1);
+    zones.crash(0, &[SHARED, BAD, 11]);
+    zones.crash(0, &[SHARED, BAD, 12]);
+    let report = zones.quarantine.report("z0").unwrap().clone();
+    zones.schedulers[0] = zone_scheduler(0);
+    zones.schedulers[0].restore_suspects(&report, zones.now);
+
+    zones.crash(0, &[SHARED, BAD, 13]);
+
+    let (_, placed) = zones.place(0, &[SHARED, BAD, 14]);
+    assert_eq!(placed, Placed::Refused(Reason::Quarantined));
+}
+
+/// Only the last part is a request's own; the losses of prompts without others blame nobody.
+#[test]
+fn the_last_part_of_a_prompt_is_not_blamed() {
+    let mut zones = Zones::new(1);
+
+    let runs = (0..6).filter(|_| zones.crash(0, &[BAD])).count();
+
+    assert_eq!(runs, 6);
+}
