Show the verdict on a part of a refused request's prompt in oriolectl trace

A part is quarantined minutes before most requests that are refused for it, so the trace of such a request, which looks 5 s back, did not say why. It shows verdicts on the parts of the prompt at the instances that handled the request, whenever they were made before its end, and the line "refused" names the part. The new test of crates/oriolectl/tests/trace.rs failed before (the verdict was missing) and passes now.

--- a/crates/oriolectl/src/trace.rs
+++ b/crates/oriolectl/src/trace.rs
@@ -78,15 +78,24 @@
             own.iter().filter_map(|line| line.text("instance")).collect();
         let upstreams: BTreeSet<&str> =
             own.iter().filter_map(|line| line.text("upstream")).collect();
+        let parts: BTreeSet<&str> = own
+            .iter()
+            .filter_map(|line| line.text("parts"))
+            .flat_map(|parts| parts.split(','))
+            .collect();
         let explains = |line: &Line| {
             let is_near = (first - LOOKBACK_MS..=last).contains(&line.at_ms);
             let is_same_instance =
                 line.text("instance").is_some_and(|name| instances.contains(name));
             let is_same_upstream =
                 line.text("upstream").is_some_and(|name| upstreams.contains(name));
-            is_near
-                && line.names_no_request()
-                && (is_same_upstream || is_same_instance && line.is_notable())
+            // A verdict on a part of the prompt is made long before most requests that it concerns.
+            let is_verdict = line.text("part").is_some_and(|part| parts.contains(part));
+            let is_related = match is_verdict {
+                true => is_same_instance && line.at_ms <= last,
+                false => is_near && (is_same_upstream || is_same_instance && line.is_notable()),
+            };
+            is_related && line.names_no_request()
         };
         let mut timeline: Vec<&Line> =
             self.lines.iter().filter(|line| line.is_about(request) || explains(line)).collect();
--- a/crates/oriolectl/tests/trace.rs
+++ b/crates/oriolectl/tests/trace.rs
@@ -75,6 +75,27 @@
     assert!(shown.contains("upstreams=\"i-9 lost: reset by peer\""), "{shown}");
 }
 
+/// A part was quarantined long before the request that is refused for it, and another one just before it.
+#[test]
+fn the_verdict_on_a_part_of_the_prompt_is_shown_whenever_it_was_made() {
+    let quarantined = "prompt part quarantined";
+    let refused = format!(",\"request\":\"{ID}\",\"parts\":\"1f,bad\",\"refusal\":\"quarantined\"");
+    let logs = [
+        line("01.000", "front-a", "WARN", quarantined, ",\"part\":\"bad\",\"losses\":3"),
+        line("01.100", "front-b", "WARN", quarantined, ",\"part\":\"bad\",\"losses\":3"),
+        line("01.200", "front-b", "WARN", quarantined, ",\"part\":\"ba\",\"losses\":4"),
+        line("40.000", "front-b", "INFO", "request", &refused),
+    ]
+    .concat();
+
+    let output = trace(&[], &logs);
+
+    let shown = text(&output.stdout);
+    assert_eq!(shown.lines().count(), 2, "{shown}");
+    assert!(shown.lines().next().unwrap().contains("front-b"), "{shown}");
+    assert!(shown.contains("part=bad"), "{shown}");
+}
+
 #[test]
 fn json_output_has_one_json_object_per_line() {
     let output = trace(&["--json"], &logs());
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -416,6 +416,7 @@
         }
         info!(self.gateway.log, "refused"; "request" => self.attempt.id.as_deref(),
             "reason" => refusal.reason.to_string(),
+            "part" => self.blamed_part().map(|part| format!("{part:x}")),
             "retry_after_ms" => refusal.retry_after.as_millis() as u64);
         metrics::counter!("orioleroute_refusals_total", "reason" => refusal.reason.to_string())
             .increment(1);
