Let an upstream be silent for two seconds on the connection of a request

Cause: TCP_USER_TIMEOUT of 1.5 s on the connections that carry callers' requests.

Change: 2.5 s for these connections, which exceeds the second or so that a sound upstream may be silent. Calls to the store, orders and links keep 1.5 s.

--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use orioleroute::prelude::*;
+use orioleroute_wire::connect::Options;
 use orioleroute_wire::http1::head::{self, Response};
 use orioleroute_wire::http1::incoming::{self, Cut};
 use orioleroute_wire::http1::socket::Socket;
@@ -15,6 +16,10 @@
 /// another second, and trying another upstream is faster than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long an upstream may acknowledge nothing before a connection to it is closed. A sound one may be silent for two
+/// seconds.
+const ACK_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// The most idle connections kept open to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 8;
 
@@ -127,9 +132,12 @@
         let max_idle = if request.is_repeatable { Duration::MAX } else { NON_REPEATABLE_MAX_IDLE };
         let socket = match self.take_idle(&target.id, max_idle, now) {
             Some(socket) => socket,
-            None => Socket::connect(target.address, CONNECT_TIMEOUT)
-                .await
-                .map_err(|error| Failure::Unreachable(error.to_string()))?,
+            None => {
+                let options = Options { ack_timeout: ACK_TIMEOUT, ..Options::default() };
+                Socket::connect_with(target.address, CONNECT_TIMEOUT, options)
+                    .await
+                    .map_err(|error| Failure::Unreachable(error.to_string()))?
+            }
         };
         let response =
             incoming::Incoming::receive(socket, encode(&request), request.method).await?;
--- a/crates/orioleroute-wire/src/client.rs
+++ b/crates/orioleroute-wire/src/client.rs
@@ -10,7 +10,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
-use crate::connect::OnClose;
+use crate::connect::{OnClose, Options};
 use crate::http1::body::Framing;
 use crate::http1::head;
 use crate::http1::incoming::{self, Cut};
@@ -211,7 +211,8 @@
     }
 
     async fn connect(&self, peer: SocketAddr) -> Result<Socket, Error> {
-        let socket = Socket::connect_with(peer, CONNECT_TIMEOUT, self.on_close).await;
+        let options = Options { on_close: self.on_close, ..Options::default() };
+        let socket = Socket::connect_with(peer, CONNECT_TIMEOUT, options).await;
         socket.map_err(|error| Error::new(Step::Connect, peer, error))
     }
 
--- a/crates/orioleroute-wire/src/connect.rs
+++ b/crates/orioleroute-wire/src/connect.rs
@@ -6,16 +6,13 @@
 
 use monoio::net::TcpStream;
 
-/// How long sent data may remain unacknowledged before the connection is closed (`TCP_USER_TIMEOUT`).
-/// It is about the shortest deadline of a request, so that a retry is still useful.
+/// The default of [`Options::ack_timeout`]: about the shortest deadline of a request, so that another try is still useful.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// The idle time of a connection before the first keepalive probe, and the time between probes.
+/// The idle time of a connection before the first keepalive probe, and the time between probes. Linux closes a connection
+/// at the first due probe after [`Options::ack_timeout`] if one is unanswered, whatever the number of probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The number of unanswered keepalive probes after which a connection is closed.
-const KEEPALIVE_PROBES: u32 = 2;
-
 /// The error number of a connection attempt in progress.
 const EINPROGRESS: i32 = 115;
 
@@ -29,8 +26,24 @@
     Reset,
 }
 
+/// How a connection treats its peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// What happens to data that the peer has not received when the connection is closed.
+    pub on_close: OnClose,
+    /// How long the peer may acknowledge neither data nor probes before the connection is closed
+    /// (`TCP_USER_TIMEOUT`). This also limits the time in which it reads nothing while its buffers are full.
+    pub ack_timeout: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { on_close: OnClose::Deliver, ack_timeout: ACK_TIMEOUT }
+    }
+}
+
 /// Connects to `peer` within `limit`, with keepalive probes and without Nagle's algorithm.
-pub async fn connect(peer: SocketAddr, limit: Duration, on_close: OnClose) -> Result<TcpStream> {
+pub async fn connect(peer: SocketAddr, limit: Duration, options: Options) -> Result<TcpStream> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(peer),
         socket2::Type::STREAM.nonblocking().cloexec(),
@@ -38,14 +51,13 @@
     )?;
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    if on_close == OnClose::Reset {
+        .with_interval(KEEPALIVE_INTERVAL);
+    if options.on_close == OnClose::Reset {
         socket.set_linger(Some(Duration::ZERO))?;
     }
     socket.set_tcp_nodelay(true)?;
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(options.ack_timeout))?;
     match socket.connect(&peer.into()) {
         Err(error) if error.raw_os_error() != Some(EINPROGRESS) => return Err(error),
         _ => {}
--- a/crates/orioleroute-wire/src/http1/socket.rs
+++ b/crates/orioleroute-wire/src/http1/socket.rs
@@ -13,7 +13,7 @@
 use monoio::net::TcpStream;
 use monoio::net::tcp::stream_poll::TcpStreamPoll;
 
-use crate::connect::{OnClose, connect};
+use crate::connect::{Options, connect};
 
 /// The size of the buffer for one read, in bytes.
 const READ_BYTES: usize = 4 << 10;
@@ -40,15 +40,16 @@
     ///
     /// Fails if the peer refuses the connection or does not respond in time.
     pub async fn connect(peer: SocketAddr, limit: Duration) -> Result<Self> {
-        Self::connect_with(peer, limit, OnClose::Deliver).await
+        Self::connect_with(peer, limit, Options::default()).await
     }
 
-    pub(crate) async fn connect_with(
-        peer: SocketAddr,
-        limit: Duration,
-        on_close: OnClose,
-    ) -> Result<Self> {
-        Self::new(connect(peer, limit, on_close).await?)
+    /// Connects to `peer` within `limit` with these options.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer refuses the connection or does not respond in time.
+    pub async fn connect_with(peer: SocketAddr, limit: Duration, options: Options) -> Result<Self> {
+        Self::new(connect(peer, limit, options).await?)
     }
 
     /// Wraps an accepted connection and disables Nagle's algorithm on it.
--- a/crates/orioleroute-wire/src/lib.rs
+++ b/crates/orioleroute-wire/src/lib.rs
@@ -17,7 +17,7 @@
 //! ```
 
 pub mod client;
-mod connect;
+pub mod connect;
 mod error;
 pub mod http1;
 pub mod lines;
