Count only whole answers for a prompt part, and losses at their own times

Only a successful answer with a marked end is proof now; one without is checked like a loss. * A run of a killed instance held back all requests with a suspected part until its deadline. It does for two seconds at most. * Engines that drain counted as lost, so that a rolling release blamed a part. * The ages of losses were counted from when a row was read: a new instance took one moment for three, and a new scheduler prolonged a quarantine. Rows carry the time of writing, and the fencing token of the scheduler, so that a former one's row is not applied and is overwritten (by reading). * Older instances did not know the reason "quarantined" and would have cut their link; they get "no_engine" now. * A connect error of the instance itself counted as a loss (by reading).

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -11,6 +11,7 @@
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Reason, RunResult};
 use orioleroute_platform::ingress::{self, Dispatch, ResponseClass};
+use orioleroute_wire::http1::body::Framing;
 use orioleroute_wire::http1::head::{self, Request};
 use orioleroute_wire::http1::socket::Socket;
 use orioleroute_wire::sse;
@@ -292,10 +293,13 @@
         };
         match relayed {
             RelayOutcome::Done => {
-                permit.end(match status.is_server_error() {
-                    true => RunResult::Erred,
-                    false => RunResult::Answered,
-                });
+                let has_end = incoming.head().framing != Framing::UntilClose;
+                match status {
+                    _ if status.is_server_error() => permit.end(RunResult::Erred),
+                    _ if status.is_success() && has_end => permit.end(RunResult::Answered),
+                    // The engine may have ended before it has written the rest of the answer.
+                    _ => permit.end_unconfirmed(),
+                }
                 incoming.release(&self.gateway.connections, self.gateway.now());
                 Some((self.disposition(), "answered"))
             }
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -242,7 +242,7 @@
                 let silence = gateway.leadership.timers.take_silence(&zone);
                 let mut scheduler = Scheduler::succeeding(entry.version, configuration, silence);
                 gateway.announcements().iter().for_each(|each| scheduler.announce(each));
-                if let Some(report) = gateway.suspects.report(&zone) {
+                if let Some(report) = gateway.suspects.report(&zone, gateway.now()) {
                     scheduler.restore_suspects(&report, gateway.now());
                 }
                 scheduler.update_quarantine(gateway.suspects.verdicts(), &zone, gateway.now());
@@ -291,10 +291,11 @@
             let key = RequestKey { client, ticket };
             with_schedulers(gateway, |_, scheduler, now| scheduler.handle_started(key, now));
         }
-        ToScheduler::Ended { ticket, result } => {
+        ToScheduler::Ended { ticket, result, is_unconfirmed } => {
             let key = RequestKey { client, ticket };
-            with_schedulers(gateway, |_, scheduler, now| {
-                scheduler.handle_ended(key, result, now);
+            with_schedulers(gateway, |_, scheduler, now| match is_unconfirmed {
+                true => scheduler.handle_unconfirmed_answer(key, now),
+                false => scheduler.handle_ended(key, result, now),
             });
         }
     }
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -90,14 +90,21 @@
 
     /// Releases the permit and reports how the request ended.
     pub fn end(mut self, result: RunResult) {
-        self.release(result);
+        self.release(result, false);
     }
 
-    fn release(&mut self, result: RunResult) {
+    /// Releases the permit after an answer that may be incomplete although nothing shows it.
+    pub fn end_unconfirmed(mut self) {
+        self.release(RunResult::Answered, true);
+    }
+
+    fn release(&mut self, result: RunResult, is_unconfirmed: bool) {
         match std::mem::replace(&mut self.origin, Origin::Released) {
             Origin::Scheduled { scheduler, ticket } => {
                 scheduler.discard(&self.gateway, ticket);
-                scheduler.send(&self.gateway, ToScheduler::Ended { ticket, result: Some(result) });
+                let result = Some(result);
+                let ended = ToScheduler::Ended { ticket, result, is_unconfirmed };
+                scheduler.send(&self.gateway, ended);
             }
             Origin::Unscheduled { started_at } => {
                 let now = self.gateway.now();
@@ -114,7 +121,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.release(RunResult::Abandoned);
+        self.release(RunResult::Abandoned, false);
     }
 }
 
--- a/crates/orioleroute-node/src/gateway/quarantine.rs
+++ b/crates/orioleroute-node/src/gateway/quarantine.rs
@@ -1,8 +1,10 @@
 //! Shares what the schedulers know of prompts that end engines, through a row in the store for each zone.
 
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use orioleroute::ingress::attempt::Generation;
 use orioleroute::ingress::quarantine::{Change, Quarantine, Report};
@@ -10,6 +12,7 @@
 use orioleroute::scheduler::EngineCheck;
 use orioleroute_platform::store::Write;
 use orioleroute_wire::http1::socket::Socket;
+use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
 use super::leadership;
@@ -29,11 +32,14 @@
 /// The delay before a report that could not be written is written again.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// The verdicts on prompt parts, and the reports that are still to be written.
+/// The verdicts on prompt parts, and what is still to be written.
 #[derive(Default)]
 pub struct Shared {
     quarantine: RefCell<Quarantine>,
-    unwritten: RefCell<Map<Arc<str>, Report>>,
+    /// The fencing tokens of the schedulers whose rows were applied last, by zone.
+    fencing: RefCell<Map<Arc<str>, u64>>,
+    /// The zones whose reports are still to be written.
+    unwritten: RefCell<Set<Arc<str>>>,
     is_writing: Cell<bool>,
 }
 
@@ -45,8 +51,8 @@
     }
 
     /// Returns the last report of a zone, for a scheduler that takes it over.
-    pub fn report(&self, zone: &str) -> Option<Report> {
-        self.quarantine.borrow().report(zone).cloned()
+    pub fn report(&self, zone: &str, now: Instant) -> Option<Report> {
+        self.quarantine.borrow().report(zone, now)
     }
 
     /// Returns the verdicts.
@@ -55,24 +61,48 @@
     }
 }
 
-/// Applies the row of a zone that another instance schedules.
+/// The row of a zone.
+#[derive(Serialize, Deserialize)]
+struct Row {
+    /// The fencing token of the scheduler that wrote it.
+    fencing: u64,
+    /// When it was written, in milliseconds since the Unix epoch by the clock of the instance.
+    written_ms: u64,
+    report: Report,
+}
+
+/// Applies the row of a zone, unless its scheduler runs here or a later one has written before.
 pub fn apply_row(gateway: &Rc<Gateway>, zone: &str, value: Option<&str>) {
-    // The scheduler itself knows better what it has written.
-    if gateway.leadership.fencing_token(zone).is_some() {
-        return;
-    }
-    match value.map(serde_json::from_str::<Report>).transpose() {
-        Ok(report) => apply(gateway, &zone.into(), report.unwrap_or_default()),
+    let zone: Arc<str> = zone.into();
+    let row = match value.map(serde_json::from_str::<Row>).transpose() {
+        Ok(Some(row)) => row,
+        Ok(None) => return,
         Err(error) => {
-            warn!(gateway.log, "malformed row"; "row" => format!("{REPORT_PREFIX}{zone}"),
+            return warn!(gateway.log, "malformed row"; "row" => format!("{REPORT_PREFIX}{zone}"),
                 "error" => error.to_string());
         }
+    };
+    let own = gateway.leadership.fencing_token(&zone);
+    let known = gateway.suspects.fencing.borrow().get(&zone).copied();
+    let newest = own.max(known).unwrap_or_default();
+    if row.fencing < newest && own == Some(newest) {
+        // A former scheduler has overwritten the row.
+        if let Some(report) = gateway.suspects.report(&zone, gateway.now()) {
+            publish(gateway, &zone, report);
+        }
     }
+    if row.fencing < newest || own == Some(row.fencing) {
+        return;
+    }
+    gateway.suspects.fencing.borrow_mut().insert(zone.clone(), row.fencing);
+    let mut report = row.report;
+    report.add_age(Duration::from_millis(unix_ms().saturating_sub(row.written_ms)));
+    apply(gateway, &zone, report);
 }
 
 /// Applies the report of a scheduler that runs here, and writes it to the store.
 pub fn publish(gateway: &Rc<Gateway>, zone: &Arc<str>, report: Report) {
-    gateway.suspects.unwritten.borrow_mut().insert(zone.clone(), report.clone());
+    gateway.suspects.unwritten.borrow_mut().insert(zone.clone());
     apply(gateway, zone, report);
     if !gateway.suspects.is_writing.replace(true) {
         monoio::spawn(write_reports(gateway.clone()));
@@ -88,17 +118,12 @@
 ) {
     let mut is_lost = false;
     for _ in 0..CHECKS {
-        match Socket::connect(address, CHECK_TIMEOUT).await {
-            Ok(_) => {
-                is_lost = false;
-                break;
-            }
-            Err(error) => {
-                is_lost = true;
-                if error.kind() != std::io::ErrorKind::TimedOut {
-                    break;
-                }
-            }
+        let connected = Socket::connect(address, CHECK_TIMEOUT).await;
+        let error = connected.err().map(|error| error.kind());
+        // Any other error is one of this instance.
+        is_lost = matches!(error, Some(ErrorKind::ConnectionRefused | ErrorKind::TimedOut));
+        if error != Some(ErrorKind::TimedOut) {
+            break;
         }
     }
     info!(gateway.log, "engine checked"; "zone" => &*zone, "address" => address.to_string(),
@@ -126,27 +151,32 @@
     leadership::update_quarantine(gateway);
 }
 
-/// Writes reports until all are written. A report of a zone that is scheduled elsewhere by now is dropped.
+/// Writes reports until all are written. Those of zones that are scheduled elsewhere by now are dropped.
 async fn write_reports(gateway: Rc<Gateway>) {
     loop {
-        let next = gateway.suspects.unwritten.borrow().keys().next().cloned();
+        let next = gateway.suspects.unwritten.borrow().iter().next().cloned();
         let Some(zone) = next else { break };
-        let report = gateway.suspects.unwritten.borrow_mut().remove(&zone).unwrap_or_default();
-        if gateway.leadership.fencing_token(&zone).is_none() {
-            continue;
-        }
+        gateway.suspects.unwritten.borrow_mut().remove(&zone);
+        let Some(fencing) = gateway.leadership.fencing_token(&zone) else { continue };
+        let Some(report) = gateway.suspects.report(&zone, gateway.now()) else { continue };
+        let row = Row { fencing, written_ms: unix_ms(), report };
         let write = Write {
             table: CLUSTER_TABLE,
             key: format!("{REPORT_PREFIX}{zone}"),
             expected_version: None,
-            value: serde_json::to_vec(&report).ok(),
+            value: serde_json::to_vec(&row).ok(),
         };
         if let Err(error) = gateway.store.commit(&[write]).await {
             warn!(gateway.log, "reporting suspects failed"; "zone" => &*zone,
                 "error" => error.to_string());
-            gateway.suspects.unwritten.borrow_mut().entry(zone).or_insert(report);
+            gateway.suspects.unwritten.borrow_mut().insert(zone);
             monoio::time::sleep(RETRY_DELAY).await;
         }
     }
     gateway.suspects.is_writing.set(false);
 }
+
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as u64
+}
--- a/crates/orioleroute/src/ingress/quarantine.rs
+++ b/crates/orioleroute/src/ingress/quarantine.rs
@@ -121,9 +121,12 @@
             .collect()
     }
 
-    /// Returns the last report of a zone.
-    pub fn report(&self, zone: &str) -> Option<&Report> {
-        self.reports.get(zone).map(|received| &received.report)
+    /// Returns the last report of a zone, with the ages that its losses have by now.
+    pub fn report(&self, zone: &str, now: Instant) -> Option<Report> {
+        let received = self.reports.get(zone)?;
+        let mut report = received.report.clone();
+        report.add_age(now.since(received.at));
+        Some(report)
     }
 
     /// Returns the parts that zones other than `zone` suspect.
@@ -193,6 +196,11 @@
 }
 
 impl Report {
+    /// Adds the time that has passed since the report was made.
+    pub fn add_age(&mut self, age: Duration) {
+        self.losses.iter_mut().for_each(|loss| loss.age_ms += age.as_millis() as u64);
+    }
+
     /// Returns the parts that the report suspects.
     pub fn suspects(&self) -> impl Iterator<Item = Part> {
         self.losses.iter().flat_map(Loss::suspects)
--- a/crates/orioleroute/src/scheduler/in_flight.rs
+++ b/crates/orioleroute/src/scheduler/in_flight.rs
@@ -3,6 +3,7 @@
 
 use super::message::RunResult;
 use super::runner::Certainty;
+use super::suspicion::Evidence;
 use super::{Client, RequestKey, Scheduler, orders};
 use crate::prelude::*;
 
@@ -19,12 +20,21 @@
 
     /// Handles the end of a request, which is waiting or has been granted an engine.
     pub fn handle_ended(&mut self, key: RequestKey, result: Option<RunResult>, now: Instant) {
+        self.end(key, result.unwrap_or(RunResult::Abandoned), true, now);
+    }
+
+    /// Handles the end of a request with an answer that may be incomplete although nothing shows it.
+    pub fn handle_unconfirmed_answer(&mut self, key: RequestKey, now: Instant) {
+        self.end(key, RunResult::Answered, false, now);
+    }
+
+    fn end(&mut self, key: RequestKey, result: RunResult, is_confirmed: bool, now: Instant) {
         if let Some(index) = self.waiting.iter().position(|waiting| waiting.key == key) {
             let waiting = self.waiting.swap_remove(index);
             self.unassign(&waiting);
         }
         if let Some(upstream) = self.granted.remove(&key) {
-            self.end_in_flight(upstream, key, result.unwrap_or(RunResult::Abandoned), now);
+            self.end_in_flight(upstream, key, result, Evidence::of(result, is_confirmed), now);
         }
         self.dispatch(now);
     }
@@ -48,12 +58,13 @@
         upstream: key::Upstream,
         key: RequestKey,
         result: RunResult,
+        evidence: Evidence,
         now: Instant,
     ) {
         let Some(runner) = self.runners.get_mut(upstream) else { return };
         let Some(entry) = runner.in_flight.remove(&key) else { return };
         runner.health.end(result.into(), now);
-        self.observe_run(upstream, &entry, result, now);
+        self.observe_run(upstream, &entry, evidence, now);
         let Some(runner) = self.runners.get_mut(upstream) else { return };
         let slot = entry.adapter.as_ref().and_then(|adapter| runner.adapter_slots.get_mut(adapter));
         if let Some(slot) = slot {
@@ -84,7 +95,7 @@
             .collect();
         for (key, upstream) in due {
             self.granted.remove(&key);
-            self.end_in_flight(upstream, key, RunResult::Abandoned, now);
+            self.end_in_flight(upstream, key, RunResult::Abandoned, Evidence::None, now);
         }
     }
 }
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -23,6 +23,9 @@
         ticket: u64,
         /// How the request ended at the engine; `None` if it was never sent.
         result: Option<RunResult>,
+        /// Whether the engine answered, and the answer may be incomplete although nothing shows it.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        is_unconfirmed: bool,
     },
 }
 
@@ -166,7 +169,8 @@
     TooLate,
     /// No engine can run the request.
     NoEngine,
-    /// A part of the prompt is blamed for the loss of engines.
+    /// A part of the prompt is blamed for the loss of engines. Instances of an older release know no such reason.
+    #[serde(rename(serialize = "no_engine"), skip_deserializing)]
     Quarantined,
     /// The zone does not hold the adapter, whose home zone is more likely to hold it.
     NotHere,
--- a/crates/orioleroute/src/scheduler/suspects.rs
+++ b/crates/orioleroute/src/scheduler/suspects.rs
@@ -7,10 +7,6 @@
 use crate::ingress::quarantine::{Loss, Part, Quarantine, Report, Run};
 use crate::prelude::*;
 
-/// How long a run goes on after its first event before its prompt counts as sound. An engine that a prompt ends has
-/// written an event or two at most.
-pub const SOUND_TIME: Duration = Duration::from_millis(1_000);
-
 /// How long a part counts as sound after a run of it. A part that begins to end engines within this time is suspected
 /// only after it.
 const SOUND_TTL: Duration = Duration::from_secs(60);
@@ -24,8 +20,14 @@
 /// How long a loss is remembered.
 const LOSS_TTL: Duration = Duration::from_secs(3_600);
 
-/// The most losses that are remembered.
-const MAX_LOSSES: usize = 24;
+/// The most losses that are remembered. With [`MAX_RUNS`] and [`MAX_PARTS`] it limits a report to about 30 KB.
+const MAX_LOSSES: usize = 16;
+
+/// The most runs that are remembered of a loss.
+const MAX_RUNS: usize = 12;
+
+/// The most parts that are remembered of a run, the first ones.
+const MAX_PARTS: usize = 8;
 
 /// How long a part that another zone suspects is reported as sound after a run of it. It is short, because the report
 /// clears the part also of losses that are newer than the run.
@@ -81,7 +83,7 @@
         now: Instant,
     ) -> bool {
         let parts = run.parts.into_iter().filter(|id| !self.is_sound(service, *id, now));
-        let run = Run { own: run.own, parts: parts.collect() };
+        let run = Run { own: run.own, parts: parts.take(MAX_PARTS).collect() };
         if run.parts.is_empty() {
             return false;
         }
@@ -89,7 +91,8 @@
         if let Some(broken) = self.broken.get_mut(&engine) {
             match broken.is_lost {
                 true => self.add_to_loss(address, run),
-                false => broken.runs.push(run),
+                false if broken.runs.len() < MAX_RUNS => broken.runs.push(run),
+                false => {}
             }
             return false;
         }
@@ -184,7 +187,9 @@
     /// Adds a run to the newest loss of an engine.
     fn add_to_loss(&mut self, address: SocketAddr, run: Run) {
         let mut losses = self.losses.iter_mut().rev();
-        if let Some(timed) = losses.find(|timed| timed.loss.engine == address) {
+        if let Some(timed) = losses.find(|timed| timed.loss.engine == address)
+            && timed.loss.runs.len() < MAX_RUNS
+        {
             timed.loss.runs.push(run);
             self.has_changed = true;
         }
--- a/crates/orioleroute/src/scheduler/suspicion.rs
+++ b/crates/orioleroute/src/scheduler/suspicion.rs
@@ -6,11 +6,41 @@
 use super::message::RunResult;
 use super::output::EngineCheck;
 use super::runner::InFlightRequest;
-use super::suspects::SOUND_TIME;
 use super::{Output, Request, Scheduler};
 use crate::ingress::quarantine::{Part, Quarantine, Report, Run};
 use crate::prelude::*;
 
+/// How long after its grant a run holds back requests with the same suspected part. It limits what a run costs others
+/// whose end is never reported.
+const MAX_HOLD: Duration = Duration::from_millis(2_000);
+
+/// How long after its first event a run no longer holds them back. An engine that a prompt ends has written an event or
+/// two at most.
+const SOUND_TIME: Duration = Duration::from_millis(1_000);
+
+/// What the end of a run says about the parts of its prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Evidence {
+    /// The engine has written the whole answer.
+    Sound,
+    /// The engine may have ended.
+    Broken,
+    /// Nothing.
+    None,
+}
+
+impl Evidence {
+    /// Returns what the end of a run says. `is_confirmed` is false if the response may be incomplete although nothing
+    /// shows it.
+    pub fn of(result: RunResult, is_confirmed: bool) -> Self {
+        match result {
+            RunResult::Answered if is_confirmed => Self::Sound,
+            RunResult::Answered | RunResult::Broken => Self::Broken,
+            _ => Self::None,
+        }
+    }
+}
+
 impl Scheduler {
     /// Takes over the verdicts on prompt parts, and refuses the waiting requests that they concern.
     pub fn update_quarantine(&mut self, quarantine: Quarantine, zone: &str, now: Instant) {
@@ -39,15 +69,15 @@
         &mut self,
         upstream: key::Upstream,
         entry: &InFlightRequest,
-        result: RunResult,
+        evidence: Evidence,
         now: Instant,
     ) {
         let Some((own, shared)) = entry.part_ids.split_last() else { return };
         let Some(runner) = self.runners.get(upstream) else { return };
-        match result {
-            RunResult::Answered => self.suspects.record_sound(&runner.service, shared, now),
-            _ if is_sound(entry, now) => self.suspects.record_sound(&runner.service, shared, now),
-            RunResult::Broken => {
+        match evidence {
+            Evidence::Sound => self.suspects.record_sound(&runner.service, shared, now),
+            // An engine that drains ends soon, whatever it runs.
+            Evidence::Broken if !runner.is_draining => {
                 let run = Run { own: *own, parts: shared.to_vec() };
                 let engine = (&runner.service, runner.address);
                 if self.suspects.record_broken(upstream, engine, run, now) {
@@ -55,7 +85,7 @@
                     self.outputs.push(check);
                 }
             }
-            _ => {}
+            Evidence::Broken | Evidence::None => {}
         }
     }
 
@@ -84,18 +114,18 @@
         })
     }
 
-    /// Returns whether a request with this part is running that has not shown yet that it is sound.
+    /// Returns whether a request with this part has been running for a short time and has not shown yet that it is sound.
     fn is_unproven(&self, part: &Part, now: Instant) -> bool {
         let runners = self.runners.values().filter(|runner| runner.service == part.service);
         let mut entries = runners.flat_map(|runner| runner.in_flight.values());
         entries.any(|entry| {
             let shared = entry.part_ids.split_last().map(|(_, shared)| shared);
-            !is_sound(entry, now) && shared.is_some_and(|shared| shared.contains(&part.id))
+            holds_back(entry, now) && shared.is_some_and(|shared| shared.contains(&part.id))
         })
     }
 }
 
-/// Returns whether a run has gone on for long enough after its first event to show that its prompt is sound.
-fn is_sound(entry: &InFlightRequest, now: Instant) -> bool {
-    entry.started_at.is_some_and(|started| now.since(started) >= SOUND_TIME)
+fn holds_back(entry: &InFlightRequest, now: Instant) -> bool {
+    now.since(entry.granted) < MAX_HOLD
+        && entry.started_at.is_none_or(|started| now.since(started) < SOUND_TIME)
 }
--- a/crates/orioleroute/tests/quarantine.rs
+++ b/crates/orioleroute/tests/quarantine.rs
@@ -9,8 +9,9 @@
 
 use orioleroute::ingress::attempt::Part as PromptPart;
 use orioleroute::ingress::quarantine::{Change, Loss, Part, Quarantine, Report, Run};
+use orioleroute::ingress::upstream::{Description, State};
 use orioleroute::prelude::*;
-use orioleroute::scheduler::message::{Placement, Reason, RunResult};
+use orioleroute::scheduler::message::{Placement, Reason, RunResult, ToInstance};
 use orioleroute::scheduler::{Output, RequestKey, Scheduler};
 use rstest::rstest;
 use scheduling::{CLIENT, description, grants, placement, refusals, scheduler};
@@ -381,7 +382,7 @@
     let mut zones = Zones::new(1);
     zones.crash(0, &[SHARED, BAD, 11]);
     zones.crash(0, &[SHARED, BAD, 12]);
-    let report = zones.quarantine.report("z0").unwrap().clone();
+    let report = zones.quarantine.report("z0", zones.now).unwrap();
     zones.schedulers[0] = zone_scheduler(0);
     zones.schedulers[0].restore_suspects(&report, zones.now);
 
@@ -400,3 +401,140 @@
 
     assert_eq!(runs, 6);
 }
+
+/// Restarts engines as a rolling release does: each is listed as draining, and what still runs on it is cut.
+#[test]
+fn engines_that_drain_blame_no_part() {
+    let mut zones = Zones::new(1);
+
+    for number in 0..ENGINES as u64 {
+        zones.now += Duration::from_millis(1_000);
+        let (ticket, placed) = zones.place(0, &[7, 100 + number]);
+        assert_eq!(placed, Placed::Granted);
+        let draining: Vec<_> = (0..ENGINES)
+            .map(|engine| Description {
+                state: State::Draining,
+                entry_version: 2 + 2 * number,
+                ..description(engine, &["a1"])
+            })
+            .collect();
+        zones.schedulers[0].update_engines(&draining, zones.now);
+        zones.end(0, ticket, RunResult::Broken, true);
+        let ready: Vec<_> = (0..ENGINES)
+            .map(|engine| Description {
+                entry_version: 3 + 2 * number,
+                ..description(engine, &["a1"])
+            })
+            .collect();
+        zones.schedulers[0].update_engines(&ready, zones.now);
+    }
+
+    assert_eq!(zones.answer(0, &[7, 1_000]), Placed::Granted);
+}
+
+/// The instance was suspended, so that its report of the loss comes late.
+#[test]
+fn a_loss_that_is_reported_late_counts() {
+    let mut zones = Zones::new(1);
+
+    let crashes = (0..12).filter(|number| {
+        let (ticket, placed) = zones.place(0, &[SHARED, BAD, 100 + number]);
+        if placed == Placed::Granted {
+            let key = RequestKey { client: CLIENT, ticket };
+            zones.schedulers[0].handle_started(key, zones.now);
+            zones.now += Duration::from_millis(1_200);
+            zones.end(0, ticket, RunResult::Broken, true);
+        }
+        placed == Placed::Granted
+    });
+
+    let crashes = crashes.count();
+    assert!(crashes <= 4, "{crashes} engines ended");
+}
+
+/// An instance is lost while it relays a response, which an engine was lost under.
+#[test]
+fn a_run_whose_end_is_not_reported_clears_no_part() {
+    let mut zones = Zones::new(1);
+    let (lost, _) = zones.place(0, &[SHARED, BAD, 10]);
+    zones.schedulers[0].handle_started(RequestKey { client: CLIENT, ticket: lost }, zones.now);
+    zones.now += Duration::from_millis(1_000);
+    for number in 0..5 {
+        zones.crash(0, &[SHARED, BAD, 11 + number]);
+    }
+    assert_eq!(zones.place(0, &[SHARED, BAD, 20]).1, Placed::Refused(Reason::Quarantined));
+
+    zones.schedulers[0].handle_disconnect(CLIENT, zones.now);
+    zones.now += Duration::from_millis(5_000);
+    zones.share(0);
+
+    assert_eq!(zones.place(0, &[SHARED, BAD, 21]).1, Placed::Refused(Reason::Quarantined));
+}
+
+/// The run of an instance that was lost is still counted as running.
+#[test]
+fn a_run_of_a_lost_instance_holds_no_request_back() {
+    let mut zones = Zones::new(1);
+    zones.crash(0, &[SHARED, BAD, 11]);
+    assert_eq!(zones.place(0, &[SHARED, 7, 12]).1, Placed::Granted);
+    zones.schedulers[0].handle_disconnect(CLIENT, zones.now);
+    zones.share(0);
+
+    zones.now += Duration::from_millis(2_000);
+
+    assert_eq!(zones.answer(0, &[SHARED, 7, 13]), Placed::Granted);
+}
+
+/// A new scheduler changes its predecessor's report nine minutes after the last loss.
+#[test]
+fn a_new_scheduler_does_not_prolong_a_quarantine() {
+    let mut zones = Zones::new(1);
+    for number in 0..5 {
+        zones.crash(0, &[SHARED, BAD, 10 + number]);
+    }
+    zones.now += Duration::from_secs(540);
+    let report = zones.quarantine.report("z0", zones.now).unwrap();
+    zones.schedulers[0] = zone_scheduler(0);
+    zones.schedulers[0].restore_suspects(&report, zones.now);
+    zones.crash(0, &[70, 71, 72]);
+
+    zones.now += Duration::from_secs(120);
+
+    assert_eq!(zones.place(0, &[SHARED, BAD, 100]).1, Placed::Granted);
+}
+
+/// An instance that starts reads rows that were written at different times.
+#[test]
+fn losses_at_one_moment_blame_no_part_at_a_new_instance() {
+    let mut zones = Zones::new(3);
+    let start = |zone: usize| (zone, zones.place(zone, &[7, 100 + zone as u64]).0);
+    let tickets: Vec<(usize, u64)> = (0..3).map(start).collect();
+    for (zone, ticket) in tickets {
+        zones.end(zone, ticket, RunResult::Broken, true);
+    }
+    for zone in 1..3 {
+        zones.now += Duration::from_secs(60);
+        zones.crash(zone, &[200 + zone as u64, 300]);
+    }
+    assert_eq!(zones.quarantine.blamed(&SERVICE.into(), [7], zones.now), None);
+
+    let mut new = Quarantine::default();
+    for zone in 0..3 {
+        let report = zones.quarantine.report(&zone_name(zone), zones.now).unwrap();
+        new.update(&zone_name(zone), report, zones.now);
+    }
+
+    assert_eq!(new.blamed(&SERVICE.into(), [7], zones.now), None);
+}
+
+/// An instance that does not know the reason would take the message for malformed and close its link.
+#[test]
+fn a_refusal_for_a_part_is_understood_by_older_instances() {
+    let refusal =
+        ToInstance::Refuse { ticket: 1, retry_after_ms: 600_000, reason: Reason::Quarantined };
+
+    let text = serde_json::to_string(&refusal).unwrap();
+
+    assert!(text.contains("\"no_engine\""), "{text}");
+    assert!(serde_json::from_str::<ToInstance>(&text).is_ok());
+}
