Take an answer without a marked end for whole if its engine lives

Where upstreams end their answers with the connection, no answer counted as proof that a prompt is sound, so that three engines that end for another reason would blame a part that all requests share. The check of the engine that follows such an answer decides now: if it lives, the answer was whole. Found while reading again; the new test of crates/orioleroute/tests/quarantine.rs failed before (the third request was refused) and passes.

--- a/crates/orioleroute/src/scheduler/suspects.rs
+++ b/crates/orioleroute/src/scheduler/suspects.rs
@@ -52,6 +52,8 @@
     service: Arc<str>,
     since: Instant,
     runs: Vec<Run>,
+    /// The parts of those runs that were answered, and sound if the engine lives.
+    answered: Set<u64>,
     /// Whether the engine was found to be lost, and its loss is among the losses.
     is_lost: bool,
 }
@@ -73,13 +75,13 @@
         self.evict_sound(now);
     }
 
-    /// Records that a run broke off that had not shown that it is sound. Returns whether to check whether its engine is
-    /// lost.
+    /// Records that a run broke off, or was answered in a way that does not show whether the answer is whole. Returns
+    /// whether to check whether its engine is lost.
     pub fn record_broken(
         &mut self,
         engine: key::Upstream,
         (service, address): (&Arc<str>, SocketAddr),
-        run: Run,
+        (run, is_answered): (Run, bool),
         now: Instant,
     ) -> bool {
         let parts = run.parts.into_iter().filter(|id| !self.is_sound(service, *id, now));
@@ -87,8 +89,10 @@
         if run.parts.is_empty() {
             return false;
         }
+        let answered: Vec<u64> = if is_answered { run.parts.clone() } else { Vec::new() };
         self.broken.retain(|_, broken| now.since(broken.since) < LOSS_SPAN);
         if let Some(broken) = self.broken.get_mut(&engine) {
+            broken.answered.extend(answered);
             match broken.is_lost {
                 true => self.add_to_loss(address, run),
                 false if broken.runs.len() < MAX_RUNS => broken.runs.push(run),
@@ -97,7 +101,9 @@
             return false;
         }
         let service = service.clone();
-        let broken = BrokenEngine { address, service, since: now, runs: vec![run], is_lost: false };
+        let answered = answered.into_iter().collect();
+        let (runs, is_lost) = (vec![run], false);
+        let broken = BrokenEngine { address, service, since: now, runs, answered, is_lost };
         self.broken.insert(engine, broken);
         true
     }
@@ -108,8 +114,11 @@
             return;
         };
         if !is_lost {
+            let (service, answered) =
+                (broken.service.clone(), std::mem::take(&mut broken.answered));
             self.broken.remove(&engine);
-            return;
+            let answered: Vec<u64> = answered.into_iter().collect();
+            return self.record_sound(&service, &answered, now);
         }
         broken.is_lost = true;
         let runs = std::mem::take(&mut broken.runs);
--- a/crates/orioleroute/src/scheduler/suspicion.rs
+++ b/crates/orioleroute/src/scheduler/suspicion.rs
@@ -23,7 +23,9 @@
 pub(super) enum Evidence {
     /// The engine has written the whole answer.
     Sound,
-    /// The engine may have ended.
+    /// The engine has written an answer that may be incomplete, and may have ended.
+    Unconfirmed,
+    /// The run broke off, and the engine may have ended.
     Broken,
     /// Nothing.
     None,
@@ -35,7 +37,8 @@
     pub fn of(result: RunResult, is_confirmed: bool) -> Self {
         match result {
             RunResult::Answered if is_confirmed => Self::Sound,
-            RunResult::Answered | RunResult::Broken => Self::Broken,
+            RunResult::Answered => Self::Unconfirmed,
+            RunResult::Broken => Self::Broken,
             _ => Self::None,
         }
     }
@@ -77,15 +80,16 @@
         match evidence {
             Evidence::Sound => self.suspects.record_sound(&runner.service, shared, now),
             // An engine that drains ends soon, whatever it runs.
-            Evidence::Broken if !runner.is_draining => {
+            Evidence::Unconfirmed | Evidence::Broken if !runner.is_draining => {
                 let run = Run { own: *own, parts: shared.to_vec() };
+                let run = (run, evidence == Evidence::Unconfirmed);
                 let engine = (&runner.service, runner.address);
                 if self.suspects.record_broken(upstream, engine, run, now) {
                     let check = Output::CheckEngine(runner.address, EngineCheck(upstream));
                     self.outputs.push(check);
                 }
             }
-            Evidence::Broken | Evidence::None => {}
+            Evidence::Unconfirmed | Evidence::Broken | Evidence::None => {}
         }
     }
 
--- a/crates/orioleroute/tests/quarantine.rs
+++ b/crates/orioleroute/tests/quarantine.rs
@@ -98,6 +98,11 @@
     fn end(&mut self, zone: usize, ticket: u64, result: RunResult, is_lost: bool) -> Vec<Output> {
         let key = RequestKey { client: CLIENT, ticket };
         self.schedulers[zone].handle_ended(key, Some(result), self.now);
+        self.answer_checks(zone, is_lost)
+    }
+
+    /// Answers the checks of engines, and returns all outputs.
+    fn answer_checks(&mut self, zone: usize, is_lost: bool) -> Vec<Output> {
         let outputs = self.schedulers[zone].take_outputs();
         for output in &outputs {
             if let Output::CheckEngine(_, check) = output {
@@ -527,6 +532,22 @@
     assert_eq!(new.blamed(&SERVICE.into(), [7], zones.now), None);
 }
 
+/// Engines whose answers all end with their connection, so that only the check of the engine shows that they are whole.
+#[test]
+fn answers_without_a_marked_end_clear_their_parts_if_the_engine_lives() {
+    let mut zones = Zones::new(1);
+
+    for number in 0..12 {
+        zones.now += Duration::from_millis(500);
+        let (ticket, placed) = zones.place(0, &[SHARED, 7, 100 + number]);
+        assert_eq!(placed, Placed::Granted);
+        let key = RequestKey { client: CLIENT, ticket };
+        zones.schedulers[0].handle_unconfirmed_answer(key, zones.now);
+        zones.answer_checks(0, false);
+        assert!(zones.crash(0, &[SHARED, 7, 200 + number]), "run {number} was refused");
+    }
+}
+
 /// An instance that does not know the reason would take the message for malformed and close its link.
 #[test]
 fn a_refusal_for_a_part_is_understood_by_older_instances() {
