--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -17,20 +17,17 @@
 use orioleroute_wire::sse;
 use slog::info;
 
+use super::ending::{refuse_early, respond_locally};
 use super::exchange::{Failure, Incoming, Loss, Outgoing, Target};
 use super::placement::{self, Permit, PermitRequest, Refusal};
 use super::relaying::RelayOutcome;
-use super::response::{Response, State};
+use super::response::Response;
+use super::startup;
 use super::state::Gateway;
-use super::{server, startup};
 
 /// The number of upstreams that may decline one request, or be unreachable, before it is refused.
 const MAX_DECLINES: u32 = 3;
 
-/// The retry-after time sent by an instance that has no configuration or is stopping. It is short
-/// because other instances can serve the request.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// The retry-after time of a request that every tried upstream declined.
 const DECLINED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -406,55 +403,6 @@
         self.tried_upstreams.borrow_mut().push(end);
     }
 
-    async fn refuse(
-        &mut self,
-        response: &mut Response<'_>,
-        refusal: Refusal,
-    ) -> (Disposition, &'static str) {
-        self.refusal = Some(refusal.reason);
-        if response.is_started() {
-            return (Disposition::Close, "stream not resumed");
-        }
-        if self.possible_runs.get() > 0 {
-            return self.fail(response, StatusCode::BAD_GATEWAY, "not placed again").await;
-        }
-        info!(self.gateway.log, "refused"; "request" => self.attempt.id.as_deref(),
-            "reason" => refusal.reason.to_string(),
-            "part" => self.blamed_part().map(|part| format!("{part:x}")),
-            "retry_after_ms" => refusal.retry_after.as_millis() as u64);
-        metrics::counter!("orioleroute_refusals_total", "reason" => refusal.reason.to_string())
-            .increment(1);
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        let retry_after = Some(refusal.retry_after);
-        (
-            respond_locally(self.gateway, response, status, &self.attempt, retry_after).await,
-            "refused",
-        )
-    }
-
-    async fn fail(
-        &self,
-        response: &mut Response<'_>,
-        status: StatusCode,
-        outcome: &'static str,
-    ) -> (Disposition, &'static str) {
-        if response.is_started() {
-            return (Disposition::Close, outcome);
-        }
-        (respond_locally(self.gateway, response, status, &self.attempt, None).await, outcome)
-    }
-
-    /// Writes the final response after the deadline.
-    async fn time_out(&mut self, response: &mut Response<'_>) -> (Disposition, &'static str) {
-        match self.possible_runs.get() {
-            0 => {
-                let refusal = Refusal::new(Reason::TooLate, Duration::ZERO);
-                self.refuse(response, refusal).await
-            }
-            _ => self.fail(response, StatusCode::GATEWAY_TIMEOUT, "timed out").await,
-        }
-    }
-
     fn disposition(&self) -> Disposition {
         match self.gateway.is_stopping() {
             true => Disposition::Close,
@@ -465,33 +413,3 @@
 
 /// The least urgent priority that upstreams accept.
 const MAX_PRIORITY: u8 = 9;
-
-async fn refuse_early(
-    gateway: &Rc<Gateway>,
-    response: &mut Response<'_>,
-    attempt: &Attempt,
-    reason: &'static str,
-) -> Disposition {
-    info!(gateway.log, "refused"; "request" => attempt.id.as_deref(), "reason" => reason);
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    respond_locally(gateway, response, status, attempt, Some(UNAVAILABLE_RETRY_AFTER)).await
-}
-
-async fn respond_locally(
-    gateway: &Rc<Gateway>,
-    response: &mut Response<'_>,
-    status: StatusCode,
-    attempt: &Attempt,
-    retry_after: Option<Duration>,
-) -> Disposition {
-    let closes = gateway.is_stopping();
-    let message = server::local_response(status, attempt.id.as_deref(), retry_after, closes);
-    let written = match response.state() {
-        State::Unstarted(unstarted) => unstarted.send(&message).await,
-        State::Started(_) => return Disposition::Close,
-    };
-    match written.is_err() || closes {
-        true => Disposition::Close,
-        false => Disposition::KeepAlive,
-    }
-}
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod copies;
 mod election;
+mod ending;
 mod endpoints;
 mod exchange;
 mod feed;
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -107,7 +107,7 @@
                 Passed::Ended(outcome) => outcome,
             };
             let RelayOutcome::Lost(loss) = outcome else { return outcome };
-            // The upstream that is being asked has the request already.
+            // An upstream that is being asked may have the request already.
             let remaining = self.deadline.since(self.gateway.now());
             let successor = monoio::select! {
                 successor = search.finish(successor) => successor,
