--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -33,8 +33,8 @@
 
 /// The least estimated time since a client's first attempt for the request to count as a retry after a
 /// refusal. It is below the shortest retry-after time that the schedulers' admission control sets,
-/// 100 ms (`scheduler/admission.rs`). An earlier retry, such as one after [`UNAVAILABLE_RETRY_AFTER`],
-/// does not count.
+/// 100 ms (`scheduler/admission.rs`). An earlier retry, such as one after
+/// the refusal of an instance that is stopping, does not count.
 const MIN_RETURN_DELAY: Duration = Duration::from_millis(80);
 
 /// A request as read from the client.
