--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -84,6 +84,7 @@
         };
         match read {
             Ok(read) => {
+                log_version(&gateway, table, &read);
                 if std::mem::take(&mut failures) > 0 {
                     info!(gateway.log, "store regained"; "table" => table.to_string());
                 }
@@ -129,6 +130,15 @@
     }
 }
 
+/// Logs an answer whose version is lower than what is known: its rows are not newer, so they are ignored.
+fn log_version(gateway: &Gateway, table: Table, read: &Rows) {
+    let known = gateway.feed.version(table);
+    if known.is_some_and(|known| read.version < known) {
+        warn!(gateway.log, "store is behind the known version"; "table" => table.to_string(),
+            "version" => read.version, "known" => known, "era" => read.era);
+    }
+}
+
 /// Watches a table, but not for longer than until a call about another table fails: if one connection
 /// has gone silent, the others may have too.
 async fn watch_until_failure(
