Order the versions of the store by its era

Cause: everything that an instance reads is ordered by the store's versions, and these go back with the copy. Rows were ignored until the versions had passed the known position, and those that were passed over in between for good. The readers reread their tables 20 times a second meanwhile, without any effect.

Now versions are ordered by the era that the store states in its answers, and by number within it. A missing row is no longer taken for a removed one: leaders and instances write theirs again, upstreams get their grace, and those that had left before stay so.

--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -130,6 +130,7 @@
     let roster = gateway.roster();
     match gateway.leadership.leader(zone) {
         None => true,
+        _ if gateway.leadership.is_abandoned(zone, now) => true,
         Some(leader) if leader.holder == roster.own().name => {
             leader.incarnation != roster.own().incarnation
         }
--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use local_sync::mpsc;
+use orioleroute::ingress::Version;
 use orioleroute::ingress::access::{Access, Span};
 use orioleroute::ingress::feed::{
     self, Message, Projection, Replica, Row, SOURCES, Sources, Subscription, Table, ToReader,
@@ -61,6 +62,26 @@
     served: Cell<Option<Span>>,
 }
 
+/// What an update changed.
+pub struct Changes {
+    /// The changed rows.
+    pub rows: Vec<Row>,
+    /// How the table was known before.
+    pub extent: Extent,
+}
+
+/// What the changed rows of a table are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// All rows of a table that was not known before.
+    Whole,
+    /// Those that were written or removed.
+    Written,
+    /// Those by which the copy from which the store has come back differs from what was known. A row that the copy
+    /// lacks was not removed: the write of it is lost.
+    Restored,
+}
+
 /// An instance that follows this one.
 struct Follower {
     zone: Arc<str>,
@@ -155,21 +176,43 @@
         self.followers.borrow().values().for_each(|follower| send(follower, &message));
     }
 
-    /// Applies an update that was read from the store, passes it on, and returns the changed rows.
-    pub fn apply_read(&self, update: &Update, now: Instant) -> Vec<Row> {
+    /// Applies an update that was read from the store, passes it on, and returns what it changed.
+    pub fn apply_read(&self, update: &Update, now: Instant) -> Changes {
         self.failing.borrow_mut().remove(&update.table);
         if update.table == Table::Upstreams {
             self.access.set(Access::Answered(self.record_served(now)));
         }
-        let changed = self.apply(update).unwrap_or_default();
+        let changes = self.apply(update);
         if self.is_reader.get() && self.failing.borrow().is_empty() {
             self.publish(update);
         }
-        changed
+        // A read follows on what is known, so there is no gap.
+        changes.unwrap_or(Changes { rows: Vec::new(), extent: Extent::Written })
+    }
+
+    fn apply(&self, update: &Update) -> Result<Changes, feed::Gap> {
+        let mut replicas = self.replicas.borrow_mut();
+        let replica = replicas.entry(update.table).or_default();
+        let before = replica.version().map(Version::from);
+        let rows = replica.apply(update)?;
+        let extent = match before {
+            None => Extent::Whole,
+            Some(before) if before.precedes_era_of(update.version.into()) => Extent::Restored,
+            Some(_) => Extent::Written,
+        };
+        Ok(Changes { rows, extent })
     }
 
-    fn apply(&self, update: &Update) -> Result<Vec<Row>, feed::Gap> {
-        self.replicas.borrow_mut().entry(update.table).or_default().apply(update)
+    /// Returns whether an update is from before the store came back from a copy.
+    fn is_outdated(&self, update: &Update) -> bool {
+        let known = self.version(update.table).map(Version::from);
+        known.is_some_and(|known| Version::from(update.version).precedes_era_of(known))
+    }
+
+    /// Returns the row of a table with this key, if it has a value.
+    pub fn row(&self, table: Table, key: &str) -> Option<Row> {
+        let replicas = self.replicas.borrow();
+        replicas.get(&table)?.rows().find(|row| *row.key == *key).cloned()
     }
 
     fn publish(&self, update: &Update) {
@@ -299,17 +342,24 @@
             };
             match message {
                 Ok(Message::Update(update)) => {
-                    if update.table == Table::Upstreams && std::mem::replace(&mut has_state, true) {
+                    let is_outdated = gateway.feed.is_outdated(&update);
+                    if update.table == Table::Upstreams
+                        && std::mem::replace(&mut has_state, true)
+                        && !is_outdated
+                    {
                         gateway.feed.record_served(gateway.now());
                     }
                     metrics::counter!("orioleroute_feed_updates_received_total").increment(1);
-                    let is_first = gateway.feed.version(update.table).is_none();
-                    let changed = match gateway.feed.apply(&update) {
-                        Ok(changed) => changed,
+                    // A reader that has not noticed the return of the store is not current.
+                    if is_outdated {
+                        continue;
+                    }
+                    let changes = match gateway.feed.apply(&update) {
+                        Ok(changes) => changes,
                         Err(gap) => return gap.to_string(),
                     };
                     gateway.feed.sources.borrow_mut().record_update(&reader.name, gateway.now());
-                    sync::apply(gateway, update.table, changed, is_first);
+                    sync::apply(gateway, update.table, changes);
                 }
                 Ok(Message::Lost) => {
                     gateway.feed.sources.borrow_mut().record_loss(&reader.name, gateway.now());
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -9,8 +9,8 @@
 use std::rc::Rc;
 
 use nix::time::{ClockId, clock_gettime};
-use orioleroute::ingress::Configuration;
 use orioleroute::ingress::upstream::{Announcement, Description};
+use orioleroute::ingress::{Configuration, Version};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::copies::EngineCopies;
 use orioleroute::scheduler::lease::Lease;
@@ -63,8 +63,14 @@
     version: u64,
     /// When this instance learned of it.
     known_since: Instant,
+    /// Since when the row is missing because the store came back from a copy without it.
+    lost_since: Option<Instant>,
 }
 
+/// How long the holder of a zone has for writing its row again after the store came back from a copy without it: a
+/// call that is not answered and another one.
+const REWRITE_TIME: Duration = Duration::from_millis(2_000);
+
 impl Leadership {
     /// Passes a new configuration to the schedulers.
     pub fn configure(&self, configuration: &Arc<Configuration>) {
@@ -82,12 +88,35 @@
 
     /// Sets the leader of a zone, unless the known version of its row is at least as new.
     pub fn set_leader(&self, zone: &str, leader: Leader, version: u64, now: Instant) {
-        self.update_entry(zone, LeaderEntry { leader: Some(leader), version, known_since: now });
+        let leader = Some(leader);
+        let entry = LeaderEntry { leader, version, known_since: now, lost_since: None };
+        self.update_entry(zone, entry);
+    }
+
+    /// Records that the store came back from a copy that has no leader of a zone. The leader goes on, and writes its row
+    /// again.
+    pub fn mark_lost(&self, zone: &str, now: Instant) {
+        if let Some(entry) = self.leaders.borrow_mut().get_mut(zone) {
+            entry.lost_since.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether the row of a zone's leader is missing since the store came back from a copy.
+    pub fn is_lost(&self, zone: &str) -> bool {
+        self.leaders.borrow().get(zone).is_some_and(|entry| entry.lost_since.is_some())
+    }
+
+    /// Returns whether the leader of a zone has not written its row again in time.
+    pub fn is_abandoned(&self, zone: &str, now: Instant) -> bool {
+        let leaders = self.leaders.borrow();
+        let lost_since = leaders.get(zone).and_then(|entry| entry.lost_since);
+        lost_since.is_some_and(|since| now.since(since) >= REWRITE_TIME)
     }
 
     /// Records that a zone has no leader, unless the known version of its row is at least as new.
     pub fn clear_leader(&self, zone: &str, version: u64, now: Instant) {
-        self.update_entry(zone, LeaderEntry { leader: None, version, known_since: now });
+        let entry = LeaderEntry { leader: None, version, known_since: now, lost_since: None };
+        self.update_entry(zone, entry);
     }
 
     /// Returns when this instance learned of the leader of a zone, if it has one.
@@ -110,7 +139,8 @@
     /// Returns the version at which the leader row of a zone can be overwritten, or 0 if it has none.
     pub fn row_version(&self, zone: &str) -> u64 {
         let leaders = self.leaders.borrow();
-        let entry = leaders.get(zone).filter(|entry| entry.leader.is_some());
+        let entry =
+            leaders.get(zone).filter(|entry| entry.leader.is_some() && entry.lost_since.is_none());
         entry.map_or(0, |entry| entry.version)
     }
 
@@ -237,6 +267,15 @@
         let fencing_token = schedulers.get(&zone).map(Scheduler::fencing_token);
         match (is_own, fencing_token) {
             (true, Some(fencing_token)) if fencing_token == entry.version => {}
+            // The row was written again after the store had lost it; nobody else led the zone meanwhile.
+            (true, Some(fencing_token))
+                if Version::from(fencing_token).precedes_era_of(entry.version.into()) =>
+            {
+                info!(gateway.log, "scheduling goes on"; "zone" => &*zone, "fencing" => entry.version);
+                if let Some(scheduler) = schedulers.get_mut(&zone) {
+                    scheduler.renew(entry.version);
+                }
+            }
             (true, _) => {
                 let Some(configuration) = gateway.configuration() else { continue };
                 let silence = gateway.leadership.timers.take_silence(&zone);
@@ -410,9 +449,7 @@
     let outputs = {
         let now = gateway.now();
         let mut schedulers = gateway.leadership.schedulers.borrow_mut();
-        let scheduler = schedulers
-            .get_mut(zone)
-            .filter(|scheduler| scheduler.fencing_token() == order.fencing_token);
+        let scheduler = schedulers.get_mut(zone).filter(|scheduler| scheduler.has_issued(order));
         scheduler.map(|scheduler| {
             scheduler.handle_order_outcome(order, outcome, now);
             scheduler.take_outputs()
--- a/crates/orioleroute-node/src/gateway/quarantine.rs
+++ b/crates/orioleroute-node/src/gateway/quarantine.rs
@@ -87,9 +87,7 @@
     let newest = own.max(known).unwrap_or_default();
     if row.fencing < newest && own == Some(newest) {
         // A former scheduler has overwritten the row.
-        if let Some(report) = gateway.suspects.report(&zone, gateway.now()) {
-            publish(gateway, &zone, report);
-        }
+        publish_again(gateway, &zone);
     }
     if row.fencing < newest || own == Some(row.fencing) {
         return;
@@ -109,6 +107,13 @@
     }
 }
 
+/// Writes the report of a zone again that is scheduled here, because the store may have lost it.
+pub fn publish_again(gateway: &Rc<Gateway>, zone: &Arc<str>) {
+    if let Some(report) = gateway.suspects.report(zone, gateway.now()) {
+        publish(gateway, zone, report);
+    }
+}
+
 /// Checks whether an engine on which a run broke off is lost, and passes the result to its scheduler.
 pub async fn check_engine(
     gateway: Rc<Gateway>,
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use orioleroute::ingress::Version;
 use orioleroute::ingress::feed::{self, Table};
 use orioleroute::ingress::registry::{Change, Standing};
 use orioleroute::ingress::roster::Member;
@@ -12,9 +13,10 @@
 use orioleroute_platform::store::{Commit, Error, Rows, Write};
 use slog::{info, warn};
 
+use super::feed::{Changes, Extent};
 use super::leadership::{self, Leader};
-use super::quarantine;
 use super::state::Gateway;
+use super::{election, quarantine};
 
 /// How long a watch waits for changes. A connection that has gone silent is detected after this time plus
 /// the client's own margin and replaced after [`RETRY_DELAY`], together within the four seconds after
@@ -84,7 +86,6 @@
         };
         match read {
             Ok(read) => {
-                log_version(&gateway, table, &read);
                 if std::mem::take(&mut failures) > 0 {
                     info!(gateway.log, "store regained"; "table" => table.to_string());
                 }
@@ -94,9 +95,8 @@
                 }
                 let has_changes = version.is_none() || !read.rows.is_empty();
                 let update = to_update(&gateway, table, version, read);
-                let is_first = feed.version(table).is_none();
-                let changed = feed.apply_read(&update, gateway.now());
-                apply(&gateway, table, changed, is_first);
+                let changes = feed.apply_read(&update, gateway.now());
+                apply(&gateway, table, changes);
                 if has_changes {
                     monoio::time::sleep(watch_interval(table)).await;
                 }
@@ -130,17 +130,9 @@
     }
 }
 
-/// Logs an answer whose version is lower than what is known: its rows are not newer, so they are ignored.
-fn log_version(gateway: &Gateway, table: Table, read: &Rows) {
-    let known = gateway.feed.version(table);
-    if known.is_some_and(|known| read.version < known) {
-        warn!(gateway.log, "store is behind the known version"; "table" => table.to_string(),
-            "version" => read.version, "known" => known, "era" => read.era);
-    }
-}
-
 /// Watches a table, but not for longer than until a call about another table fails: if one connection
-/// has gone silent, the others may have too.
+/// has gone silent, the others may have too. Nor for longer than until an answer about another table shows
+/// that the store has come back from a copy.
 async fn watch_until_failure(
     gateway: &Rc<Gateway>,
     table: Table,
@@ -148,7 +140,8 @@
 ) -> Result<Rows, Error> {
     let failures = gateway.feed.failures();
     let has_failed = async {
-        while gateway.feed.failures() == failures {
+        let is_current = || !gateway.store.has_come_back_since(version);
+        while gateway.feed.failures() == failures && is_current() {
             monoio::time::sleep(ROLE_CHECK_INTERVAL).await;
         }
     };
@@ -161,16 +154,26 @@
     }
 }
 
-/// Applies the changed rows of a table; `is_whole` if they are all its rows.
-pub fn apply(gateway: &Rc<Gateway>, table: Table, rows: Vec<feed::Row>, is_whole: bool) {
-    if rows.is_empty() && !is_whole && table != Table::Upstreams {
+/// Applies the changed rows of a table.
+pub fn apply(gateway: &Rc<Gateway>, table: Table, changes: Changes) {
+    let Changes { rows, extent } = changes;
+    if extent == Extent::Restored {
+        let version = gateway.feed.version(table).unwrap_or_default();
+        metrics::counter!("orioleroute_store_restored_total", "table" => <&str>::from(table))
+            .increment(1);
+        warn!(gateway.log, "store came back from a copy"; "table" => table.to_string(),
+            "era" => Version::from(version).era, "changed_rows" => rows.len());
+    } else if rows.is_empty() && extent != Extent::Whole && table != Table::Upstreams {
         return;
     }
     match table {
         Table::Operator => rows.iter().for_each(|row| apply_operator_row(gateway, row)),
-        Table::Upstreams => apply_upstreams(gateway, &rows, is_whole),
+        Table::Upstreams => apply_upstreams(gateway, &rows, extent),
         Table::Cluster => {
-            rows.iter().for_each(|row| apply_member_row(gateway, row));
+            rows.iter().for_each(|row| apply_cluster_row(gateway, row, extent));
+            if extent == Extent::Restored {
+                write_lost_rows(gateway);
+            }
             leadership::reconcile(gateway);
         }
     }
@@ -221,9 +224,12 @@
     }
 }
 
-fn apply_upstreams(gateway: &Rc<Gateway>, rows: &[feed::Row], is_whole: bool) {
+fn apply_upstreams(gateway: &Rc<Gateway>, rows: &[feed::Row], extent: Extent) {
     let now = gateway.now();
     observe_service(gateway);
+    if extent == Extent::Restored {
+        gateway.registry().begin_era(now);
+    }
     let changes = rows.iter().map(|row| {
         let entry = row.value.as_deref().map(serde_json::from_str::<Description>);
         match entry {
@@ -231,8 +237,8 @@
             Some(Err(_)) | None => Change::Removed(row.key.clone()),
         }
     });
-    match is_whole {
-        true => {
+    match extent {
+        Extent::Whole => {
             let written = changes.filter_map(|change| match change {
                 Change::Written(entry) => Some(entry),
                 Change::Removed(_) => None,
@@ -241,7 +247,7 @@
             gateway.registry().replace(entries, now);
             gateway.update_serving();
         }
-        false => {
+        Extent::Written | Extent::Restored => {
             let changes: Vec<Change> = changes.collect();
             let before: Vec<Standing> = {
                 let registry = gateway.registry();
@@ -294,10 +300,11 @@
         return;
     }
     let missing = gateway.registry().missing();
+    let version = gateway.feed.version(Table::Upstreams).map(Version::from);
     metrics::gauge!("orioleroute_upstreams_missing").set(missing as f64);
     info!(gateway.log, "upstream standing changed"; "upstream" => upstream,
         "before" => before.to_string(), "after" => after.to_string(),
-        "version" => gateway.feed.version(Table::Upstreams));
+        "version" => version.map(|version| version.number), "era" => version.map(|version| version.era));
 }
 
 fn table_name(table: Table) -> &'static str {
@@ -331,11 +338,29 @@
     }
 }
 
-fn apply_member_row(gateway: &Rc<Gateway>, row: &feed::Row) {
+/// Writes again what this instance had written and the copy of the store lacks.
+fn write_lost_rows(gateway: &Rc<Gateway>) {
+    let own = gateway.roster().own().clone();
+    let row = gateway.feed.row(Table::Cluster, &format!("{MEMBER_PREFIX}{}", own.name));
+    let known = row.and_then(|row| serde_json::from_str::<Member>(row.value.as_deref()?).ok());
+    if known.as_ref() != Some(&own) {
+        monoio::spawn(register(gateway.clone()));
+    }
+    for zone in gateway.leadership.scheduled_zones() {
+        if gateway.leadership.is_lost(&zone) {
+            monoio::spawn(election::take_over(gateway.clone(), zone.clone()));
+        }
+        quarantine::publish_again(gateway, &zone);
+    }
+}
+
+fn apply_cluster_row(gateway: &Rc<Gateway>, row: &feed::Row, extent: Extent) {
     let now = gateway.now();
     if let Some(name) = row.key.strip_prefix(MEMBER_PREFIX) {
         let member = row.value.as_deref().map(serde_json::from_str::<Member>);
         match member {
+            // Its heartbeats show whether it is there; it writes its row again.
+            None if extent == Extent::Restored => {}
             None => gateway.roster().remove(name),
             Some(Ok(member)) => gateway.roster().upsert(member, now),
             Some(Err(error)) => {
@@ -347,6 +372,7 @@
     } else if let Some(zone) = row.key.strip_prefix(LEADER_PREFIX) {
         let leader = row.value.as_deref().map(serde_json::from_str::<Leader>);
         match leader {
+            None if extent == Extent::Restored => gateway.leadership.mark_lost(zone, now),
             None => gateway.leadership.clear_leader(zone, row.version, now),
             Some(Ok(leader)) => gateway.leadership.set_leader(zone, leader, row.version, now),
             Some(Err(error)) => {
--- a/crates/orioleroute/src/ingress/mod.rs
+++ b/crates/orioleroute/src/ingress/mod.rs
@@ -15,6 +15,8 @@
 pub mod registry;
 pub mod roster;
 pub mod upstream;
+pub mod version;
 
 pub use attempt::Attempt;
 pub use configuration::Configuration;
+pub use version::Version;
--- a/crates/orioleroute/src/ingress/registry.rs
+++ b/crates/orioleroute/src/ingress/registry.rs
@@ -29,8 +29,40 @@
     last_outage: Option<Instant>,
     /// Since when the store has been available to any instance, if it is.
     available_since: Option<Instant>,
+    /// When the store was found to have come back from a copy.
+    era_began: Option<Instant>,
+    /// The upstreams that were removed in this era, with their start times.
+    removed: Map<Arc<str>, (u64, Instant)>,
+    /// The upstreams that had left before the store came back from a copy.
+    departed: Map<Arc<str>, Departed>,
 }
 
+/// An upstream that had left before the store came back from a copy, in which it may be ready.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    started_ms: u64,
+    /// Whether it was draining, and not only missing in the list.
+    was_draining: bool,
+    /// The version of its first entry since then, which may be the one of the copy.
+    first_version: Option<u64>,
+}
+
+impl Departed {
+    /// Returns whether an entry shows that the upstream is alive: it has been started again, or has written its entry
+    /// again although it was not draining.
+    fn is_refuted_by(&mut self, entry: &Description) -> bool {
+        if entry.started_ms != self.started_ms {
+            return true;
+        }
+        let first = *self.first_version.get_or_insert(entry.entry_version);
+        !self.was_draining && entry.entry_version > first
+    }
+}
+
+/// How long removed upstreams are remembered, in case the store comes back from a copy from before. Copies are some
+/// seconds old.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
+
 /// What an instance knows of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -118,6 +150,20 @@
         self.last_outage = Some(now);
     }
 
+    /// Records that the store has come back from a copy. Upstreams that have left since the copy was made may be ready
+    /// in it, and entries of others may be missing.
+    pub fn begin_era(&mut self, now: Instant) {
+        self.era_began = Some(now);
+        let draining = self.upstreams.values().filter(|entry| entry.state == State::Draining);
+        let draining = draining.map(|entry| (entry.id.clone(), entry.started_ms, true));
+        let removed = self.removed.drain().filter(|(_, (_, at))| now.since(*at) < REMOVAL_MEMORY);
+        let removed = removed.map(|(id, (started_ms, _))| (id, started_ms, false));
+        let departed = removed.chain(draining).map(|(id, started_ms, was_draining)| {
+            (id, Departed { started_ms, was_draining, first_version: None })
+        });
+        self.departed = departed.collect();
+    }
+
     /// Records since when the store has been available to any instance, or `None` if it is not known to be.
     pub fn observe_service(&mut self, since: Option<Instant>) {
         self.available_since = since;
@@ -157,13 +203,16 @@
         }
         let due: Vec<Arc<str>> = self.missing.drain().collect();
         for id in &due {
-            self.upstreams.remove(id);
+            self.forget(id, now);
         }
         due
     }
 
     /// Returns whether entries of upstreams that are alive may be missing, because the store was away.
     fn may_lack_entries(&self, now: Instant) -> bool {
+        if self.era_began.is_some_and(|began| now.since(began) < RECOVERY_GRACE) {
+            return true;
+        }
         let Some(outage) = self.last_outage else { return false };
         let own_return = (!self.unavailable).then_some(outage);
         // The store is back as soon as it serves any instance.
@@ -179,8 +228,15 @@
         }
     }
 
-    fn write(&mut self, entry: Description) {
+    fn write(&mut self, mut entry: Description) {
         self.missing.remove(&entry.id);
+        self.removed.remove(&entry.id);
+        if let Some(departed) = self.departed.get_mut(&entry.id) {
+            match departed.is_refuted_by(&entry) {
+                true => drop(self.departed.remove(&entry.id)),
+                false => entry.state = State::Draining,
+            }
+        }
         self.upstreams.insert(entry.id.clone(), entry);
     }
 
@@ -190,8 +246,16 @@
             true => drop(self.missing.insert(id.clone())),
             false => {
                 self.missing.remove(id);
-                self.upstreams.remove(id);
+                self.forget(id, now);
             }
         }
     }
+
+    /// Removes an upstream, and remembers that it was removed.
+    fn forget(&mut self, id: &Arc<str>, now: Instant) {
+        self.removed.retain(|_, (_, at)| now.since(*at) < REMOVAL_MEMORY);
+        if let Some(entry) = self.upstreams.remove(id) {
+            self.removed.insert(id.clone(), (entry.started_ms, now));
+        }
+    }
 }
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -67,6 +67,8 @@
 /// The scheduler of one availability zone.
 pub struct Scheduler {
     fencing_token: u64,
+    /// The fencing token before it was renewed.
+    former_token: Option<u64>,
     configuration: Arc<Configuration>,
     runners: SlotMap<key::Upstream, Runner>,
     by_id: Map<Arc<str>, key::Upstream>,
@@ -128,6 +130,7 @@
             first_report_delay: TAKEOVER_DELAY.saturating_sub(silence),
             restored_copies: Map::default(),
             fencing_token,
+            former_token: None,
             configuration,
             runners: SlotMap::with_key(),
             by_id: Map::default(),
@@ -147,6 +150,16 @@
         self.fencing_token
     }
 
+    /// Replaces the fencing token by a higher one, because the row that gave it was lost and has been written again.
+    pub fn renew(&mut self, fencing_token: u64) {
+        self.former_token = Some(std::mem::replace(&mut self.fencing_token, fencing_token));
+    }
+
+    /// Returns whether this scheduler has issued an order.
+    pub fn has_issued(&self, order: &Order) -> bool {
+        order.fencing_token == self.fencing_token || Some(order.fencing_token) == self.former_token
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/crates/orioleroute/tests/scheduler.rs
+++ b/crates/orioleroute/tests/scheduler.rs
@@ -166,6 +166,23 @@
     assert_eq!(orders(&scheduler.take_outputs()), [lost]);
 }
 
+/// The row that names the scheduler was lost with the store's last writes, and has been written again.
+#[test]
+fn an_order_from_before_the_fencing_token_was_renewed_still_has_its_outcome() {
+    let (mut scheduler, now) = scheduler(&[description(0, &[])]);
+    scheduler.place(CLIENT, placement(1, "a1"), now);
+    let load = orders(&scheduler.take_outputs()).remove(0);
+
+    scheduler.renew(load.fencing_token + 1);
+
+    assert!(scheduler.has_issued(&load));
+    scheduler.handle_order_outcome(&load, Outcome::Holds, now);
+    assert_eq!(grants(&scheduler.take_outputs()), [1]);
+    scheduler.place(CLIENT, placement(2, "a2"), now);
+    let next = orders(&scheduler.take_outputs()).remove(0);
+    assert_eq!(next.fencing_token, load.fencing_token + 1);
+}
+
 #[test]
 fn after_a_conflict_the_state_is_taken_from_a_report() {
     let (mut scheduler, now) = scheduler(&[description(0, &[])]);
