Put only valid configurations in force

An invalid configuration replaced a valid one at every instance: callers would get 404, 431 or no time at all. Rows whose types are right were taken whatever their values and references were, and a time of 1e300 ms ended the process.

--- a/crates/orioleroute/src/ingress/configuration.rs
+++ b/crates/orioleroute/src/ingress/configuration.rs
@@ -1,5 +1,9 @@
 //! An accepted configuration: routes by host and path prefix, services, and limits.
 
+mod check;
+
+pub use check::Invalid;
+
 use crate::hash;
 use crate::prelude::*;
 
@@ -35,6 +39,23 @@
         Self { version, routes: by_host, services: services.collect(), limits }
     }
 
+    /// Returns a configuration with these routes, services and limits, if it is valid.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first value or reference that makes no sense.
+    pub fn checked(
+        version: u64,
+        routes: impl IntoIterator<Item = Route>,
+        services: impl IntoIterator<Item = Service>,
+        limits: Limits,
+    ) -> Result<Self, Invalid> {
+        let routes: Vec<Route> = routes.into_iter().collect();
+        let services: Vec<Service> = services.into_iter().collect();
+        check::check(&routes, &services, &limits)?;
+        Ok(Self::new(version, routes, services, limits))
+    }
+
     /// Returns the route of `host` with the longest prefix that matches `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
