Send nothing to an upstream that has said in an answer that it leaves

Cause: only the list was read for it, which says so later, or not at all while the store is away. Server-Leaving in an answer is now decoded, holds for that start of the upstream whatever its entry says, and reaches the scheduler with the first event or the end of the request.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -213,10 +213,13 @@
         }
     }
 
-    fn classify(&self, permit: Permit, incoming: Incoming) -> TryOutcome {
+    fn classify(&self, mut permit: Permit, incoming: Incoming) -> TryOutcome {
         let id = self.attempt.id.as_deref();
-        let class =
-            ingress::classify_response(incoming.head().status, &incoming.head().headers, id);
+        let headers = &incoming.head().headers;
+        let class = ingress::classify_response(incoming.head().status, headers, id);
+        if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
+            permit.observe(ingress::notice(headers));
+        }
         match class {
             ResponseClass::Valid => TryOutcome::Answered(permit, Box::new(incoming)),
             ResponseClass::Mismatched => TryOutcome::Lost(permit, Loss::Mismatched),
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -326,15 +326,21 @@
 pub fn handle_message(gateway: &Rc<Gateway>, client: Client, message: ToScheduler) {
     match message {
         ToScheduler::Place(placement) => handle_place(gateway, client, *placement),
-        ToScheduler::Started { ticket } => {
+        ToScheduler::Started { ticket, notice } => {
             let key = RequestKey { client, ticket };
-            with_schedulers(gateway, |_, scheduler, now| scheduler.handle_started(key, now));
+            with_schedulers(gateway, |_, scheduler, now| {
+                scheduler.handle_notice(key, notice);
+                scheduler.handle_started(key, now);
+            });
         }
-        ToScheduler::Ended { ticket, result, is_unconfirmed } => {
+        ToScheduler::Ended { ticket, result, is_unconfirmed, notice } => {
             let key = RequestKey { client, ticket };
-            with_schedulers(gateway, |_, scheduler, now| match is_unconfirmed {
-                true => scheduler.handle_unconfirmed_answer(key, now),
-                false => scheduler.handle_ended(key, result, now),
+            with_schedulers(gateway, |_, scheduler, now| {
+                scheduler.handle_notice(key, notice);
+                match is_unconfirmed {
+                    true => scheduler.handle_unconfirmed_answer(key, now),
+                    false => scheduler.handle_ended(key, result, now),
+                }
             });
         }
     }
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 
 use orioleroute::hash;
-use orioleroute::ingress::Configuration;
 use orioleroute::ingress::attempt::Generation;
 use orioleroute::ingress::health::Outcome;
+use orioleroute::ingress::{Configuration, Notice};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Placement, Reason, RunResult, ToInstance, ToScheduler};
 use orioleroute::scheduler::overflow::{self, Load};
@@ -15,8 +15,8 @@
 
 use slog::debug;
 
-use super::link;
 use super::state::Gateway;
+use super::{link, sync};
 
 /// A request for a permit on a model engine.
 pub struct PermitRequest<'a> {
@@ -50,6 +50,8 @@
     pub entry_version: u64,
     /// The version of the adapter that the engine holds, if known.
     pub version: Option<u64>,
+    /// What the upstream says of itself in the head of its response.
+    notice: Notice,
 }
 
 /// Who granted a permit, which decides who is notified when it is released.
@@ -81,10 +83,20 @@
 }
 
 impl Permit {
+    /// Records what the upstream says of itself, from now on for this instance and with the next message for the
+    /// scheduler.
+    pub fn observe(&mut self, notice: Notice) {
+        self.notice = notice;
+        if notice.is_leaving {
+            sync::record_leave(&self.gateway, &self.upstream);
+        }
+    }
+
     /// Notifies the scheduler that the first event has arrived.
     pub fn send_started(&self) {
         if let Origin::Scheduled { scheduler, ticket } = &self.origin {
-            scheduler.send(&self.gateway, ToScheduler::Started { ticket: *ticket });
+            let started = ToScheduler::Started { ticket: *ticket, notice: self.notice };
+            scheduler.send(&self.gateway, started);
         }
     }
 
@@ -103,7 +115,8 @@
             Origin::Scheduled { scheduler, ticket } => {
                 scheduler.discard(&self.gateway, ticket);
                 let result = Some(result);
-                let ended = ToScheduler::Ended { ticket, result, is_unconfirmed };
+                let notice = self.notice;
+                let ended = ToScheduler::Ended { ticket, result, is_unconfirmed, notice };
                 scheduler.send(&self.gateway, ended);
             }
             Origin::Unscheduled { started_at } => {
@@ -192,6 +205,7 @@
         address: gateway.settings().peer_address,
         entry_version: 0,
         version: None,
+        notice: Notice::default(),
     };
     let mut replies = scheduler.expect(gateway, ticket);
     let queued_at = gateway.now();
@@ -444,6 +458,7 @@
         address,
         entry_version,
         version: None,
+        notice: Notice::default(),
     }
 }
 
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -271,6 +271,13 @@
     }
 }
 
+/// Records that an upstream has said in an answer that it leaves.
+pub fn record_leave(gateway: &Rc<Gateway>, upstream: &str) {
+    let before = gateway.registry().standing(upstream);
+    gateway.registry().record_leave(upstream, gateway.now());
+    log_standing(gateway, upstream, before);
+}
+
 /// Removes the upstreams that are still missing some time after an outage.
 pub fn expire_upstreams(gateway: &Rc<Gateway>) {
     if gateway.registry().missing() == 0 {
--- a/crates/orioleroute/src/ingress/mod.rs
+++ b/crates/orioleroute/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 pub mod feed;
 pub mod health;
 pub mod isolation;
+pub mod notice;
 pub mod quarantine;
 pub mod registry;
 pub mod roster;
@@ -19,4 +20,5 @@
 
 pub use attempt::Attempt;
 pub use configuration::Configuration;
+pub use notice::Notice;
 pub use version::Version;
--- a/crates/orioleroute/src/ingress/registry.rs
+++ b/crates/orioleroute/src/ingress/registry.rs
@@ -31,23 +31,30 @@
     available_since: Option<Instant>,
     /// When the store was found to have come back from a copy.
     era_began: Option<Instant>,
-    /// The upstreams that were removed in this era, with their start times.
-    removed: Map<Arc<str>, (u64, Instant)>,
-    /// The upstreams that had left before the store came back from a copy.
+    /// The upstreams that were removed.
+    removed: Map<Arc<str>, Departed>,
+    /// The upstreams that are known to leave or to have left, although their entries may say that they are ready.
     departed: Map<Arc<str>, Departed>,
 }
 
-/// An upstream that had left before the store came back from a copy, in which it may be ready.
+/// An upstream that leaves or has left.
 #[derive(Clone, Copy, Debug)]
 struct Departed {
     started_ms: u64,
     /// Whether it was draining, and not only missing in the list.
     was_draining: bool,
-    /// The version of its first entry since then, which may be the one of the copy.
+    /// When that became known.
+    at: Instant,
+    /// The version of its first entry since then, which may be the one of a copy from which the store came back.
     first_version: Option<u64>,
 }
 
 impl Departed {
+    fn new(entry: &Description, now: Instant) -> Self {
+        let was_draining = entry.state == State::Draining;
+        Self { started_ms: entry.started_ms, was_draining, at: now, first_version: None }
+    }
+
     /// Returns whether an entry shows that the upstream is alive: it has been started again, or has written its entry
     /// again although it was not draining.
     fn is_refuted_by(&mut self, entry: &Description) -> bool {
@@ -59,8 +66,8 @@
     }
 }
 
-/// How long removed upstreams are remembered, in case the store comes back from a copy from before. Copies are some
-/// seconds old.
+/// How long upstreams that have left are remembered, in case the store comes back from a copy from before. Copies are
+/// some seconds old.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
 
 /// What an instance knows of an upstream.
@@ -117,7 +124,9 @@
     pub fn is_leaving(&self, id: &str, entry_version: u64) -> bool {
         match self.upstreams.get(id) {
             Some(upstream) => {
-                upstream.state == State::Draining && upstream.entry_version >= entry_version
+                let is_known = self.departed.contains_key(id);
+                upstream.state == State::Draining
+                    && (is_known || upstream.entry_version >= entry_version)
             }
             None => self.version >= entry_version,
         }
@@ -154,14 +163,17 @@
     /// in it, and entries of others may be missing.
     pub fn begin_era(&mut self, now: Instant) {
         self.era_began = Some(now);
-        let draining = self.upstreams.values().filter(|entry| entry.state == State::Draining);
-        let draining = draining.map(|entry| (entry.id.clone(), entry.started_ms, true));
-        let removed = self.removed.drain().filter(|(_, (_, at))| now.since(*at) < REMOVAL_MEMORY);
-        let removed = removed.map(|(id, (started_ms, _))| (id, started_ms, false));
-        let departed = removed.chain(draining).map(|(id, started_ms, was_draining)| {
-            (id, Departed { started_ms, was_draining, first_version: None })
-        });
-        self.departed = departed.collect();
+        self.departed = std::mem::take(&mut self.removed);
+        for entry in self.upstreams.values().filter(|entry| entry.state == State::Draining) {
+            self.departed.insert(entry.id.clone(), Departed::new(entry, now));
+        }
+    }
+
+    /// Records that an upstream has said itself that it leaves, whatever its entry says from now on.
+    pub fn record_leave(&mut self, id: &str, now: Instant) {
+        let Some(entry) = self.upstreams.get_mut(id) else { return };
+        entry.state = State::Draining;
+        self.departed.insert(entry.id.clone(), Departed::new(entry, now));
     }
 
     /// Records since when the store has been available to any instance, or `None` if it is not known to be.
@@ -253,9 +265,12 @@
 
     /// Removes an upstream, and remembers that it was removed.
     fn forget(&mut self, id: &Arc<str>, now: Instant) {
-        self.removed.retain(|_, (_, at)| now.since(*at) < REMOVAL_MEMORY);
+        let is_recent = |departed: &Departed| now.since(departed.at) < REMOVAL_MEMORY;
+        self.removed.retain(|_, departed| is_recent(departed));
+        let upstreams = &self.upstreams;
+        self.departed.retain(|id, departed| is_recent(departed) || upstreams.contains_key(id));
         if let Some(entry) = self.upstreams.remove(id) {
-            self.removed.insert(id.clone(), (entry.started_ms, now));
+            self.removed.insert(id.clone(), Departed::new(&entry, now));
         }
     }
 }
--- a/crates/orioleroute/src/scheduler/in_flight.rs
+++ b/crates/orioleroute/src/scheduler/in_flight.rs
@@ -5,9 +5,18 @@
 use super::runner::Certainty;
 use super::suspicion::Evidence;
 use super::{Client, RequestKey, Scheduler, orders};
+use crate::ingress::Notice;
 use crate::prelude::*;
 
 impl Scheduler {
+    /// Handles what the engine of a request says of itself.
+    pub fn handle_notice(&mut self, key: RequestKey, notice: Notice) {
+        let runner = self.granted.get(&key).and_then(|runner| self.runners.get_mut(*runner));
+        if let Some(runner) = runner {
+            runner.observe(notice);
+        }
+    }
+
     /// Handles the first event of a request's response.
     pub fn handle_started(&mut self, key: RequestKey, now: Instant) {
         if let Some(runner) =
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::ingress::Notice;
 use crate::ingress::attempt::Part;
 use crate::ingress::health::Outcome;
 use crate::prelude::*;
@@ -16,6 +17,9 @@
     Started {
         /// The ticket of the request.
         ticket: u64,
+        /// What the engine says of itself in the head of the response.
+        #[serde(default, skip_serializing_if = "Notice::is_empty")]
+        notice: Notice,
     },
     /// The request has ended at the engine, or no longer needs a grant.
     Ended {
@@ -26,6 +30,9 @@
         /// Whether the engine answered, and the answer may be incomplete although nothing shows it.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         is_unconfirmed: bool,
+        /// What the engine says of itself in the head of its answer.
+        #[serde(default, skip_serializing_if = "Notice::is_empty")]
+        notice: Notice,
     },
 }
 
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -5,6 +5,7 @@
 use super::RequestKey;
 use super::order::Report;
 use super::popularity::Popularity;
+use crate::ingress::Notice;
 use crate::ingress::health::Health;
 use crate::ingress::upstream::{Description, State};
 use crate::prelude::*;
@@ -39,6 +40,8 @@
     pub entry_version: u64,
     /// The newest version of the list from which an instance knew that the engine was leaving.
     departed_at: Option<u64>,
+    /// Whether the engine has said in an answer that it leaves.
+    has_announced_leave: bool,
     /// The number of requests that it runs concurrently.
     pub slots: usize,
     /// The state of its base model.
@@ -191,6 +194,7 @@
             is_draining: description.state == State::Draining,
             entry_version: description.entry_version,
             departed_at: None,
+            has_announced_leave: false,
             slots: description.slots,
             base_model: BaseModel::Absent,
             adapter_slots: Map::default(),
@@ -214,7 +218,14 @@
     pub fn apply_entry(&mut self, description: &Description) {
         self.entry_version = description.entry_version;
         let has_departed = self.departed_at.is_some_and(|version| version >= self.entry_version);
-        self.is_draining = description.state == State::Draining || has_departed;
+        let is_draining = description.state == State::Draining;
+        self.is_draining = is_draining || has_departed || self.has_announced_leave;
+    }
+
+    /// Records what the engine says of itself. It holds until the engine starts again.
+    pub fn observe(&mut self, notice: Notice) {
+        self.has_announced_leave |= notice.is_leaving;
+        self.is_draining |= notice.is_leaving;
     }
 
     /// Records that an instance knows from a version of the list that the engine is leaving. This holds
