Give an instance that starts what its siblings have in force

Cause: running instances order configurations by their own versions and stay at the newer one, but nothing passed it on, because feeds carry rows of the store only. Now a follower is also sent the rows that are in force at its source and are not in the table any more, and an instance follows others for its first three seconds even if it is a reader.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -230,6 +230,23 @@
         }
     }
 
+    /// Sends the followers what is in force here and is not in the operator's table.
+    pub fn publish_in_force(&self, gateway: &Gateway) {
+        if let Some(message) = self.in_force(gateway) {
+            self.followers.borrow().values().for_each(|follower| send(follower, &message));
+        }
+    }
+
+    /// Returns the message about what is in force here and is not in the operator's table, if there is such.
+    fn in_force(&self, gateway: &Gateway) -> Option<Rc<str>> {
+        let mut records = gateway.in_force();
+        records.retain(|record| {
+            let row = self.row(Table::Operator, &record.key);
+            row.and_then(|row| row.value).is_none_or(|value| value != record.value)
+        });
+        (!records.is_empty()).then(|| line(&Message::InForce(records)).into())
+    }
+
     /// Sends a new follower what it lacks.
     fn send_initial(&self, follower: &Follower, subscription: &Subscription) {
         if !self.is_reader.get() || !self.failing.borrow().is_empty() {
@@ -263,7 +280,8 @@
             }
             metrics::gauge!("orioleroute_feed_reader").set(f64::from(u8::from(is_reader)));
         }
-        let follows = !is_reader || !feed.failing.borrow().is_empty();
+        let has_caught_up = now >= Instant::ZERO + feed::CATCH_UP_TIME;
+        let follows = !is_reader || !has_caught_up || !feed.failing.borrow().is_empty();
         let wanted = match follows {
             true => gateway.roster().sources(SOURCES, now),
             false => Vec::new(),
@@ -361,6 +379,9 @@
                     gateway.feed.sources.borrow_mut().record_update(&reader.name, gateway.now());
                     sync::apply(gateway, update.table, changes);
                 }
+                Ok(Message::InForce(records)) => {
+                    records.iter().for_each(|record| sync::apply_operator_record(gateway, record));
+                }
                 Ok(Message::Lost) => {
                     gateway.feed.sources.borrow_mut().record_loss(&reader.name, gateway.now());
                     sync::observe_loss(gateway);
@@ -383,6 +404,9 @@
     let feed = &gateway.feed;
     let (queue, mut messages) = mpsc::unbounded::channel();
     let follower = Follower { zone: subscription.zone.clone(), queue };
+    if let Some(message) = feed.in_force(&gateway) {
+        send(&follower, &message);
+    }
     feed.send_initial(&follower, &subscription);
     let id = feed.next_follower.get();
     feed.next_follower.set(id + 1);
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use orioleroute::hash::Map;
 use orioleroute::ingress::Configuration;
 use orioleroute::ingress::deadline::DeadlineTracker;
+use orioleroute::ingress::feed::Record;
 use orioleroute::ingress::health::Health;
 use orioleroute::ingress::registry::Registry;
 use orioleroute::ingress::roster::{Member, Roster};
@@ -64,6 +65,8 @@
     started: StdInstant,
     incarnation: u64,
     configuration: RefCell<Option<Arc<Configuration>>>,
+    /// The rows of the operator's table by which this instance acts.
+    in_force: RefCell<Map<Arc<str>, Arc<str>>>,
     registry: RefCell<Registry>,
     roster: RefCell<Roster>,
     health: RefCell<Map<Arc<str>, Health>>,
@@ -102,6 +105,7 @@
             started: StdInstant::now(),
             incarnation,
             configuration: RefCell::default(),
+            in_force: RefCell::default(),
             registry: RefCell::default(),
             roster: RefCell::new(Roster::new(own)),
             health: RefCell::default(),
@@ -135,11 +139,26 @@
         self.configuration.borrow().clone()
     }
 
-    /// Activates a configuration unless the active one is at least as new.
-    pub fn configure(&self, configuration: Configuration) {
+    /// Returns the rows of the operator's table by which this instance acts.
+    pub fn in_force(&self) -> Vec<Record> {
+        let in_force = self.in_force.borrow();
+        let record = |(key, value): (&Arc<str>, &Arc<str>)| Record {
+            key: key.clone(),
+            value: value.clone(),
+        };
+        in_force.iter().map(record).collect()
+    }
+
+    /// Records that this instance acts by a row of the operator's table.
+    pub fn set_in_force(&self, record: &Record) {
+        self.in_force.borrow_mut().insert(record.key.clone(), record.value.clone());
+    }
+
+    /// Activates a configuration unless the active one is at least as new, and returns whether it did.
+    pub fn configure(&self, configuration: Configuration) -> bool {
         let previous = self.configuration.borrow().as_ref().map(|previous| previous.version);
         if previous.is_some_and(|previous| previous >= configuration.version) {
-            return;
+            return false;
         }
         info!(self.log, "configuration in force"; "version" => configuration.version,
             "before" => previous, "routes" => configuration.route_count());
@@ -147,6 +166,7 @@
         *self.configuration.borrow_mut() = Some(configuration.clone());
         self.leadership.configure(&configuration);
         self.update_serving();
+        true
     }
 
     /// Returns the registry of upstreams.
@@ -169,19 +189,21 @@
         self.adapter_versions.borrow().get(&(model.clone(), adapter.clone())).copied()
     }
 
-    /// Records the announcement of an adapter version if it is the newest, and passes it to the
-    /// schedulers.
-    pub fn record_announcement(&self, announcement: &Announcement) {
+    /// Records the announcement of an adapter version if it is the newest, passes it to the schedulers, and returns
+    /// whether it is.
+    pub fn record_announcement(&self, announcement: &Announcement) -> bool {
         let key = (announcement.model.clone(), announcement.revision.name.clone());
         let mut versions = self.adapter_versions.borrow_mut();
         let newest = versions.entry(key).or_default();
-        if *newest < announcement.revision.version {
+        let is_newest = *newest < announcement.revision.version;
+        if is_newest {
             *newest = announcement.revision.version;
             info!(self.log, "adapter version announced"; "model" => &*announcement.model,
                 "adapter" => &*announcement.revision.name, "version" => *newest);
         }
         drop(versions);
         self.leadership.record_announcement(announcement);
+        is_newest
     }
 
     /// Returns the newest announced version of each adapter.
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use orioleroute::ingress::Version;
-use orioleroute::ingress::feed::{self, Table};
+use orioleroute::ingress::feed::{self, Record, Table};
 use orioleroute::ingress::registry::{Change, Standing};
 use orioleroute::ingress::roster::Member;
 use orioleroute::ingress::upstream::Description;
@@ -167,7 +167,10 @@
         return;
     }
     match table {
-        Table::Operator => rows.iter().for_each(|row| apply_operator_row(gateway, row)),
+        Table::Operator => {
+            rows.iter().for_each(|row| apply_operator_row(gateway, row));
+            gateway.feed.publish_in_force(gateway);
+        }
         Table::Upstreams => apply_upstreams(gateway, &rows, extent),
         Table::Cluster => {
             rows.iter().for_each(|row| apply_cluster_row(gateway, row, extent));
@@ -213,14 +216,26 @@
 }
 
 fn apply_operator_row(gateway: &Rc<Gateway>, row: &feed::Row) {
-    let Some(value) = &row.value else { return };
-    match records::operator_record(&row.key, value.as_bytes()) {
+    if let Some(value) = &row.value {
+        apply_operator_record(gateway, &Record { key: row.key.clone(), value: value.clone() });
+    }
+}
+
+/// Acts by what the operator has written, unless something newer is in force.
+pub fn apply_operator_record(gateway: &Rc<Gateway>, record: &Record) {
+    let is_in_force = match records::operator_record(&record.key, record.value.as_bytes()) {
         Ok(OperatorRecord::Configuration(configuration)) => gateway.configure(*configuration),
         Ok(OperatorRecord::Announcement(announcement)) => {
             gateway.record_announcement(&announcement)
         }
-        Ok(OperatorRecord::Other) => {}
-        Err(error) => warn!(gateway.log, "malformed row"; "error" => error.to_string()),
+        Ok(OperatorRecord::Other) => false,
+        Err(error) => {
+            warn!(gateway.log, "malformed row"; "error" => error.to_string());
+            false
+        }
+    };
+    if is_in_force {
+        gateway.set_in_force(record);
     }
 }
 
--- a/crates/orioleroute/src/ingress/feed.rs
+++ b/crates/orioleroute/src/ingress/feed.rs
@@ -36,6 +36,10 @@
 /// intervals and a margin. Until then it is no reader, or all instances that start together would be.
 pub const ELECTION_TIME: Duration = Duration::from_millis(1_000);
 
+/// How long after its start an instance follows others although it is a reader, to learn what is in force there: two
+/// heartbeats for each side to know the other, and a connection.
+pub const CATCH_UP_TIME: Duration = Duration::from_millis(3_000);
+
 /// How long an instance that is no reader waits before it calls a store again that has failed `failures`
 /// calls in a row, without jitter. A reader that regains the store serves it anyway; a call of its own
 /// is needed only if all readers are cut off, and has to be within the 4 s after which an instance
@@ -112,10 +116,22 @@
 pub enum Message {
     /// Changes to a table, possibly none, which shows that the reader's data is current.
     Update(Update),
+    /// Rows of the operator's table that are in force at the sender although its table has older ones: another
+    /// writer or a copy of the store brought those back.
+    InForce(Vec<Record>),
     /// The reader has lost the store, so its data is no longer current.
     Lost,
 }
 
+/// A row of the operator's table without its version in the store; its content has one of its own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The key.
+    pub key: Arc<str>,
+    /// The value.
+    pub value: Arc<str>,
+}
+
 /// A message from a follower to a reader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "method", content = "params", rename_all = "snake_case")]
