Keep to the limits that upstreams name

An instance now decodes Server-Limit and reports it to the engine's scheduler, which grants at that rate: the most urgent request first, others at other engines, and what cannot be on time is refused at once. A scheduler that does not know the limit yet is told instead of its grant being used. Where no scheduler sees all requests, each instance keeps a share, and takes turns where the instances are many for the limit, because equal rates let all send at once after a pause.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -250,7 +250,10 @@
                 };
                 placement::acquire(self.gateway, &request).await
             }
-            _ => placement::acquire_plain(self.gateway, &self.service, &excluded),
+            _ => {
+                let attempt = self.attempt.id.as_ref();
+                placement::acquire_plain(self.gateway, &self.service, &excluded, attempt)
+            }
         }
     }
 
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -244,6 +244,7 @@
             let registry = gateway.registry();
             let is_listed = |id: &str| registry.get(id).is_some();
             gateway.connections.prune(is_listed, now);
+            gateway.limits.prune(is_listed);
             gateway.health().retain(|id, health| is_listed(id) || health.outstanding() > 0);
         }
         let next =
@@ -329,14 +330,14 @@
         ToScheduler::Started { ticket, notice } => {
             let key = RequestKey { client, ticket };
             with_schedulers(gateway, |_, scheduler, now| {
-                scheduler.handle_notice(key, notice);
+                scheduler.handle_notice(key, notice, now);
                 scheduler.handle_started(key, now);
             });
         }
         ToScheduler::Ended { ticket, result, is_unconfirmed, notice } => {
             let key = RequestKey { client, ticket };
             with_schedulers(gateway, |_, scheduler, now| {
-                scheduler.handle_notice(key, notice);
+                scheduler.handle_notice(key, notice, now);
                 match is_unconfirmed {
                     true => scheduler.handle_unconfirmed_answer(key, now),
                     false => scheduler.handle_ended(key, result, now),
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod heartbeat;
 mod leadership;
+mod limits;
 mod link;
 mod orders;
 mod placement;
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -1,12 +1,15 @@
 //! Permits to run requests on upstreams, granted by the schedulers of the availability zones or, for
 //! plain services and as a fallback, chosen by this instance.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use orioleroute::hash;
 use orioleroute::ingress::attempt::Generation;
 use orioleroute::ingress::health::Outcome;
+use orioleroute::ingress::notice::Limit;
+use orioleroute::ingress::upstream::Description;
 use orioleroute::ingress::{Configuration, Notice};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Placement, Reason, RunResult, ToInstance, ToScheduler};
@@ -50,8 +53,10 @@
     pub entry_version: u64,
     /// The version of the adapter that the engine holds, if known.
     pub version: Option<u64>,
-    /// What the upstream says of itself in the head of its response.
-    notice: Notice,
+    /// Whether the scheduler knows that the upstream has named a limit.
+    is_limited: bool,
+    /// What the upstream says of itself in the head of its response, and when that arrived, until the scheduler is told.
+    notice: Cell<Option<(Notice, Instant)>>,
 }
 
 /// Who granted a permit, which decides who is notified when it is released.
@@ -86,16 +91,32 @@
     /// Records what the upstream says of itself, from now on for this instance and with the next message for the
     /// scheduler.
     pub fn observe(&mut self, notice: Notice) {
-        self.notice = notice;
+        let limits = &self.gateway.limits;
+        let is_limited = self.is_limited || limits.notice(&self.gateway, &self.upstream).is_some();
+        // That there is no limit is news only where one is known.
+        let limit = notice.limit.filter(|limit| is_limited || *limit != Limit::Unlimited);
+        if let Some(limit) = limit {
+            limits.observe(&self.gateway, &self.upstream, limit);
+        }
+        let notice = Notice { limit, ..notice };
+        self.notice.set((!notice.is_empty()).then(|| (notice, self.gateway.now())));
         if notice.is_leaving {
             sync::record_leave(&self.gateway, &self.upstream);
         }
     }
 
+    /// Takes what the scheduler is to be told of the upstream.
+    fn take_notice(&self) -> Notice {
+        let Some((notice, at)) = self.notice.take() else { return Notice::default() };
+        let age_ms = self.gateway.now().since(at).as_millis() as u64;
+        Notice { age_ms, ..notice }
+    }
+
     /// Notifies the scheduler that the first event has arrived.
     pub fn send_started(&self) {
         if let Origin::Scheduled { scheduler, ticket } = &self.origin {
-            let started = ToScheduler::Started { ticket: *ticket, notice: self.notice };
+            let notice = self.take_notice();
+            let started = ToScheduler::Started { ticket: *ticket, notice };
             scheduler.send(&self.gateway, started);
         }
     }
@@ -105,6 +126,18 @@
         self.release(result, false);
     }
 
+    /// Releases the permit of a request that was not sent, and tells the scheduler what is known of the upstream.
+    fn end_unsent(mut self, notice: Notice) {
+        if let Origin::Scheduled { scheduler, ticket } =
+            std::mem::replace(&mut self.origin, Origin::Released)
+        {
+            scheduler.discard(&self.gateway, ticket);
+            let (result, is_unconfirmed) = (None, false);
+            let ended = ToScheduler::Ended { ticket, result, is_unconfirmed, notice };
+            scheduler.send(&self.gateway, ended);
+        }
+    }
+
     /// Releases the permit after an answer that may be incomplete although nothing shows it.
     pub fn end_unconfirmed(mut self) {
         self.release(RunResult::Answered, true);
@@ -115,7 +148,7 @@
             Origin::Scheduled { scheduler, ticket } => {
                 scheduler.discard(&self.gateway, ticket);
                 let result = Some(result);
-                let notice = self.notice;
+                let notice = self.take_notice();
                 let ended = ToScheduler::Ended { ticket, result, is_unconfirmed, notice };
                 scheduler.send(&self.gateway, ended);
             }
@@ -149,7 +182,7 @@
     let diverted = diverted_zone(gateway, request, &own, &home);
     let (mut search, mut ask) = Search::begin(own.clone(), home, diverted);
     let refusal = loop {
-        let refusal = match request_permit(gateway, &ask.zone, request, ask.may_fetch).await {
+        let refusal = match request_known_permit(gateway, &ask.zone, request, ask.may_fetch).await {
             Ok(permit) => return Ok(permit),
             Err(refusal) => refusal,
         };
@@ -182,6 +215,21 @@
 /// the time until a new scheduler is elected.
 const UNSCHEDULED_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Requests a permit from the scheduler of a zone, and once more if that does not know of a limit that the engine has
+/// named to this instance, as one that has just begun. It is told, and the permit is not used.
+async fn request_known_permit(
+    gateway: &Rc<Gateway>,
+    zone: &Arc<str>,
+    request: &PermitRequest<'_>,
+    may_fetch: bool,
+) -> Result<Permit, Refusal> {
+    let permit = request_permit(gateway, zone, request, may_fetch).await?;
+    let limit = gateway.limits.notice(gateway, &permit.upstream).filter(|_| !permit.is_limited);
+    let Some(notice) = limit else { return Ok(permit) };
+    permit.end_unsent(notice);
+    request_permit(gateway, zone, request, may_fetch).await
+}
+
 async fn request_permit(
     gateway: &Rc<Gateway>,
     zone: &Arc<str>,
@@ -205,7 +253,8 @@
         address: gateway.settings().peer_address,
         entry_version: 0,
         version: None,
-        notice: Notice::default(),
+        is_limited: false,
+        notice: Cell::default(),
     };
     let mut replies = scheduler.expect(gateway, ticket);
     let queued_at = gateway.now();
@@ -220,6 +269,7 @@
                 permit.address = grant.address;
                 permit.entry_version = grant.entry_version;
                 permit.version = grant.version;
+                permit.is_limited = grant.is_limited;
                 return Ok(permit);
             }
             Ok(Some(ToInstance::Refuse { retry_after_ms, reason, .. })) => {
@@ -382,6 +432,7 @@
             && upstream.has_model(&generation.model)
             && !request.excluded.contains(&upstream.id)
             && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
+            && gateway.limits.delay(upstream, now).is_zero()
     });
     let costs = candidates.map(|upstream| {
         let health = health.get(&upstream.id).cloned().unwrap_or_default();
@@ -397,35 +448,52 @@
     Some(permit)
 }
 
-/// Returns a permit on the upstream of a plain service with the least expected cost.
+/// Returns a permit on the upstream of a plain service with the least expected cost, among those whose limits allow a
+/// request.
 pub fn acquire_plain(
     gateway: &Rc<Gateway>,
     service: &str,
     excluded: &[Arc<str>],
+    attempt: Option<&Arc<str>>,
 ) -> Result<Permit, Refusal> {
     let now = gateway.now();
-    let best = {
+    let (best, soonest) = {
         let registry = gateway.registry();
         let health = gateway.health();
-        let costs = registry
-            .ready(service)
-            .filter(|upstream| {
-                !excluded.contains(&upstream.id)
-                    && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
-            })
-            .map(|upstream| {
-                let extra_latency = extra_latency(gateway, &upstream.zone);
-                let health = health.get(&upstream.id).cloned().unwrap_or_default();
-                (health.cost(upstream.slots, extra_latency), upstream)
-            });
+        let usable = registry.ready(service).filter(|upstream| {
+            !excluded.contains(&upstream.id)
+                && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
+        });
+        let delayed: Vec<(Duration, &Description)> =
+            usable.map(|upstream| (gateway.limits.delay(upstream, now), upstream)).collect();
+        let allowed = delayed.iter().filter(|(delay, _)| delay.is_zero());
+        let costs = allowed.map(|(_, upstream)| {
+            let extra_latency = extra_latency(gateway, &upstream.zone);
+            let health = health.get(&upstream.id).cloned().unwrap_or_default();
+            (health.cost(upstream.slots, extra_latency), upstream)
+        });
         let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
-        best.map(|(_, upstream)| (upstream.id.clone(), upstream.address))
+        let best = best.map(|(_, upstream)| (upstream.id.clone(), upstream.address));
+        (best, delayed.iter().map(|(delay, _)| *delay).min())
+    };
+    let refusal = match soonest {
+        Some(delay) => Refusal::new(Reason::Overloaded, spread(delay, attempt)),
+        None => Refusal::new(Reason::NoEngine, NO_UPSTREAM_RETRY_AFTER),
     };
-    let refusal = Refusal::new(Reason::NoEngine, NO_UPSTREAM_RETRY_AFTER);
     let (upstream, address) = best.ok_or(refusal)?;
     Ok(unscheduled_permit(gateway, upstream, address))
 }
 
+/// Returns the retry-after time of a request that limits leave no place for: different for each, so that clients do not
+/// come back together for the next place.
+fn spread(delay: Duration, attempt: Option<&Arc<str>>) -> Duration {
+    let jitter = hash::digest(&attempt) as f64 / u64::MAX as f64;
+    delay.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter)
+}
+
+/// The least time after which a client is told to come back to limited upstreams.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// The retry-after time if a service has no usable upstream: about the length of an ejection.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -449,6 +517,7 @@
 
 fn unscheduled_permit(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Permit {
     gateway.health().entry(upstream.clone()).or_default().begin();
+    gateway.limits.take(gateway, &upstream);
     let entry_version = gateway.registry().version();
     let started_at = gateway.now();
     Permit {
@@ -458,7 +527,8 @@
         address,
         entry_version,
         version: None,
-        notice: Notice::default(),
+        is_limited: false,
+        notice: Cell::default(),
     }
 }
 
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use super::exchange::Connections;
 use super::feed::Feed;
 use super::leadership::Leadership;
+use super::limits::Limits;
 use super::link::Links;
 use super::quarantine;
 use super::settings::{Outcome, Settings};
@@ -53,6 +54,8 @@
     pub pool: Pool,
     /// Connections to upstreams, for requests.
     pub connections: Connections,
+    /// The limits that upstreams have named.
+    pub limits: Limits,
     /// Connections to schedulers and from other instances.
     pub links: Links,
     /// The tables of the store, and their feeds between instances.
@@ -97,6 +100,7 @@
             store: Store::new(settings.store_address),
             pool: Pool::resetting(),
             connections: Connections::default(),
+            limits: Limits::default(),
             links: Links::default(),
             feed: Feed::default(),
             suspects: quarantine::Shared::default(),
--- a/crates/orioleroute/src/scheduler/dispatch.rs
+++ b/crates/orioleroute/src/scheduler/dispatch.rs
@@ -13,12 +13,14 @@
     pub(super) fn count_queues(&mut self, rank: Option<queue::Rank>, now: Instant) {
         for runner in self.runners.values_mut() {
             runner.queued_tokens = 0;
+            runner.queued_requests = 0;
         }
         for waiting in &self.waiting {
             let is_ahead = rank.is_none_or(|rank| queue::Rank::of(&waiting.request, now) <= rank);
             let target = waiting.target.and_then(|target| self.runners.get_mut(target));
             if let (true, Some(runner)) = (is_ahead, target) {
                 runner.queued_tokens += u64::from(runner.uncached_tokens(&waiting.request));
+                runner.queued_requests += 1;
             }
         }
     }
@@ -36,6 +38,7 @@
             }
             if let Some(runner) = item.target.and_then(|target| self.runners.get_mut(target)) {
                 runner.queued_tokens += u64::from(runner.uncached_tokens(&item.request));
+                runner.queued_requests += 1;
             }
             self.waiting.push(item);
         }
@@ -117,7 +120,10 @@
         let slot =
             item.request.adapter.as_ref().and_then(|adapter| runner.adapter_slots.get(adapter));
         let is_present = slot.is_some_and(|slot| slot.state == SlotState::Present);
+        // What the limit holds back may run at another engine.
+        let is_held_back = is_present && !runner.allows_request(now);
         let is_lost = runner.is_draining
+            || is_held_back
             || runner.health.is_ejected(now)
             || runner.is_unresponsive && !is_present
             || slot.is_none_or(|slot| !placement::is_current(slot, &item.request));
@@ -177,6 +183,7 @@
             address: runner.address,
             entry_version: runner.entry_version,
             version,
+            is_limited: runner.is_limited(),
         };
         let upstream = Some(runner.id.clone());
         self.granted.insert(item.key, key);
--- a/crates/orioleroute/src/scheduler/in_flight.rs
+++ b/crates/orioleroute/src/scheduler/in_flight.rs
@@ -10,10 +10,10 @@
 
 impl Scheduler {
     /// Handles what the engine of a request says of itself.
-    pub fn handle_notice(&mut self, key: RequestKey, notice: Notice) {
+    pub fn handle_notice(&mut self, key: RequestKey, notice: Notice, now: Instant) {
         let runner = self.granted.get(&key).and_then(|runner| self.runners.get_mut(*runner));
         if let Some(runner) = runner {
-            runner.observe(notice);
+            runner.observe(notice, now);
         }
     }
 
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -108,6 +108,9 @@
     pub entry_version: u64,
     /// The version of the adapter that the engine holds, if known.
     pub version: Option<u64>,
+    /// Whether the scheduler knows that the engine has named a limit.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_limited: bool,
 }
 
 /// How a request ended at its engine.
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -44,7 +44,7 @@
 use copies::EngineCopies;
 use message::{Placement, Reason, ToInstance};
 use order::{Action, Order, Outcome, Report};
-use placement::{Candidate, Step};
+use placement::{Candidate, Obstacle, Step};
 use popularity::Popularity;
 use runner::{BaseModel, Certainty, Runner, SlotState};
 use suspects::Suspects;
@@ -226,7 +226,8 @@
         if !may_fetch && candidate.step.is_fetch() && !self.is_popular(&request, now) {
             return self.refuse(key, &request, Reason::NotHere, Duration::ZERO, now);
         }
-        let queue = self.runners[candidate.runner].queueing_delay();
+        let runner = &self.runners[candidate.runner];
+        let queue = runner.queueing_delay().max(runner.pace_delay(now));
         let forecast = Forecast { step: candidate.step, start: candidate.start, queue };
         match admission::admit(&request, forecast.step, forecast.start, queue, now) {
             Ok(()) => {
@@ -245,8 +246,11 @@
                 }
             }
             Err(refusal) => {
-                self.log_decision(&request, refusal.reason.into(), None, forecast, now);
-                self.send_refusal(key, refusal.reason, refusal.retry_after);
+                // Another zone may run in time what a limit does not allow here.
+                let is_limited = candidate.step == Step::Queue(Obstacle::Limited);
+                let reason = if is_limited { Reason::Overloaded } else { refusal.reason };
+                self.log_decision(&request, reason.into(), None, forecast, now);
+                self.send_refusal(key, reason, refusal.retry_after);
             }
         }
     }
--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -80,6 +80,8 @@
     Unsettled,
     /// It holds an older version of the adapter that is still in use.
     OldVersion,
+    /// It has named a limit, which allows no request now.
+    Limited,
 }
 
 impl Step {
@@ -165,10 +167,13 @@
     let backlog = runner.backlog();
     let (mut step, load, load_penalty) = adapter_step(runner, engine, request, cold, now);
     let own_prefill = runner.prefill_time(u64::from(runner.uncached_tokens(request)));
-    let start = runner.queueing_delay().max(load) + own_prefill;
+    let pace_delay = runner.pace_delay(now);
+    let start = runner.queueing_delay().max(load).max(pace_delay) + own_prefill;
     // A load can start before the backlog is short enough for a grant if it ends no sooner than that.
     let is_ahead = matches!(step, Step::Load { .. }) && backlog <= MAX_ENGINE_BACKLOG + load;
-    if backlog > MAX_ENGINE_BACKLOG && !is_ahead {
+    if !pace_delay.is_zero() {
+        step = Step::Queue(Obstacle::Limited);
+    } else if backlog > MAX_ENGINE_BACKLOG && !is_ahead {
         step = Step::Queue(Obstacle::Prompts);
     } else if !has_capacity(runner, engine, request) {
         step = Step::Queue(Obstacle::Full);
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -7,6 +7,8 @@
 use super::popularity::Popularity;
 use crate::ingress::Notice;
 use crate::ingress::health::Health;
+use crate::ingress::notice::Limit;
+use crate::ingress::pace::Pace;
 use crate::ingress::upstream::{Description, State};
 use crate::prelude::*;
 
@@ -42,6 +44,10 @@
     departed_at: Option<u64>,
     /// Whether the engine has said in an answer that it leaves.
     has_announced_leave: bool,
+    /// The pace of the limit that it names, if it does.
+    pace: Option<Pace>,
+    /// When the last answer arrived that named a limit, or none any more.
+    limit_stated: Option<Instant>,
     /// The number of requests that it runs concurrently.
     pub slots: usize,
     /// The state of its base model.
@@ -60,6 +66,8 @@
     pub is_unresponsive: bool,
     /// The prompt tokens of the requests that wait for this engine at the scheduler.
     pub queued_tokens: u64,
+    /// The number of requests that wait for this engine at the scheduler.
+    pub queued_requests: u32,
     /// Adapters of which an older version has to be unloaded before the newer one is loaded.
     pub outdated: Vec<Arc<str>>,
     /// The adapters of which the engine has a copy, the most recent one last.
@@ -195,6 +203,8 @@
             entry_version: description.entry_version,
             departed_at: None,
             has_announced_leave: false,
+            pace: None,
+            limit_stated: None,
             slots: description.slots,
             base_model: BaseModel::Absent,
             adapter_slots: Map::default(),
@@ -204,6 +214,7 @@
             certainty: Certainty::ReportDue(now),
             is_unresponsive: false,
             queued_tokens: 0,
+            queued_requests: 0,
             outdated: Vec::new(),
             recent: Vec::new(),
             parts: Map::default(),
@@ -222,10 +233,37 @@
         self.is_draining = is_draining || has_departed || self.has_announced_leave;
     }
 
-    /// Records what the engine says of itself. It holds until the engine starts again.
-    pub fn observe(&mut self, notice: Notice) {
+    /// Records what the engine says of itself. It holds until the engine starts again or says otherwise.
+    pub fn observe(&mut self, notice: Notice, now: Instant) {
         self.has_announced_leave |= notice.is_leaving;
         self.is_draining |= notice.is_leaving;
+        let at = now - Duration::from_millis(notice.age_ms);
+        let Some(limit) = notice.limit.filter(|limit| limit.replaces(self.limit_stated, at)) else {
+            return;
+        };
+        self.limit_stated = Some(at);
+        match limit {
+            Limit::Unlimited => self.pace = None,
+            Limit::PerSecond(rate) => {
+                let pace = Pace::new(rate, 0.0, now);
+                self.pace.get_or_insert(pace).adopt(pace);
+            }
+        }
+    }
+
+    /// Returns whether the engine has named a limit.
+    pub fn is_limited(&self) -> bool {
+        self.pace.is_some()
+    }
+
+    /// Returns the time until the engine's limit allows another request after those that wait for it.
+    pub fn pace_delay(&self, now: Instant) -> Duration {
+        self.pace.map_or(Duration::ZERO, |pace| pace.delay(self.queued_requests, now))
+    }
+
+    /// Returns whether the engine's limit allows a request now.
+    pub fn allows_request(&self, now: Instant) -> bool {
+        self.pace.is_none_or(|pace| pace.delay(0, now).is_zero())
     }
 
     /// Records that an instance knows from a version of the list that the engine is leaving. This holds
@@ -369,6 +407,9 @@
         };
         self.parts.extend(request.parts.iter().map(|part| (part.key, now)));
         self.evict_old_parts();
+        if let Some(pace) = &mut self.pace {
+            pace.take(now);
+        }
         self.in_flight.insert(key, entry);
         self.health.begin();
     }
--- a/crates/orioleroute/src/scheduler/succession.rs
+++ b/crates/orioleroute/src/scheduler/succession.rs
@@ -26,7 +26,10 @@
     /// Returns the load of the zone, which is called `zone` in messages.
     pub fn load(&self, zone: &Arc<str>, now: Instant) -> overflow::Load {
         let usable = self.runners.values().filter(|runner| {
-            !runner.is_draining && runner.model().is_some() && !runner.health.is_ejected(now)
+            !runner.is_draining
+                && runner.model().is_some()
+                && !runner.health.is_ejected(now)
+                && runner.allows_request(now)
         });
         let (mut engines, mut delay) = (0, Duration::ZERO);
         for runner in usable {
