Move leaders' rows and unscheduled permits to modules of their own

No change of behaviour, but the rows in force are looked up by key instead of searched, and compared before they are copied.

--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -9,7 +9,8 @@
 use orioleroute_platform::store::{Commit, Write};
 use slog::{debug, warn};
 
-use super::leadership::{self, ELECTION_INTERVAL, Leader, reconcile};
+use super::leaders::Leader;
+use super::leadership::{self, ELECTION_INTERVAL, reconcile};
 use super::state::Gateway;
 use super::sync::{CLUSTER_TABLE, LEADER_PREFIX};
 
@@ -79,7 +80,8 @@
     };
     for zone in zones {
         // Zones led by a previous incarnation of this instance need no discovery of other candidates.
-        let was_own = gateway.leadership.leader(&zone).is_some_and(|leader| leader.holder == own);
+        let was_own =
+            gateway.leadership.leaders.leader(&zone).is_some_and(|leader| leader.holder == own);
         if !is_discovery_over && !was_own {
             continue;
         }
@@ -128,9 +130,9 @@
 
 fn is_vacant(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> bool {
     let roster = gateway.roster();
-    match gateway.leadership.leader(zone) {
+    match gateway.leadership.leaders.leader(zone) {
         None => true,
-        _ if gateway.leadership.is_abandoned(zone, now) => true,
+        _ if gateway.leadership.leaders.is_abandoned(zone, now) => true,
         Some(leader) if leader.holder == roster.own().name => {
             leader.incarnation != roster.own().incarnation
         }
@@ -139,6 +141,7 @@
             let is_new = roster.is_remote(&leader.holder)
                 && gateway
                     .leadership
+                    .leaders
                     .known_since(zone)
                     .is_some_and(|since| now.since(since) < REMOTE_LEADER_GRACE);
             !is_new && !roster.is_alive(&leader.holder, now)
@@ -152,7 +155,7 @@
 fn takeover_delay(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> Duration {
     let roster = gateway.roster();
     let own = roster.own();
-    let leader = gateway.leadership.leader(zone);
+    let leader = gateway.leadership.leaders.leader(zone);
     if leader.as_ref().is_some_and(|leader| leader.holder == own.name) {
         return Duration::ZERO;
     }
@@ -180,7 +183,7 @@
 pub async fn take_over(gateway: Rc<Gateway>, zone: Arc<str>) {
     let own = gateway.roster().own().clone();
     let leader = Leader { holder: own.name, incarnation: own.incarnation };
-    let expected = gateway.leadership.row_version(&zone);
+    let expected = gateway.leadership.leaders.row_version(&zone);
     let silence = silence(&gateway, &zone);
     gateway.leadership.timers.silences.borrow_mut().insert(zone.clone(), silence);
     let write = Write {
@@ -193,7 +196,7 @@
     match gateway.store.commit(&[write]).await {
         Ok(Commit::Committed(version)) => {
             gateway.leadership.confirm(sent, gateway.now());
-            gateway.leadership.set_leader(&zone, leader, version, gateway.now());
+            gateway.leadership.leaders.set_leader(&zone, leader, version, gateway.now());
             reconcile(&gateway);
         }
         Ok(Commit::Conflict) => {
@@ -211,7 +214,7 @@
 fn silence(gateway: &Gateway, zone: &str) -> Duration {
     let now = gateway.now();
     let roster = gateway.roster();
-    match gateway.leadership.leader(zone) {
+    match gateway.leadership.leaders.leader(zone) {
         Some(leader) if leader.holder == roster.own().name => now.since(Instant::ZERO),
         Some(leader) => roster.silence(&leader.holder, now),
         None => Duration::ZERO,
@@ -229,7 +232,12 @@
                     let Some(zone) = row.key.strip_prefix(LEADER_PREFIX) else { continue };
                     let leader = row.value.as_deref().map(serde_json::from_slice::<Leader>);
                     if let Some(Ok(leader)) = leader {
-                        gateway.leadership.set_leader(zone, leader, row.version, gateway.now());
+                        gateway.leadership.leaders.set_leader(
+                            zone,
+                            leader,
+                            row.version,
+                            gateway.now(),
+                        );
                     }
                 }
                 return reconcile(&gateway);
@@ -257,7 +265,7 @@
     let write = Write { table: CLUSTER_TABLE, key, expected_version: Some(version), value: None };
     match gateway.store.commit(&[write]).await {
         Ok(Commit::Committed(version)) => {
-            gateway.leadership.clear_leader(&zone, version, gateway.now())
+            gateway.leadership.leaders.clear_leader(&zone, version, gateway.now())
         }
         Ok(Commit::Conflict) => {}
         Err(error) => {
--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -212,7 +212,7 @@
     /// Returns the row of a table with this key, if it has a value.
     pub fn row(&self, table: Table, key: &str) -> Option<Row> {
         let replicas = self.replicas.borrow();
-        replicas.get(&table)?.rows().find(|row| *row.key == *key).cloned()
+        replicas.get(&table)?.row(key).cloned()
     }
 
     fn publish(&self, update: &Update) {
@@ -239,10 +239,11 @@
 
     /// Returns the message about what is in force here and is not in the operator's table, if there is such.
     fn in_force(&self, gateway: &Gateway) -> Option<Rc<str>> {
-        let mut records = gateway.in_force();
-        records.retain(|record| {
-            let row = self.row(Table::Operator, &record.key);
-            row.and_then(|row| row.value).is_none_or(|value| value != record.value)
+        let replicas = self.replicas.borrow();
+        let table = replicas.get(&Table::Operator);
+        let records = gateway.in_force(|record| {
+            let row = table.and_then(|table| table.row(&record.key));
+            row.is_none_or(|row| row.value.as_ref() != Some(&record.value))
         });
         (!records.is_empty()).then(|| line(&Message::InForce(records)).into())
     }
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -24,6 +24,7 @@
 use super::response::Response;
 use super::startup;
 use super::state::Gateway;
+use super::unscheduled;
 
 /// The number of upstreams that may decline one request, or be unreachable, before it is refused.
 const MAX_DECLINES: u32 = 3;
@@ -252,7 +253,7 @@
             }
             _ => {
                 let attempt = self.attempt.id.as_ref();
-                placement::acquire_plain(self.gateway, &self.service, &excluded, attempt)
+                unscheduled::acquire_plain(self.gateway, &self.service, &excluded, attempt)
             }
         }
     }
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -20,6 +20,7 @@
 use orioleroute::scheduler::{Client, Decision, EngineCheck, Output, RequestKey, Scheduler};
 use slog::{info, warn};
 
+use super::leaders::Leaders;
 use super::state::Gateway;
 use super::{copies, election, link, orders, quarantine, sync};
 
@@ -35,19 +36,11 @@
 /// The client id of this instance at its own schedulers.
 pub const LOCAL_CLIENT: Client = Client(0);
 
-/// The instance that schedules an availability zone.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Leader {
-    /// The name of the instance.
-    pub holder: Arc<str>,
-    /// The incarnation of the instance, which distinguishes its restarts.
-    pub incarnation: u64,
-}
-
 /// The leaders as last read from the store, and the schedulers that run in this process.
 #[derive(Default)]
 pub struct Leadership {
-    leaders: RefCell<Map<Arc<str>, LeaderEntry>>,
+    /// What is known of the rows that name the leaders.
+    pub leaders: Leaders,
     schedulers: RefCell<Map<Arc<str>, Scheduler>>,
     /// The timers of the elections.
     pub timers: election::Timers,
@@ -57,20 +50,6 @@
     scheduling_since: Cell<Instant>,
 }
 
-#[derive(Clone, Debug)]
-struct LeaderEntry {
-    leader: Option<Leader>,
-    version: u64,
-    /// When this instance learned of it.
-    known_since: Instant,
-    /// Since when the row is missing because the store came back from a copy without it.
-    lost_since: Option<Instant>,
-}
-
-/// How long the holder of a zone has for writing its row again after the store came back from a copy without it: a
-/// call that is not answered and another one.
-const REWRITE_TIME: Duration = Duration::from_millis(2_000);
-
 impl Leadership {
     /// Passes a new configuration to the schedulers.
     pub fn configure(&self, configuration: &Arc<Configuration>) {
@@ -86,64 +65,6 @@
         }
     }
 
-    /// Sets the leader of a zone, unless the known version of its row is at least as new.
-    pub fn set_leader(&self, zone: &str, leader: Leader, version: u64, now: Instant) {
-        let leader = Some(leader);
-        let entry = LeaderEntry { leader, version, known_since: now, lost_since: None };
-        self.update_entry(zone, entry);
-    }
-
-    /// Records that the store came back from a copy that has no leader of a zone. The leader goes on, and writes its row
-    /// again.
-    pub fn mark_lost(&self, zone: &str, now: Instant) {
-        if let Some(entry) = self.leaders.borrow_mut().get_mut(zone) {
-            entry.lost_since.get_or_insert(now);
-        }
-    }
-
-    /// Returns whether the row of a zone's leader is missing since the store came back from a copy.
-    pub fn is_lost(&self, zone: &str) -> bool {
-        self.leaders.borrow().get(zone).is_some_and(|entry| entry.lost_since.is_some())
-    }
-
-    /// Returns whether the leader of a zone has not written its row again in time.
-    pub fn is_abandoned(&self, zone: &str, now: Instant) -> bool {
-        let leaders = self.leaders.borrow();
-        let lost_since = leaders.get(zone).and_then(|entry| entry.lost_since);
-        lost_since.is_some_and(|since| now.since(since) >= REWRITE_TIME)
-    }
-
-    /// Records that a zone has no leader, unless the known version of its row is at least as new.
-    pub fn clear_leader(&self, zone: &str, version: u64, now: Instant) {
-        let entry = LeaderEntry { leader: None, version, known_since: now, lost_since: None };
-        self.update_entry(zone, entry);
-    }
-
-    /// Returns when this instance learned of the leader of a zone, if it has one.
-    pub fn known_since(&self, zone: &str) -> Option<Instant> {
-        self.leaders.borrow().get(zone).map(|entry| entry.known_since)
-    }
-
-    /// Returns the leader of a zone, if it has one.
-    pub fn leader(&self, zone: &str) -> Option<Leader> {
-        self.leaders.borrow().get(zone)?.leader.clone()
-    }
-
-    /// Returns the zones that have a leader.
-    pub fn led_zones(&self) -> Vec<Arc<str>> {
-        let leaders = self.leaders.borrow();
-        let led = leaders.iter().filter(|(_, entry)| entry.leader.is_some());
-        led.map(|(zone, _)| zone.clone()).collect()
-    }
-
-    /// Returns the version at which the leader row of a zone can be overwritten, or 0 if it has none.
-    pub fn row_version(&self, zone: &str) -> u64 {
-        let leaders = self.leaders.borrow();
-        let entry =
-            leaders.get(zone).filter(|entry| entry.leader.is_some() && entry.lost_since.is_none());
-        entry.map_or(0, |entry| entry.version)
-    }
-
     /// Returns the zones that this instance schedules.
     pub fn scheduled_zones(&self) -> Vec<Arc<str>> {
         self.schedulers.borrow().keys().cloned().collect()
@@ -183,17 +104,6 @@
         self.lease.borrow_mut().confirm(sent, now);
     }
 
-    fn update_entry(&self, zone: &str, entry: LeaderEntry) {
-        let mut leaders = self.leaders.borrow_mut();
-        match leaders.get_mut(zone) {
-            Some(known) if known.version >= entry.version => {}
-            Some(known) => *known = entry,
-            None => {
-                leaders.insert(zone.into(), entry);
-            }
-        }
-    }
-
     /// Returns whether the process was suspended since the last call.
     fn was_suspended(&self, now: Instant) -> bool {
         let clocks =
@@ -257,7 +167,7 @@
 /// Starts and stops schedulers to match the leaders, then runs elections.
 pub fn reconcile(gateway: &Rc<Gateway>) {
     let own = gateway.roster().own().clone();
-    let leaders = gateway.leadership.leaders.borrow().clone();
+    let leaders = gateway.leadership.leaders.entries();
     let mut stopped = Vec::new();
     let mut has_started = false;
     for (zone, entry) in leaders {
@@ -422,7 +332,7 @@
             (Output::Fenced, Some(zone)) => {
                 warn!(gateway.log, "fenced off"; "zone" => &**zone);
                 let scheduler = gateway.leadership.schedulers.borrow_mut().remove(zone);
-                gateway.leadership.leaders.borrow_mut().remove(zone);
+                gateway.leadership.leaders.forget(zone);
                 if let Some(mut scheduler) = scheduler {
                     scheduler.refuse_waiting();
                     apply_outputs(gateway, None, scheduler.take_outputs());
--- a/crates/orioleroute-node/src/gateway/limits.rs
+++ b/crates/orioleroute-node/src/gateway/limits.rs
@@ -74,9 +74,9 @@
                 self.known.borrow_mut().insert(upstream.clone(), known);
             }
         }
+        self.count();
         let after = self.known.borrow().get(upstream).map(|known| known.rate);
         if before.map(|known| known.rate) != after {
-            metrics::gauge!("orioleroute_limited_upstreams").set(self.known.borrow().len() as f64);
             info!(gateway.log, "upstream limit changed"; "upstream" => &**upstream,
                 "before" => before.map(|known| known.rate), "after" => after);
         }
@@ -84,7 +84,15 @@
 
     /// Forgets upstreams that are no longer listed.
     pub fn prune(&self, is_listed: impl Fn(&str) -> bool) {
+        if self.known.borrow().is_empty() {
+            return;
+        }
         self.known.borrow_mut().retain(|upstream, _| is_listed(upstream));
+        self.count();
+    }
+
+    fn count(&self) {
+        metrics::gauge!("orioleroute_limited_upstreams").set(self.known.borrow().len() as f64);
     }
 
     /// Returns what an upstream has named, unless it has been started again since.
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod feed;
 mod forward;
 mod heartbeat;
+mod leaders;
 mod leadership;
 mod limits;
 mod link;
@@ -28,6 +29,7 @@
 mod state;
 mod sync;
 mod takeover;
+mod unscheduled;
 
 use std::process::ExitCode;
 use std::rc::Rc;
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -9,7 +9,6 @@
 use orioleroute::ingress::attempt::Generation;
 use orioleroute::ingress::health::Outcome;
 use orioleroute::ingress::notice::Limit;
-use orioleroute::ingress::upstream::Description;
 use orioleroute::ingress::{Configuration, Notice};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Placement, Reason, RunResult, ToInstance, ToScheduler};
@@ -19,7 +18,7 @@
 use slog::debug;
 
 use super::state::Gateway;
-use super::{link, sync};
+use super::{link, sync, unscheduled};
 
 /// A request for a permit on a model engine.
 pub struct PermitRequest<'a> {
@@ -88,12 +87,30 @@
 }
 
 impl Permit {
+    /// Returns a permit on an upstream that this instance chose itself.
+    pub fn unscheduled(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Self {
+        gateway.health().entry(upstream.clone()).or_default().begin();
+        gateway.limits.take(gateway, &upstream);
+        let entry_version = gateway.registry().version();
+        let started_at = gateway.now();
+        Self {
+            gateway: gateway.clone(),
+            origin: Origin::Unscheduled { started_at },
+            upstream,
+            address,
+            entry_version,
+            version: None,
+            is_limited: false,
+            notice: Cell::default(),
+        }
+    }
+
     /// Records what the upstream says of itself, from now on for this instance and with the next message for the
     /// scheduler.
     pub fn observe(&mut self, notice: Notice) {
         let limits = &self.gateway.limits;
         let is_limited = self.is_limited || limits.notice(&self.gateway, &self.upstream).is_some();
-        // That there is no limit is news only where one is known.
+        // That there is no limit matters only where one is known.
         let limit = notice.limit.filter(|limit| is_limited || *limit != Limit::Unlimited);
         if let Some(limit) = limit {
             limits.observe(&self.gateway, &self.upstream, limit);
@@ -189,7 +206,7 @@
         // Without a scheduler, this zone's engines still serve the adapters that they hold.
         if refusal.reason == Reason::NotScheduler
             && ask.zone == own
-            && let Some(permit) = acquire_listed(gateway, request, Some(&own))
+            && let Some(permit) = unscheduled::acquire_listed(gateway, request, Some(&own))
         {
             return Ok(permit);
         }
@@ -205,7 +222,7 @@
         };
     };
     if refusal.reason == Reason::NotScheduler {
-        return acquire_listed(gateway, request, None)
+        return unscheduled::acquire_listed(gateway, request, None)
             .ok_or(Refusal::new(Reason::NoEngine, UNSCHEDULED_RETRY_AFTER));
     }
     Err(refusal)
@@ -237,7 +254,7 @@
     may_fetch: bool,
 ) -> Result<Permit, Refusal> {
     let unscheduled = Refusal::new(Reason::NotScheduler, Duration::ZERO);
-    let holder = gateway.leadership.leader(zone).map(|leader| leader.holder);
+    let holder = gateway.leadership.leaders.leader(zone).map(|leader| leader.holder);
     let address = holder
         .as_ref()
         .and_then(|holder| gateway.roster().member(holder).map(|member| member.peer_address));
@@ -359,7 +376,7 @@
 /// Returns the home zone of an adapter, which fetches it while it is rarely used.
 fn home_zone(gateway: &Gateway, generation: &Generation) -> Option<Arc<str>> {
     let item = hash::digest(&generation.adapter);
-    let zones = gateway.leadership.led_zones();
+    let zones = gateway.leadership.leaders.led_zones();
     hash::winner(item, zones.iter().map(|zone| (hash::digest(&**zone), zone))).cloned()
 }
 
@@ -408,130 +425,6 @@
     overflow::choose(candidates, left, attempt)
 }
 
-/// Returns a permit on an engine, in `zone` or in any zone, that is listed with the request's model and
-/// adapter. This is the fallback when no scheduler replies.
-fn acquire_listed(
-    gateway: &Rc<Gateway>,
-    request: &PermitRequest<'_>,
-    zone: Option<&str>,
-) -> Option<Permit> {
-    let now = gateway.now();
-    let generation = request.generation;
-    let registry = gateway.registry();
-    let health = gateway.health();
-    let wanted = generation
-        .adapter
-        .as_ref()
-        .map(|adapter| (adapter, gateway.version(&generation.model, adapter).unwrap_or_default()));
-    let candidates = registry.ready(request.service).filter(|upstream| {
-        let has_adapter = wanted.is_none_or(|(adapter, newest)| {
-            upstream.version(&generation.model, adapter).is_some_and(|held| held >= newest)
-        });
-        has_adapter
-            && zone.is_none_or(|zone| *zone == *upstream.zone)
-            && upstream.has_model(&generation.model)
-            && !request.excluded.contains(&upstream.id)
-            && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
-            && gateway.limits.delay(upstream, now).is_zero()
-    });
-    let costs = candidates.map(|upstream| {
-        let health = health.get(&upstream.id).cloned().unwrap_or_default();
-        (health.cost(upstream.slots, extra_latency(gateway, &upstream.zone)), upstream)
-    });
-    let (_, best) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
-    let (upstream, address) = (best.id.clone(), best.address);
-    let version = wanted.and_then(|(adapter, _)| best.version(&generation.model, adapter));
-    drop((registry, health));
-    // The listed version may be a second old; the engine checks it again.
-    let mut permit = unscheduled_permit(gateway, upstream, address);
-    permit.version = version;
-    Some(permit)
-}
-
-/// Returns a permit on the upstream of a plain service with the least expected cost, among those whose limits allow a
-/// request.
-pub fn acquire_plain(
-    gateway: &Rc<Gateway>,
-    service: &str,
-    excluded: &[Arc<str>],
-    attempt: Option<&Arc<str>>,
-) -> Result<Permit, Refusal> {
-    let now = gateway.now();
-    let (best, soonest) = {
-        let registry = gateway.registry();
-        let health = gateway.health();
-        let usable = registry.ready(service).filter(|upstream| {
-            !excluded.contains(&upstream.id)
-                && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
-        });
-        let delayed: Vec<(Duration, &Description)> =
-            usable.map(|upstream| (gateway.limits.delay(upstream, now), upstream)).collect();
-        let allowed = delayed.iter().filter(|(delay, _)| delay.is_zero());
-        let costs = allowed.map(|(_, upstream)| {
-            let extra_latency = extra_latency(gateway, &upstream.zone);
-            let health = health.get(&upstream.id).cloned().unwrap_or_default();
-            (health.cost(upstream.slots, extra_latency), upstream)
-        });
-        let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
-        let best = best.map(|(_, upstream)| (upstream.id.clone(), upstream.address));
-        (best, delayed.iter().map(|(delay, _)| *delay).min())
-    };
-    let refusal = match soonest {
-        Some(delay) => Refusal::new(Reason::Overloaded, spread(delay, attempt)),
-        None => Refusal::new(Reason::NoEngine, NO_UPSTREAM_RETRY_AFTER),
-    };
-    let (upstream, address) = best.ok_or(refusal)?;
-    Ok(unscheduled_permit(gateway, upstream, address))
-}
-
-/// Returns the retry-after time of a request that limits leave no place for: different for each, so that clients do not
-/// come back together for the next place.
-fn spread(delay: Duration, attempt: Option<&Arc<str>>) -> Duration {
-    let jitter = hash::digest(&attempt) as f64 / u64::MAX as f64;
-    delay.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter)
-}
-
-/// The least time after which a client is told to come back to limited upstreams.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-
-/// The retry-after time if a service has no usable upstream: about the length of an ejection.
-const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
-
-/// The extra latency of an upstream in another availability zone of the region, whose traffic also
-/// costs more.
-const ZONE_LATENCY: Duration = Duration::from_millis(3);
-
-/// The extra latency of an upstream in another region: a round trip takes 24 ms.
-const REGION_LATENCY: Duration = Duration::from_millis(30);
-
-fn extra_latency(gateway: &Gateway, zone: &str) -> Duration {
-    let settings = gateway.settings();
-    if *zone == *settings.zone {
-        return Duration::ZERO;
-    }
-    match gateway.region_of(zone).is_some_and(|region| region == settings.region) {
-        true => ZONE_LATENCY,
-        false => REGION_LATENCY,
-    }
-}
-
-fn unscheduled_permit(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Permit {
-    gateway.health().entry(upstream.clone()).or_default().begin();
-    gateway.limits.take(gateway, &upstream);
-    let entry_version = gateway.registry().version();
-    let started_at = gateway.now();
-    Permit {
-        gateway: gateway.clone(),
-        origin: Origin::Unscheduled { started_at },
-        upstream,
-        address,
-        entry_version,
-        version: None,
-        is_limited: false,
-        notice: Cell::default(),
-    }
-}
-
 /// Returns whether a service's upstreams are model engines.
 pub fn has_engine(configuration: &Configuration, service: &str) -> bool {
     configuration.services.get(service).is_some_and(|service| service.engine.is_some())
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -69,7 +69,7 @@
     incarnation: u64,
     configuration: RefCell<Option<Arc<Configuration>>>,
     /// The rows of the operator's table by which this instance acts.
-    in_force: RefCell<Map<Arc<str>, Arc<str>>>,
+    in_force: RefCell<Map<Arc<str>, Record>>,
     registry: RefCell<Registry>,
     roster: RefCell<Roster>,
     health: RefCell<Map<Arc<str>, Health>>,
@@ -143,19 +143,15 @@
         self.configuration.borrow().clone()
     }
 
-    /// Returns the rows of the operator's table by which this instance acts.
-    pub fn in_force(&self) -> Vec<Record> {
+    /// Returns those rows of the operator's table by which this instance acts that `is_wanted` selects.
+    pub fn in_force(&self, is_wanted: impl Fn(&Record) -> bool) -> Vec<Record> {
         let in_force = self.in_force.borrow();
-        let record = |(key, value): (&Arc<str>, &Arc<str>)| Record {
-            key: key.clone(),
-            value: value.clone(),
-        };
-        in_force.iter().map(record).collect()
+        in_force.values().filter(|record| is_wanted(record)).cloned().collect()
     }
 
     /// Records that this instance acts by a row of the operator's table.
     pub fn set_in_force(&self, record: &Record) {
-        self.in_force.borrow_mut().insert(record.key.clone(), record.value.clone());
+        self.in_force.borrow_mut().insert(record.key.clone(), record.clone());
     }
 
     /// Activates a configuration unless the active one is at least as new, and returns whether it did.
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -14,7 +14,8 @@
 use slog::{info, warn};
 
 use super::feed::{Changes, Extent};
-use super::leadership::{self, Leader};
+use super::leaders::Leader;
+use super::leadership;
 use super::state::Gateway;
 use super::{election, quarantine};
 
@@ -369,7 +370,7 @@
         monoio::spawn(register(gateway.clone()));
     }
     for zone in gateway.leadership.scheduled_zones() {
-        if gateway.leadership.is_lost(&zone) {
+        if gateway.leadership.leaders.is_lost(&zone) {
             monoio::spawn(election::take_over(gateway.clone(), zone.clone()));
         }
         quarantine::publish_again(gateway, &zone);
@@ -394,9 +395,11 @@
     } else if let Some(zone) = row.key.strip_prefix(LEADER_PREFIX) {
         let leader = row.value.as_deref().map(serde_json::from_str::<Leader>);
         match leader {
-            None if extent == Extent::Restored => gateway.leadership.mark_lost(zone, now),
-            None => gateway.leadership.clear_leader(zone, row.version, now),
-            Some(Ok(leader)) => gateway.leadership.set_leader(zone, leader, row.version, now),
+            None if extent == Extent::Restored => gateway.leadership.leaders.mark_lost(zone, now),
+            None => gateway.leadership.leaders.clear_leader(zone, row.version, now),
+            Some(Ok(leader)) => {
+                gateway.leadership.leaders.set_leader(zone, leader, row.version, now)
+            }
             Some(Err(error)) => {
                 warn!(gateway.log, "malformed row"; "row" => &*row.key, "error" => error.to_string());
             }
--- /dev/null
+++ b/crates/orioleroute-node/src/gateway/unscheduled.rs
@@ -0,0 +1,119 @@
+//! Upstreams that this instance chooses itself: those of plain services, and engines of a zone whose scheduler does not
+//! reply.
+
+use std::rc::Rc;
+
+use orioleroute::hash;
+use orioleroute::ingress::upstream::Description;
+use orioleroute::prelude::*;
+use orioleroute::scheduler::message::Reason;
+
+use super::placement::{Permit, PermitRequest, Refusal};
+use super::state::Gateway;
+
+/// Returns a permit on an engine, in `zone` or in any zone, that is listed with the request's model and
+/// adapter. This is the fallback when no scheduler replies.
+pub fn acquire_listed(
+    gateway: &Rc<Gateway>,
+    request: &PermitRequest<'_>,
+    zone: Option<&str>,
+) -> Option<Permit> {
+    let now = gateway.now();
+    let generation = request.generation;
+    let registry = gateway.registry();
+    let health = gateway.health();
+    let wanted = generation
+        .adapter
+        .as_ref()
+        .map(|adapter| (adapter, gateway.version(&generation.model, adapter).unwrap_or_default()));
+    let candidates = registry.ready(request.service).filter(|upstream| {
+        let has_adapter = wanted.is_none_or(|(adapter, newest)| {
+            upstream.version(&generation.model, adapter).is_some_and(|held| held >= newest)
+        });
+        has_adapter
+            && zone.is_none_or(|zone| *zone == *upstream.zone)
+            && upstream.has_model(&generation.model)
+            && !request.excluded.contains(&upstream.id)
+            && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
+            && gateway.limits.delay(upstream, now).is_zero()
+    });
+    let costs = candidates.map(|upstream| {
+        let health = health.get(&upstream.id).cloned().unwrap_or_default();
+        (health.cost(upstream.slots, extra_latency(gateway, &upstream.zone)), upstream)
+    });
+    let (_, best) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
+    let (upstream, address) = (best.id.clone(), best.address);
+    let version = wanted.and_then(|(adapter, _)| best.version(&generation.model, adapter));
+    drop((registry, health));
+    // The listed version may be a second old; the engine checks it again.
+    let mut permit = Permit::unscheduled(gateway, upstream, address);
+    permit.version = version;
+    Some(permit)
+}
+
+/// Returns a permit on the upstream of a plain service with the least expected cost, among those whose limits allow a
+/// request.
+pub fn acquire_plain(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    excluded: &[Arc<str>],
+    attempt: Option<&Arc<str>>,
+) -> Result<Permit, Refusal> {
+    let now = gateway.now();
+    let (best, soonest) = {
+        let registry = gateway.registry();
+        let health = gateway.health();
+        let usable = registry.ready(service).filter(|upstream| {
+            !excluded.contains(&upstream.id)
+                && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
+        });
+        let delayed: Vec<(Duration, &Description)> =
+            usable.map(|upstream| (gateway.limits.delay(upstream, now), upstream)).collect();
+        let allowed = delayed.iter().filter(|(delay, _)| delay.is_zero());
+        let costs = allowed.map(|(_, upstream)| {
+            let extra_latency = extra_latency(gateway, &upstream.zone);
+            let health = health.get(&upstream.id).cloned().unwrap_or_default();
+            (health.cost(upstream.slots, extra_latency), upstream)
+        });
+        let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
+        let best = best.map(|(_, upstream)| (upstream.id.clone(), upstream.address));
+        (best, delayed.iter().map(|(delay, _)| *delay).min())
+    };
+    let refusal = match soonest {
+        Some(delay) => Refusal::new(Reason::Overloaded, spread(delay, attempt)),
+        None => Refusal::new(Reason::NoEngine, NO_UPSTREAM_RETRY_AFTER),
+    };
+    let (upstream, address) = best.ok_or(refusal)?;
+    Ok(Permit::unscheduled(gateway, upstream, address))
+}
+
+/// Returns the retry-after time of a request that limits leave no place for: different for each, so that clients do not
+/// come back together for the next place.
+fn spread(delay: Duration, attempt: Option<&Arc<str>>) -> Duration {
+    let jitter = hash::digest(&attempt) as f64 / u64::MAX as f64;
+    delay.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter)
+}
+
+/// The least time after which a client is told to come back to limited upstreams.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// The retry-after time if a service has no usable upstream: about the length of an ejection.
+const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// The extra latency of an upstream in another availability zone of the region, whose traffic also
+/// costs more.
+const ZONE_LATENCY: Duration = Duration::from_millis(3);
+
+/// The extra latency of an upstream in another region: a round trip takes 24 ms.
+const REGION_LATENCY: Duration = Duration::from_millis(30);
+
+fn extra_latency(gateway: &Gateway, zone: &str) -> Duration {
+    let settings = gateway.settings();
+    if *zone == *settings.zone {
+        return Duration::ZERO;
+    }
+    match gateway.region_of(zone).is_some_and(|region| region == settings.region) {
+        true => ZONE_LATENCY,
+        false => REGION_LATENCY,
+    }
+}
--- a/crates/orioleroute/src/ingress/feed.rs
+++ b/crates/orioleroute/src/ingress/feed.rs
@@ -180,6 +180,11 @@
         self.rows.values().filter(|row| row.value.is_some())
     }
 
+    /// Returns the row with this key, if it has a value.
+    pub fn row(&self, key: &str) -> Option<&Row> {
+        self.rows.get(key).filter(|row| row.value.is_some())
+    }
+
     /// Applies an update, and returns the rows that it changed. Rows that are not newer than the known
     /// ones are ignored.
     ///
