Leave upstreams alone that ask for a pause

The instance now leaves the upstream out of its choices until the end of the pause, names it as excluded to schedulers, and hands back grants that were on their way. The scheduler grants the engine to the others. When all pause, callers are refused at once with the time to the first end and a jitter. A permit that was not sent no longer counts as outstanding at a plain upstream.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header};
+use orioleroute::ingress::Notice;
 use orioleroute::ingress::attempt::Attempt;
 use orioleroute::ingress::configuration::Route;
 use orioleroute::ingress::quarantine;
@@ -19,6 +20,7 @@
 
 use super::ending::{refuse_early, respond_locally};
 use super::exchange::{Failure, Incoming, Loss, Outgoing, Target};
+use super::pauses;
 use super::placement::{self, Permit, PermitRequest, Refusal};
 use super::relaying::RelayOutcome;
 use super::response::Response;
@@ -220,6 +222,9 @@
         let class = ingress::classify_response(incoming.head().status, headers, id);
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
             permit.observe(ingress::notice(headers));
+            if let Some(pause) = ingress::pause(incoming.head().status, headers) {
+                self.gateway.pauses.record(self.gateway, &permit.upstream, pause);
+            }
         }
         match class {
             ResponseClass::Valid => TryOutcome::Answered(permit, Box::new(incoming)),
@@ -235,8 +240,33 @@
         }
     }
 
+    /// Acquires a permit on an upstream that does not pause. One that has asked for a pause since the permit was requested
+    /// gets no request either.
     async fn acquire_permit(&self) -> Result<Permit, Refusal> {
-        let excluded = self.excluded.borrow().clone();
+        let mut excluded = self.excluded.borrow().clone();
+        loop {
+            let paused = self.gateway.pauses.paused(self.gateway);
+            excluded.extend(paused.iter().map(|(upstream, _)| upstream.clone()));
+            let permit = match self.acquire_permit_without(&excluded).await {
+                Ok(permit) => permit,
+                Err(refusal) => {
+                    let soonest = paused.iter().map(|(_, left)| *left).min();
+                    let soonest = soonest.filter(|_| refusal.reason == Reason::NoEngine);
+                    let retry_after = soonest.map_or(refusal.retry_after, |left| {
+                        pauses::spread(left, self.attempt.id.as_ref())
+                    });
+                    return Err(Refusal { retry_after, ..refusal });
+                }
+            };
+            let pauses = self.gateway.pauses.paused(self.gateway);
+            if !pauses.iter().any(|(upstream, _)| *upstream == permit.upstream) {
+                return Ok(permit);
+            }
+            permit.end_unsent(Notice::default());
+        }
+    }
+
+    async fn acquire_permit_without(&self, excluded: &[Arc<str>]) -> Result<Permit, Refusal> {
         match &self.attempt.generation {
             Some(generation) if self.has_engine => {
                 let request = PermitRequest {
@@ -245,7 +275,7 @@
                     priority: self.route.priority,
                     deadline: self.deadline,
                     objective: self.objective,
-                    excluded: &excluded,
+                    excluded,
                     attempt: self.attempt.id.as_ref(),
                     is_return: self.is_return,
                 };
@@ -253,7 +283,7 @@
             }
             _ => {
                 let attempt = self.attempt.id.as_ref();
-                unscheduled::acquire_plain(self.gateway, &self.service, &excluded, attempt)
+                unscheduled::acquire_plain(self.gateway, &self.service, excluded, attempt)
             }
         }
     }
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -144,14 +144,18 @@
     }
 
     /// Releases the permit of a request that was not sent, and tells the scheduler what is known of the upstream.
-    fn end_unsent(mut self, notice: Notice) {
-        if let Origin::Scheduled { scheduler, ticket } =
-            std::mem::replace(&mut self.origin, Origin::Released)
-        {
-            scheduler.discard(&self.gateway, ticket);
-            let (result, is_unconfirmed) = (None, false);
-            let ended = ToScheduler::Ended { ticket, result, is_unconfirmed, notice };
-            scheduler.send(&self.gateway, ended);
+    pub fn end_unsent(mut self, notice: Notice) {
+        match std::mem::replace(&mut self.origin, Origin::Released) {
+            Origin::Scheduled { scheduler, ticket } => {
+                scheduler.discard(&self.gateway, ticket);
+                let (result, is_unconfirmed) = (None, false);
+                let ended = ToScheduler::Ended { ticket, result, is_unconfirmed, notice };
+                scheduler.send(&self.gateway, ended);
+            }
+            origin => {
+                self.origin = origin;
+                self.release(RunResult::Abandoned, false);
+            }
         }
     }
 
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use super::leadership::Leadership;
 use super::limits::Limits;
 use super::link::Links;
+use super::pauses::Pauses;
 use super::quarantine;
 use super::settings::{Outcome, Settings};
 use crate::log;
@@ -56,6 +57,8 @@
     pub connections: Connections,
     /// The limits that upstreams have named.
     pub limits: Limits,
+    /// The pauses that upstreams have asked for.
+    pub pauses: Pauses,
     /// Connections to schedulers and from other instances.
     pub links: Links,
     /// The tables of the store, and their feeds between instances.
@@ -101,6 +104,7 @@
             pool: Pool::resetting(),
             connections: Connections::default(),
             limits: Limits::default(),
+            pauses: Pauses::default(),
             links: Links::default(),
             feed: Feed::default(),
             suspects: quarantine::Shared::default(),
--- a/crates/orioleroute-node/src/gateway/unscheduled.rs
+++ b/crates/orioleroute-node/src/gateway/unscheduled.rs
@@ -3,11 +3,11 @@
 
 use std::rc::Rc;
 
-use orioleroute::hash;
 use orioleroute::ingress::upstream::Description;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::Reason;
 
+use super::pauses::spread;
 use super::placement::{Permit, PermitRequest, Refusal};
 use super::state::Gateway;
 
@@ -87,16 +87,6 @@
     Ok(Permit::unscheduled(gateway, upstream, address))
 }
 
-/// Returns the retry-after time of a request that limits leave no place for: different for each, so that clients do not
-/// come back together for the next place.
-fn spread(delay: Duration, attempt: Option<&Arc<str>>) -> Duration {
-    let jitter = hash::digest(&attempt) as f64 / u64::MAX as f64;
-    delay.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter)
-}
-
-/// The least time after which a client is told to come back to limited upstreams.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// The retry-after time if a service has no usable upstream: about the length of an ejection.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
 
