--- a/crates/orioleroute/tests/eras.rs
+++ b/crates/orioleroute/tests/eras.rs
@@ -3,6 +3,7 @@
 //! Guards against rows that are taken for old because their number is lower, against a return to what the copy holds,
 //! and against upstreams that have left and are ready in the copy.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use orioleroute::ingress::Version;
@@ -194,3 +195,127 @@
     assert!(registry.expire(NOW + RECOVERY_GRACE - Duration::from_millis(1)).is_empty());
     assert_eq!(registry.expire(NOW + RECOVERY_GRACE), ["i-1".into()]);
 }
+
+/// A store of few rows that may come back from a copy.
+#[derive(Clone, Default)]
+struct Store {
+    era: u64,
+    number: u64,
+    /// The last write of each row, and its value unless it was removed.
+    rows: BTreeMap<&'static str, (u64, Option<String>)>,
+    writes: u32,
+}
+
+impl Store {
+    fn write(&mut self, key: &'static str, is_removal: bool) {
+        self.number += 1;
+        self.writes += 1;
+        let value = (!is_removal).then(|| self.writes.to_string());
+        self.rows.insert(key, (self.number, value));
+    }
+
+    /// Comes back from a copy. Values are counted on, so that no two writes are alike.
+    fn restore(&mut self, copy: &Self) {
+        *self = Self { era: self.era + 1, writes: self.writes, ..copy.clone() };
+    }
+
+    /// Returns what a reader at a version gets: the changes since then, or the whole table after a return.
+    fn read(&self, known: Option<u64>) -> Update {
+        let after = known.filter(|known| Version::from(*known).era == self.era);
+        let is_included = |number: u64, value: &Option<String>| match after {
+            Some(after) => version(self.era, number) > after,
+            None => value.is_some(),
+        };
+        let rows = self.rows.iter().filter(|(_, (number, value))| is_included(*number, value));
+        let rows: Vec<Row> = rows
+            .map(|(key, (number, value))| row(key, version(self.era, *number), value.as_deref()))
+            .collect();
+        update(after, version(self.era, self.number), &rows)
+    }
+
+    fn values(&self) -> Vec<String> {
+        let rows = self.rows.iter();
+        rows.filter_map(|(key, (_, value))| Some(format!("{key}={}", value.as_ref()?))).collect()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Write(usize, bool),
+    Copy,
+    Restore,
+    /// A reader reads the store and keeps what it sends.
+    Read(usize),
+    /// The follower gets one of the last messages of a reader, perhaps late or again.
+    Deliver(usize, usize),
+    /// The follower subscribes to a reader anew.
+    Subscribe(usize),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        6 => (0..3_usize, any::<bool>()).prop_map(|(key, removes)| Event::Write(key, removes)),
+        1 => Just(Event::Copy),
+        1 => Just(Event::Restore),
+        4 => (0..2_usize).prop_map(Event::Read),
+        6 => (0..2_usize, 0..6_usize).prop_map(|(reader, back)| Event::Deliver(reader, back)),
+        1 => (0..2_usize).prop_map(Event::Subscribe),
+    ];
+    proptest::collection::vec(event, 0..60)
+}
+
+/// The follower subscribes with its version and gets what it lacks, or the whole table.
+fn subscribe(follower: &mut Replica, reader: &Replica) {
+    if let Some(update) = reader.since(Table::Operator, follower.version()) {
+        let _ = follower.apply(&update);
+    }
+}
+
+proptest! {
+    /// Whatever is lost, delivered late or repeated: versions only rise, and once all have read, all have what the store has.
+    #[test]
+    fn replicas_follow_a_store_through_its_eras(events in events()) {
+        let mut store = Store::default();
+        let mut copy = store.clone();
+        let mut readers = [Replica::default(), Replica::default()];
+        let mut sent: [Vec<Update>; 2] = Default::default();
+        let mut follower = Replica::default();
+        let read = |store: &Store, reader: &mut Replica| {
+            let update = store.read(reader.version());
+            reader.apply(&update).expect("a read follows on what is known");
+            update
+        };
+
+        for event in events {
+            let before = follower.version();
+            match event {
+                Event::Write(key, is_removal) => store.write(["a", "b", "c"][key], is_removal),
+                Event::Copy => copy = store.clone(),
+                Event::Restore => {
+                    store.restore(&copy);
+                    copy = store.clone();
+                }
+                Event::Read(reader) => {
+                    let update = read(&store, &mut readers[reader]);
+                    sent[reader].push(update);
+                }
+                Event::Deliver(reader, back) => {
+                    let update = sent[reader].iter().rev().nth(back);
+                    if update.is_some_and(|update| follower.apply(update).is_err()) {
+                        subscribe(&mut follower, &readers[reader]);
+                    }
+                }
+                Event::Subscribe(reader) => subscribe(&mut follower, &readers[reader]),
+            }
+            prop_assert!(follower.version() >= before);
+        }
+        for reader in &mut readers {
+            read(&store, reader);
+            subscribe(&mut follower, reader);
+        }
+
+        for replica in [&readers[0], &readers[1], &follower] {
+            prop_assert_eq!(values(replica), store.values());
+        }
+    }
+}
