--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -20,7 +20,6 @@
 
 use super::ending::{refuse_early, respond_locally};
 use super::exchange::{Failure, Incoming, Loss, Outgoing, Target};
-use super::pauses;
 use super::placement::{self, Permit, PermitRequest, Refusal};
 use super::relaying::RelayOutcome;
 use super::response::Response;
@@ -252,10 +251,9 @@
                 Err(refusal) => {
                     let soonest = paused.iter().map(|(_, left)| *left).min();
                     let soonest = soonest.filter(|_| refusal.reason == Reason::NoEngine);
-                    let retry_after = soonest.map_or(refusal.retry_after, |left| {
-                        pauses::spread(left, self.attempt.id.as_ref())
-                    });
-                    return Err(Refusal { retry_after, ..refusal });
+                    return Err(soonest.map_or(refusal, |left| {
+                        Refusal::until_free(Reason::NoEngine, left, self.attempt.id.as_ref())
+                    }));
                 }
             };
             let pauses = self.gateway.pauses.paused(self.gateway);
--- a/crates/orioleroute-node/src/gateway/pauses.rs
+++ b/crates/orioleroute-node/src/gateway/pauses.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 
-use orioleroute::hash;
 use orioleroute::prelude::*;
 use slog::info;
 
@@ -11,9 +10,6 @@
 /// The longest pause, for values that no upstream means.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 
-/// The least time after which a client is told to come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// The pauses that have not ended.
 #[derive(Default)]
 pub struct Pauses {
@@ -53,10 +49,3 @@
         known.iter().map(|(upstream, pause)| (upstream.clone(), pause.until.since(now))).collect()
     }
 }
-
-/// Returns the retry-after time of a request for which there will be a place after `delay`: different for each, so that
-/// clients do not come back together for it.
-pub fn spread(delay: Duration, attempt: Option<&Arc<str>>) -> Duration {
-    let jitter = hash::digest(&attempt) as f64 / u64::MAX as f64;
-    delay.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter)
-}
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -84,8 +84,18 @@
     pub fn new(reason: Reason, retry_after: Duration) -> Self {
         Self { reason, retry_after, is_withdrawn: false }
     }
+
+    /// Returns a refusal of a request for which there will be a place after `delay`. Clients are told different times, so
+    /// that they do not come back for it together.
+    pub fn until_free(reason: Reason, delay: Duration, attempt: Option<&Arc<str>>) -> Self {
+        let jitter = hash::digest(&attempt) as f64 / u64::MAX as f64;
+        Self::new(reason, delay.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter))
+    }
 }
 
+/// The least time after which a client is told to come back for a place.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 impl Permit {
     /// Returns a permit on an upstream that this instance chose itself.
     pub fn unscheduled(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Self {
--- a/crates/orioleroute-node/src/gateway/unscheduled.rs
+++ b/crates/orioleroute-node/src/gateway/unscheduled.rs
@@ -7,7 +7,6 @@
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::Reason;
 
-use super::pauses::spread;
 use super::placement::{Permit, PermitRequest, Refusal};
 use super::state::Gateway;
 
@@ -80,7 +79,7 @@
         (best, delayed.iter().map(|(delay, _)| *delay).min())
     };
     let refusal = match soonest {
-        Some(delay) => Refusal::new(Reason::Overloaded, spread(delay, attempt)),
+        Some(delay) => Refusal::until_free(Reason::Overloaded, delay, attempt),
         None => Refusal::new(Reason::NoEngine, NO_UPSTREAM_RETRY_AFTER),
     };
     let (upstream, address) = best.ok_or(refusal)?;
