--- a/crates/orioleroute-node/src/gateway/limits.rs
+++ b/crates/orioleroute-node/src/gateway/limits.rs
@@ -74,7 +74,7 @@
                 self.known.borrow_mut().insert(upstream.clone(), known);
             }
         }
-        self.count();
+        self.update_gauge();
         let after = self.known.borrow().get(upstream).map(|known| known.rate);
         if before.map(|known| known.rate) != after {
             info!(gateway.log, "upstream limit changed"; "upstream" => &**upstream,
@@ -88,10 +88,10 @@
             return;
         }
         self.known.borrow_mut().retain(|upstream, _| is_listed(upstream));
-        self.count();
+        self.update_gauge();
     }
 
-    fn count(&self) {
+    fn update_gauge(&self) {
         metrics::gauge!("orioleroute_limited_upstreams").set(self.known.borrow().len() as f64);
     }
 
--- a/crates/orioleroute/src/ingress/pace.rs
+++ b/crates/orioleroute/src/ingress/pace.rs
@@ -10,7 +10,7 @@
 /// The lowest rate that is kept, in requests a second, so that an answer shows when an upstream takes more again.
 const MIN_RATE: f64 = 0.2;
 
-/// The time whose requests may be sent at once after a pause. It is short, because a runner in need has asked for a rate.
+/// The time whose requests may be sent at once after a pause. It is short, because an upstream in need has asked for a rate.
 const BURST_TIME: Duration = Duration::from_millis(500);
 
 /// A token bucket: each request takes a token, and tokens come at the rate of the limit.
--- a/crates/orioleroute/src/ingress/registry.rs
+++ b/crates/orioleroute/src/ingress/registry.rs
@@ -55,9 +55,9 @@
         Self { started_ms: entry.started_ms, was_draining, at: now, first_version: None }
     }
 
-    /// Returns whether an entry shows that the upstream is alive: it has been started again, or has written its entry
-    /// again although it was not draining.
-    fn is_refuted_by(&mut self, entry: &Description) -> bool {
+    /// Records an entry, and returns whether it shows that the upstream is alive: it has been started again, or has written
+    /// its entry a second time although it was not draining.
+    fn record_entry(&mut self, entry: &Description) -> bool {
         if entry.started_ms != self.started_ms {
             return true;
         }
@@ -244,7 +244,7 @@
         self.missing.remove(&entry.id);
         self.removed.remove(&entry.id);
         if let Some(departed) = self.departed.get_mut(&entry.id) {
-            match departed.is_refuted_by(&entry) {
+            match departed.record_entry(&entry) {
                 true => drop(self.departed.remove(&entry.id)),
                 false => entry.state = State::Draining,
             }
