--- a/crates/orioleroute/src/ingress/pace.rs
+++ b/crates/orioleroute/src/ingress/pace.rs
@@ -61,7 +61,7 @@
     Turns(Turns),
 }
 
-/// The turns of an instance. At any moment [`OPEN_TURNS`] of all instances have theirs.
+/// The turns of an instance. At any moment `OPEN_TURNS` of all instances have theirs.
 #[derive(Clone, Copy, Debug)]
 pub struct Turns {
     /// The start of a turn that is not over or has not begun.
@@ -85,10 +85,10 @@
 /// are rare, and send more at once after a pause.
 const OPEN_TURNS: u32 = 3;
 
-/// The requests beyond the limit that an upstream is expected to bear within [`SLACK_TIME`].
+/// The requests beyond the limit that an upstream is expected to bear within `SLACK_TIME`.
 const SLACK: f64 = 5.0;
 
-/// The time within which an upstream is expected to bear [`SLACK`], and half of its limit besides.
+/// The time within which an upstream is expected to bear `SLACK`, and half of its limit besides.
 const SLACK_TIME: Duration = Duration::from_secs(4);
 
 impl Share {
