Log which requests are the same and how long lost runs lasted

The lines 'request' and 'response lost' now have a digest of what the client asks for (method, host, path with query, credentials, generation parameters, body), and the latter the time since the permit.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header};
 use orioleroute::ingress::Notice;
-use orioleroute::ingress::attempt::Attempt;
+use orioleroute::ingress::attempt::{Attempt, Content};
 use orioleroute::ingress::configuration::Route;
 use orioleroute::ingress::quarantine;
 use orioleroute::prelude::*;
@@ -87,8 +87,17 @@
     let elapsed = elapsed.unwrap_or_default();
     let has_engine = placement::has_engine(&configuration, &service);
     gateway.deposit_retry(&service);
+    let content = Content {
+        method: inbound.head.method.as_str(),
+        host,
+        target: &inbound.head.target,
+        credentials: ingress::credentials(&inbound.head.headers),
+        generation: attempt.generation.as_ref(),
+        body: &inbound.body,
+    };
     let mut relay = Relay {
         gateway,
+        content: content.digest(),
         deadline: inbound.arrived + timeout,
         objective: inbound.arrived + route.objective.saturating_sub(elapsed),
         last_event: Cell::new(attempt.last_event),
@@ -116,6 +125,8 @@
     pub(super) gateway: &'a Rc<Gateway>,
     pub(super) inbound: Inbound,
     pub(super) attempt: Attempt,
+    /// The digest of what the client asks for.
+    pub(super) content: u64,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
     /// The version of the configuration that routed the request.
@@ -388,6 +399,7 @@
     ) -> Option<(Disposition, &'static str)> {
         self.note(format!("{} lost: {loss}", permit.upstream));
         let upstream = permit.upstream.clone();
+        let ran = permit.age();
         permit.end(RunResult::Broken);
         let may_retry = self.may_retry();
         let next = match (may_retry, response.is_started()) {
@@ -396,7 +408,7 @@
             (false, true) => "cut",
             (false, false) => "fail",
         };
-        self.report_loss(&upstream, loss, next, incoming);
+        self.report_loss(&upstream, ran, loss, next, incoming);
         if may_retry {
             self.exclude(&upstream);
             self.report_retry();
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -44,6 +44,8 @@
 pub struct Permit {
     gateway: Rc<Gateway>,
     origin: Origin,
+    /// When the permit was granted.
+    granted_at: Instant,
     /// The id of the upstream.
     pub upstream: Arc<str>,
     /// The address for requests.
@@ -63,7 +65,7 @@
     /// A scheduler, which was asked for it under `ticket`.
     Scheduled { scheduler: link::SchedulerHandle, ticket: u64 },
     /// This instance, which chose the upstream itself.
-    Unscheduled { started_at: Instant },
+    Unscheduled,
     /// The permit has been released.
     Released,
 }
@@ -102,10 +104,10 @@
         gateway.health().entry(upstream.clone()).or_default().begin();
         gateway.limits.take(gateway, &upstream);
         let entry_version = gateway.registry().version();
-        let started_at = gateway.now();
         Self {
             gateway: gateway.clone(),
-            origin: Origin::Unscheduled { started_at },
+            origin: Origin::Unscheduled,
+            granted_at: gateway.now(),
             upstream,
             address,
             entry_version,
@@ -132,6 +134,11 @@
         }
     }
 
+    /// Returns the time since the permit was granted.
+    pub fn age(&self) -> Duration {
+        self.gateway.now().since(self.granted_at)
+    }
+
     /// Takes what the scheduler is to be told of the upstream.
     fn take_notice(&self) -> Notice {
         let Some((notice, at)) = self.notice.take() else { return Notice::default() };
@@ -183,10 +190,10 @@
                 let ended = ToScheduler::Ended { ticket, result, is_unconfirmed, notice };
                 scheduler.send(&self.gateway, ended);
             }
-            Origin::Unscheduled { started_at } => {
+            Origin::Unscheduled => {
                 let now = self.gateway.now();
                 let outcome = match result {
-                    RunResult::Answered => Outcome::Answered(now.since(started_at)),
+                    RunResult::Answered => Outcome::Answered(self.age()),
                     other => other.into(),
                 };
                 self.gateway.health().entry(self.upstream.clone()).or_default().end(outcome, now);
@@ -280,6 +287,7 @@
     let mut permit = Permit {
         gateway: gateway.clone(),
         origin: Origin::Scheduled { scheduler: scheduler.clone(), ticket },
+        granted_at: gateway.now(),
         upstream: "".into(),
         address: gateway.settings().peer_address,
         entry_version: 0,
@@ -296,6 +304,7 @@
         match monoio::time::timeout(timeout, replies.recv()).await {
             Ok(Some(ToInstance::Queued { .. })) => timeout = QUEUE_CHECK_INTERVAL,
             Ok(Some(ToInstance::Grant(grant))) => {
+                permit.granted_at = gateway.now();
                 permit.upstream = grant.upstream;
                 permit.address = grant.address;
                 permit.entry_version = grant.entry_version;
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -28,10 +28,11 @@
             "silent_ms" => self.silence().map(|silence| silence.as_millis() as u64));
     }
 
-    /// Reports a lost response, what was received of it, and what is done next.
+    /// Reports a lost response after the time that the upstream had for it, what was received of it, and what is done next.
     pub(super) fn report_loss(
         &self,
         upstream: &str,
+        ran: Duration,
         loss: &Loss,
         next: &'static str,
         incoming: Option<&Incoming>,
@@ -46,7 +47,8 @@
             "framing" => incoming.map(framing),
             "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event.get(),
             "silent_ms" => self.silence().map(|silence| silence.as_millis() as u64),
-            "phase" => <&str>::from(phase), "parts" => self.shared_parts());
+            "phase" => <&str>::from(phase), "ran_ms" => ran.as_millis() as u64,
+            "parts" => self.shared_parts(), "content" => format!("{:x}", self.content));
     }
 
     /// Reports the outcome of the request.
@@ -57,7 +59,8 @@
         info!(self.gateway.log, "request"; "request" => self.attempt.id.as_deref(),
             "route" => &*self.route.name, "service" => &*self.service,
             "version" => self.version, "upstreams" => self.tried_upstreams.borrow().join(", "),
-            "outcome" => outcome, "parts" => self.shared_parts(), "refusal" => self.refusal.map(|reason| reason.to_string()),
+            "outcome" => outcome, "parts" => self.shared_parts(), "content" => format!("{:x}", self.content),
+            "refusal" => self.refusal.map(|reason| reason.to_string()),
             "ms" => time.as_millis() as u64);
     }
 
--- a/crates/orioleroute-node/src/gateway/takeover.rs
+++ b/crates/orioleroute-node/src/gateway/takeover.rs
@@ -88,7 +88,7 @@
         incoming: &mut Incoming,
     ) -> Bytes {
         let Successor { permit: new, incoming: response, data } = successor;
-        self.report_loss(&permit.upstream, loss, "resume", Some(incoming));
+        self.report_loss(&permit.upstream, permit.age(), loss, "resume", Some(incoming));
         self.note(format!("{} lost: {loss}", permit.upstream));
         self.note(format!("{} {}", new.upstream, response.head().status.as_u16()));
         new.send_started();
--- a/crates/orioleroute/src/ingress/attempt.rs
+++ b/crates/orioleroute/src/ingress/attempt.rs
@@ -1,5 +1,6 @@
 //! An attempt of a client, as described by its header fields.
 
+use crate::hash;
 use crate::prelude::*;
 
 /// An attempt of a client at a request.
@@ -15,8 +16,32 @@
     pub last_event: Option<u64>,
 }
 
+/// What a client asks for, which is the same in all attempts at one request.
+#[derive(Clone, Copy, Debug, Hash)]
+pub struct Content<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The host.
+    pub host: &'a str,
+    /// The path and query.
+    pub target: &'a str,
+    /// The client's credentials, if it sends any.
+    pub credentials: Option<&'a [u8]>,
+    /// The generation parameters, which are not a part of the body.
+    pub generation: Option<&'a Generation>,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl Content<'_> {
+    /// Returns the number by which all instances recognize the request.
+    pub fn digest(&self) -> u64 {
+        hash::digest(self)
+    }
+}
+
 /// The parameters of a generation by a model engine.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct Generation {
     /// The base model.
     pub model: Arc<str>,
@@ -32,7 +57,7 @@
 }
 
 /// A part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct Part {
     /// A number that identifies the content.
     pub id: u64,
