--- a/crates/oriolectl/src/trace.rs
+++ b/crates/oriolectl/src/trace.rs
@@ -83,14 +83,16 @@
             .filter_map(|line| line.text("parts"))
             .flat_map(|parts| parts.split(','))
             .collect();
+        let contents: BTreeSet<&str> = own.iter().filter_map(|line| line.text("content")).collect();
         let explains = |line: &Line| {
             let is_near = (first - LOOKBACK_MS..=last).contains(&line.at_ms);
             let is_same_instance =
                 line.text("instance").is_some_and(|name| instances.contains(name));
             let is_same_upstream =
                 line.text("upstream").is_some_and(|name| upstreams.contains(name));
-            // A verdict on a part of the prompt is made long before most requests that it concerns.
-            let is_verdict = line.text("part").is_some_and(|part| parts.contains(part));
+            // A verdict on a request or a part of its prompt is made long before most requests that it concerns.
+            let is_verdict = line.text("part").is_some_and(|part| parts.contains(part))
+                || line.text("content").is_some_and(|content| contents.contains(content));
             let is_related = match is_verdict {
                 true => is_same_instance && line.at_ms <= last,
                 false => is_near && (is_same_upstream || is_same_instance && line.is_notable()),
--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -72,11 +72,14 @@
     }
     let own = gateway.roster().own().name.clone();
     let is_discovery_over = now >= Instant::ZERO + DISCOVERY_PERIOD;
+    // Without engines, the schedulers only collect the losses of upstreams.
+    let has_engines = configuration.services.values().any(|service| service.engine.is_some());
     let zones: Set<Arc<str>> = {
         let registry = gateway.registry();
-        let engines =
-            registry.iter().filter(|upstream| leadership::has_engine(&configuration, upstream));
-        engines.map(|upstream| upstream.zone.clone()).collect()
+        let led = registry
+            .iter()
+            .filter(|upstream| !has_engines || leadership::has_engine(&configuration, upstream));
+        led.map(|upstream| upstream.zone.clone()).collect()
     };
     for zone in zones {
         // Zones led by a previous incarnation of this instance need no discovery of other candidates.
--- a/crates/orioleroute-node/src/gateway/ending.rs
+++ b/crates/orioleroute-node/src/gateway/ending.rs
@@ -4,6 +4,7 @@
 
 use http::StatusCode;
 use orioleroute::ingress::attempt::Attempt;
+use orioleroute::ingress::quarantine::Kind;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::Reason;
 use slog::info;
@@ -31,9 +32,11 @@
         if self.possible_runs() > 0 {
             return self.fail(response, StatusCode::BAD_GATEWAY, "not placed again").await;
         }
+        let blamed_part = self.blamed().filter(|key| key.kind == Kind::Part);
         info!(self.gateway.log, "refused"; "request" => self.attempt.id.as_deref(),
             "reason" => refusal.reason.to_string(),
-            "part" => self.blamed_part().map(|part| format!("{part:x}")),
+            "part" => blamed_part.map(|part| format!("{:x}", part.id)),
+            "content" => format!("{:x}", self.content),
             "retry_after_ms" => refusal.retry_after.as_millis() as u64);
         metrics::counter!("orioleroute_refusals_total", "reason" => refusal.reason.to_string())
             .increment(1);
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -8,7 +8,7 @@
 use orioleroute::ingress::Notice;
 use orioleroute::ingress::attempt::{Attempt, Content};
 use orioleroute::ingress::configuration::Route;
-use orioleroute::ingress::quarantine;
+use orioleroute::ingress::quarantine::{self, Key};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Reason, RunResult};
 use orioleroute_platform::ingress::{self, Dispatch, ResponseClass};
@@ -30,6 +30,9 @@
 /// The number of upstreams that may decline one request, or be unreachable, before it is refused.
 const MAX_DECLINES: u32 = 3;
 
+/// The number of upstreams that may be lost under a request without an answer before it is no longer sent on at once.
+const MAX_UNPROVEN_LOSSES: usize = 2;
+
 /// The retry-after time of a request that every tried upstream declined.
 const DECLINED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -63,7 +66,7 @@
     let mut response = Response::new(client);
     let response = &mut response;
     let attempt = ingress::attempt(&inbound.head.headers);
-    if !gateway.is_serving() {
+    if !startup::has_tables(gateway) {
         startup::await_tables(gateway, attempt.time_left).await;
     }
     let Some(configuration) = gateway.configuration() else {
@@ -109,12 +112,15 @@
         has_engine,
         is_return: elapsed >= MIN_RETURN_DELAY,
         possible_runs: Cell::new(0),
+        lost_runs: Cell::new(0),
+        losses_before: 0,
         declines: 0,
         excluded: RefCell::default(),
         tried_upstreams: RefCell::default(),
         received_at: Cell::default(),
         refusal: None,
     };
+    relay.losses_before = gateway.suspects.losses_under(&relay.service, relay.content);
     let (disposition, outcome) = relay.run(response).await;
     relay.report_end(outcome);
     disposition
@@ -140,6 +146,10 @@
     objective: Instant,
     /// The number of upstreams that may have run the request.
     possible_runs: Cell<u32>,
+    /// The number of upstreams whose response is lost.
+    lost_runs: Cell<u32>,
+    /// The number of upstreams that had been lost under the request when it arrived.
+    losses_before: usize,
     declines: u32,
     /// The upstreams that have failed the request.
     excluded: RefCell<Vec<Arc<str>>>,
@@ -193,7 +203,7 @@
 
     /// Acquires a permit, sends the request and waits for the head of the response.
     pub(super) async fn try_once(&self) -> TryOutcome {
-        if self.blamed_part().is_some() {
+        if self.blamed().is_some() {
             let refusal = Refusal::new(Reason::Quarantined, quarantine::RETRY_AFTER);
             return TryOutcome::NoPermit(refusal);
         }
@@ -286,13 +296,15 @@
                     objective: self.objective,
                     excluded,
                     attempt: self.attempt.id.as_ref(),
+                    content: self.content,
                     is_return: self.is_return,
                 };
                 placement::acquire(self.gateway, &request).await
             }
             _ => {
                 let attempt = self.attempt.id.as_ref();
-                unscheduled::acquire_plain(self.gateway, &self.service, excluded, attempt)
+                let (service, content) = (&self.service, self.content);
+                unscheduled::acquire_plain(self.gateway, service, excluded, attempt, content)
             }
         }
     }
@@ -401,6 +413,7 @@
         let upstream = permit.upstream.clone();
         let ran = permit.age();
         permit.end(RunResult::Broken);
+        self.lost_runs.set(self.lost_runs.get() + 1);
         let may_retry = self.may_retry();
         let next = match (may_retry, response.is_started()) {
             (true, true) => "resume",
@@ -422,19 +435,28 @@
     pub(super) fn may_retry(&self) -> bool {
         self.route.is_repeatable()
             && self.possible_runs.get() < self.route.attempts
+            && !self.is_suspect()
             && self.deadline > self.gateway.now()
             && self.gateway.withdraw_retry(&self.service)
     }
 
+    /// Returns whether so many upstreams were lost under the request that it may be what ends them. It is then not sent on at
+    /// once, because the next loss may be the one by which it is blamed.
+    fn is_suspect(&self) -> bool {
+        let lost_runs = self.lost_runs.get() as usize;
+        lost_runs > 0 && self.losses_before + lost_runs >= MAX_UNPROVEN_LOSSES
+    }
+
     /// Returns the number of upstreams that may have run the request.
     pub(super) fn possible_runs(&self) -> u32 {
         self.possible_runs.get()
     }
 
-    /// Returns the part of the prompt for which the request is refused, if there is one.
-    pub(super) fn blamed_part(&self) -> Option<u64> {
-        let generation = self.attempt.generation.as_ref()?;
-        self.gateway.suspects.blamed(&self.service, generation, self.gateway.now())
+    /// Returns for what the request is refused, if it or a part of its prompt is blamed for the loss of upstreams.
+    pub(super) fn blamed(&self) -> Option<Key> {
+        let generation = self.attempt.generation.as_ref();
+        let suspects = &self.gateway.suspects;
+        suspects.blamed(&self.service, self.content, generation, self.gateway.now())
     }
 
     /// Excludes an upstream from further tries.
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -151,6 +151,7 @@
         if now >= next_election {
             next_election = now + ELECTION_INTERVAL;
             election::elect(&gateway);
+            quarantine::follow_schedulers(&gateway);
             let registry = gateway.registry();
             let is_listed = |id: &str| registry.get(id).is_some();
             gateway.connections.prune(is_listed, now);
@@ -244,7 +245,16 @@
                 scheduler.handle_started(key, now);
             });
         }
-        ToScheduler::Ended { ticket, result, is_unconfirmed, notice } => {
+        ToScheduler::Ended { ungranted: Some(ended), result, is_unconfirmed, .. } => {
+            let zone = ended.zone.clone();
+            with_scheduler(gateway, &zone, |scheduler, now| {
+                scheduler.handle_ungranted(*ended, result, is_unconfirmed, now);
+            });
+        }
+        ToScheduler::Ended { follows_suspects: true, .. } => {
+            quarantine::add_follower(gateway, client);
+        }
+        ToScheduler::Ended { ticket, result, is_unconfirmed, notice, .. } => {
             let key = RequestKey { client, ticket };
             with_schedulers(gateway, |_, scheduler, now| {
                 scheduler.handle_notice(key, notice, now);
@@ -382,31 +392,32 @@
     upstream: &str,
     report: Option<&Report>,
 ) {
-    let outputs = {
-        let now = gateway.now();
-        let mut schedulers = gateway.leadership.schedulers.borrow_mut();
-        schedulers.get_mut(zone).map(|scheduler| {
-            scheduler.handle_report(upstream, report, now);
-            scheduler.take_outputs()
-        })
-    };
-    apply_outputs(gateway, Some(zone), outputs.unwrap_or_default());
+    with_scheduler(gateway, zone, |scheduler, now| scheduler.handle_report(upstream, report, now));
 }
 
-/// Passes the result of the check of an engine to the scheduler of its zone.
+/// Passes the result of the check of an upstream to the scheduler of its zone.
 pub fn handle_check(gateway: &Rc<Gateway>, zone: &Arc<str>, check: EngineCheck, is_lost: bool) {
+    with_scheduler(gateway, zone, |scheduler, now| scheduler.handle_check(check, is_lost, now));
+}
+
+/// Lets the scheduler of a zone act, if it runs here.
+fn with_scheduler(
+    gateway: &Rc<Gateway>,
+    zone: &Arc<str>,
+    act: impl FnOnce(&mut Scheduler, Instant),
+) {
     let outputs = {
         let now = gateway.now();
         let mut schedulers = gateway.leadership.schedulers.borrow_mut();
         schedulers.get_mut(zone).map(|scheduler| {
-            scheduler.handle_check(check, is_lost, now);
+            act(scheduler, now);
             scheduler.take_outputs()
         })
     };
     apply_outputs(gateway, Some(zone), outputs.unwrap_or_default());
 }
 
-/// Passes the verdicts on prompt parts to the schedulers that run here.
+/// Passes the verdicts on requests and prompt parts to the schedulers that run here.
 pub fn update_quarantine(gateway: &Rc<Gateway>) {
     with_schedulers(gateway, |zone, scheduler, now| {
         scheduler.update_quarantine(gateway.suspects.verdicts(), zone, now);
--- a/crates/orioleroute-node/src/gateway/link.rs
+++ b/crates/orioleroute-node/src/gateway/link.rs
@@ -18,7 +18,7 @@
 use slog::{debug, info, warn};
 
 use super::state::Gateway;
-use super::{feed, leadership};
+use super::{feed, leadership, quarantine};
 
 /// The longest wait for a connection to a scheduler; a round trip between regions takes 24 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -90,6 +90,7 @@
             ToInstance::Queued { ticket } => (*ticket, false),
             ToInstance::Grant(grant) => (grant.ticket, true),
             ToInstance::Refuse { ticket, .. } => (*ticket, true),
+            ToInstance::Suspects { .. } => return,
         };
         if let Some(sender) = self.0.borrow().get(&ticket) {
             // Fails if the request was withdrawn meanwhile; dropping its permit notifies the scheduler.
@@ -126,6 +127,8 @@
         let (queue, messages) = mpsc::unbounded::channel();
         let link =
             Rc::new(Link { queue, pending: PendingReplies::default(), suspected: Cell::new(None) });
+        // Fails only once the task of the link has ended.
+        let _ = link.queue.send(ToScheduler::follow(links.next_ticket()));
         links.outgoing.borrow_mut().insert(address, link.clone());
         monoio::spawn(run_outgoing(gateway.clone(), address, link.clone(), messages));
         Some(Self::Remote(link))
@@ -209,6 +212,7 @@
     let reason = run_connection(socket, messages, receive).await;
     debug!(gateway.log, "instance disconnected"; "peer" => peer.to_string(), "error" => reason);
     gateway.links.incoming.borrow_mut().remove(&client);
+    quarantine::remove_follower(&gateway, client);
     leadership::handle_disconnect(&gateway, client);
 }
 
@@ -221,7 +225,13 @@
     let reason = match Socket::connect(address, CONNECT_TIMEOUT).await {
         Ok(socket) => {
             info!(gateway.log, "scheduler connected"; "peer" => address.to_string());
-            run_connection(socket, messages, |message| link.pending.deliver(message)).await
+            let receive = |message| match message {
+                ToInstance::Suspects { zone, row } => {
+                    quarantine::apply_row(&gateway, &zone, Some(&row), quarantine::Way::Scheduler);
+                }
+                reply => link.pending.deliver(reply),
+            };
+            run_connection(socket, messages, receive).await
         }
         Err(error) => error.to_string(),
     };
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -9,16 +9,20 @@
 use orioleroute::ingress::attempt::Generation;
 use orioleroute::ingress::health::Outcome;
 use orioleroute::ingress::notice::Limit;
+use orioleroute::ingress::quarantine::Run;
+use orioleroute::ingress::upstream::Description;
 use orioleroute::ingress::{Configuration, Notice};
 use orioleroute::prelude::*;
-use orioleroute::scheduler::message::{Placement, Reason, RunResult, ToInstance, ToScheduler};
+use orioleroute::scheduler::message::{
+    Placement, Reason, RunResult, ToInstance, ToScheduler, UngrantedRun,
+};
 use orioleroute::scheduler::overflow::{self, Load};
 use orioleroute::scheduler::search::{Refused, Search, Step};
 
 use slog::debug;
 
 use super::state::Gateway;
-use super::{link, sync, unscheduled};
+use super::{link, quarantine, sync, unscheduled};
 
 /// A request for a permit on a model engine.
 pub struct PermitRequest<'a> {
@@ -36,6 +40,8 @@
     pub excluded: &'a [Arc<str>],
     /// The client's attempt id.
     pub attempt: Option<&'a Arc<str>>,
+    /// The digest of what the client asks for.
+    pub content: u64,
     /// Whether the client retries after a refusal.
     pub is_return: bool,
 }
@@ -65,7 +71,7 @@
     /// A scheduler, which was asked for it under `ticket`.
     Scheduled { scheduler: link::SchedulerHandle, ticket: u64 },
     /// This instance, which chose the upstream itself.
-    Unscheduled,
+    Unscheduled(Box<UngrantedRun>),
     /// The permit has been released.
     Released,
 }
@@ -100,13 +106,17 @@
 
 impl Permit {
     /// Returns a permit on an upstream that this instance chose itself.
-    pub fn unscheduled(gateway: &Rc<Gateway>, upstream: Arc<str>, address: SocketAddr) -> Self {
+    pub fn unscheduled(gateway: &Rc<Gateway>, upstream: &Description, run: Run) -> Self {
+        let Description { id, address, service, zone, .. } = upstream.clone();
+        let run =
+            UngrantedRun { zone, service, upstream: id.clone(), address, has_answered: false, run };
+        let upstream = id;
         gateway.health().entry(upstream.clone()).or_default().begin();
         gateway.limits.take(gateway, &upstream);
         let entry_version = gateway.registry().version();
         Self {
             gateway: gateway.clone(),
-            origin: Origin::Unscheduled,
+            origin: Origin::Unscheduled(Box::new(run)),
             granted_at: gateway.now(),
             upstream,
             address,
@@ -166,8 +176,10 @@
             Origin::Scheduled { scheduler, ticket } => {
                 scheduler.discard(&self.gateway, ticket);
                 let (result, is_unconfirmed) = (None, false);
-                let ended = ToScheduler::Ended { ticket, result, is_unconfirmed, notice };
-                scheduler.send(&self.gateway, ended);
+                scheduler.send(
+                    &self.gateway,
+                    ToScheduler::ended(ticket, result, is_unconfirmed, notice),
+                );
             }
             origin => {
                 self.origin = origin;
@@ -187,16 +199,27 @@
                 scheduler.discard(&self.gateway, ticket);
                 let result = Some(result);
                 let notice = self.take_notice();
-                let ended = ToScheduler::Ended { ticket, result, is_unconfirmed, notice };
-                scheduler.send(&self.gateway, ended);
+                scheduler.send(
+                    &self.gateway,
+                    ToScheduler::ended(ticket, result, is_unconfirmed, notice),
+                );
             }
-            Origin::Unscheduled => {
+            Origin::Unscheduled(mut run) => {
                 let now = self.gateway.now();
                 let outcome = match result {
                     RunResult::Answered => Outcome::Answered(self.age()),
                     other => other.into(),
                 };
-                self.gateway.health().entry(self.upstream.clone()).or_default().end(outcome, now);
+                {
+                    let mut health = self.gateway.health();
+                    let health = health.entry(self.upstream.clone()).or_default();
+                    run.has_answered = health.has_answered();
+                    health.end(outcome, now);
+                }
+                run.run.ran_ms = self.age().as_millis() as u64;
+                if !is_unconfirmed {
+                    quarantine::report_run(&self.gateway, *run, result);
+                }
             }
             Origin::Released => {}
         }
@@ -303,6 +326,8 @@
     loop {
         match monoio::time::timeout(timeout, replies.recv()).await {
             Ok(Some(ToInstance::Queued { .. })) => timeout = QUEUE_CHECK_INTERVAL,
+            // Answers no request.
+            Ok(Some(ToInstance::Suspects { .. })) => {}
             Ok(Some(ToInstance::Grant(grant))) => {
                 permit.granted_at = gateway.now();
                 permit.upstream = grant.upstream;
@@ -386,6 +411,7 @@
         prompt_tokens: generation.prompt_tokens,
         output_tokens: generation.output_tokens,
         parts: generation.parts.clone(),
+        content: Some(request.content),
         priority: request.priority,
         time_left_ms: request.deadline.since(now).as_millis() as u64,
         objective_left_ms: request.objective.since(now).as_millis() as u64,
--- a/crates/orioleroute-node/src/gateway/quarantine.rs
+++ b/crates/orioleroute-node/src/gateway/quarantine.rs
@@ -1,4 +1,5 @@
-//! Shares what the schedulers know of prompts that end engines, through a row in the store for each zone.
+//! Shares what the schedulers know of requests that end upstreams: through a row in the store for each zone, and directly with
+//! the instances that are connected to the scheduler, because the store may be away.
 
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
@@ -6,16 +7,20 @@
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use orioleroute::hash;
 use orioleroute::ingress::attempt::Generation;
-use orioleroute::ingress::quarantine::{Change, Quarantine, Report};
+use orioleroute::ingress::quarantine::{Change, Key, Kind, Quarantine, Report, Subject};
+use orioleroute::ingress::registry::Standing;
 use orioleroute::prelude::*;
-use orioleroute::scheduler::EngineCheck;
+use orioleroute::scheduler::message::{RunResult, ToInstance, ToScheduler, UngrantedRun};
+use orioleroute::scheduler::{Client, EngineCheck};
 use orioleroute_platform::store::Write;
 use orioleroute_wire::http1::socket::Socket;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
 use super::leadership;
+use super::link::{self, SchedulerHandle};
 use super::state::Gateway;
 use super::sync::CLUSTER_TABLE;
 
@@ -32,22 +37,47 @@
 /// The delay before a report that could not be written is written again.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// The verdicts on prompt parts, and what is still to be written.
+/// The verdicts on requests and prompt parts, and what is still to be written.
 #[derive(Default)]
 pub struct Shared {
     quarantine: RefCell<Quarantine>,
-    /// The fencing tokens of the schedulers whose rows were applied last, by zone.
-    fencing: RefCell<Map<Arc<str>, u64>>,
+    /// The newest rows that were applied, by zone.
+    applied: RefCell<Map<Arc<str>, Edition>>,
+    /// The number of rows that were published here.
+    published: Cell<u64>,
     /// The zones whose reports are still to be written.
     unwritten: RefCell<Set<Arc<str>>>,
     is_writing: Cell<bool>,
+    /// The connected instances that want the reports.
+    followers: RefCell<Set<Client>>,
+}
+
+/// Orders the rows of a zone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Edition {
+    fencing: u64,
+    sequence: u64,
 }
 
 impl Shared {
-    /// Returns the part of a prompt for which requests of a service are refused, if there is one.
-    pub fn blamed(&self, service: &Arc<str>, generation: &Generation, now: Instant) -> Option<u64> {
-        let (_, shared) = generation.parts.split_last()?;
-        self.quarantine.borrow().blamed(service, shared.iter().map(|part| part.id), now)
+    /// Returns for what requests with this content are refused, if they are.
+    pub fn blamed(
+        &self,
+        service: &Arc<str>,
+        content: u64,
+        generation: Option<&Generation>,
+        now: Instant,
+    ) -> Option<Key> {
+        let parts = generation.and_then(|generation| generation.parts.split_last());
+        let shared = parts.into_iter().flat_map(|(_, shared)| shared);
+        let keys = shared.map(|part| Key::part(part.id)).chain([Key::request(content)]);
+        self.quarantine.borrow().blamed(service, keys, now)
+    }
+
+    /// Returns the number of upstreams that were lost under a request that has not shown that it is sound.
+    pub fn losses_under(&self, service: &Arc<str>, content: u64) -> usize {
+        let subject = Subject { service: service.clone(), key: Key::request(content) };
+        self.quarantine.borrow().losses_under(&subject)
     }
 
     /// Returns the last report of a zone, for a scheduler that takes it over.
@@ -66,13 +96,25 @@
 struct Row {
     /// The fencing token of the scheduler that wrote it.
     fencing: u64,
+    /// The number of the row among those of its writer. Writers of an older release do not count.
+    #[serde(default)]
+    sequence: u64,
     /// When it was written, in milliseconds since the Unix epoch by the clock of the instance.
     written_ms: u64,
     report: Report,
 }
 
-/// Applies the row of a zone, unless its scheduler runs here or a later one has written before.
-pub fn apply_row(gateway: &Rc<Gateway>, zone: &str, value: Option<&str>) {
+/// How a row has come here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// From the store, some time after it was written.
+    Store,
+    /// From the scheduler, as soon as it was written.
+    Scheduler,
+}
+
+/// Applies the row of a zone, unless its scheduler runs here or a later row has been applied.
+pub fn apply_row(gateway: &Rc<Gateway>, zone: &str, value: Option<&str>, way: Way) {
     let zone: Arc<str> = zone.into();
     let row = match value.map(serde_json::from_str::<Row>).transpose() {
         Ok(Some(row)) => row,
@@ -83,30 +125,68 @@
         }
     };
     let own = gateway.leadership.fencing_token(&zone);
-    let known = gateway.suspects.fencing.borrow().get(&zone).copied();
-    let newest = own.max(known).unwrap_or_default();
+    let edition = Edition { fencing: row.fencing, sequence: row.sequence };
+    let applied = gateway.suspects.applied.borrow().get(&zone).copied();
+    let newest = own.max(applied.map(|applied| applied.fencing)).unwrap_or_default();
     if row.fencing < newest && own == Some(newest) {
         // A former scheduler has overwritten the row.
         publish_again(gateway, &zone);
     }
-    if row.fencing < newest || own == Some(row.fencing) {
+    let is_repeated = edition.sequence > 0 && applied.is_some_and(|applied| edition <= applied);
+    if row.fencing < newest || own == Some(row.fencing) || is_repeated {
         return;
     }
-    gateway.suspects.fencing.borrow_mut().insert(zone.clone(), row.fencing);
+    gateway.suspects.applied.borrow_mut().insert(zone.clone(), edition);
     let mut report = row.report;
-    report.add_age(Duration::from_millis(unix_ms().saturating_sub(row.written_ms)));
+    if way == Way::Store {
+        report.add_age(Duration::from_millis(unix_ms().saturating_sub(row.written_ms)));
+    }
     apply(gateway, &zone, report);
 }
 
-/// Applies the report of a scheduler that runs here, and writes it to the store.
+/// Applies the report of a scheduler that runs here, and shares it.
 pub fn publish(gateway: &Rc<Gateway>, zone: &Arc<str>, report: Report) {
+    gateway.suspects.published.set(gateway.suspects.published.get() + 1);
     gateway.suspects.unwritten.borrow_mut().insert(zone.clone());
     apply(gateway, zone, report);
+    let followers: Vec<Client> = gateway.suspects.followers.borrow().iter().copied().collect();
+    for follower in followers {
+        send_report(gateway, zone, follower);
+    }
     if !gateway.suspects.is_writing.replace(true) {
         monoio::spawn(write_reports(gateway.clone()));
     }
 }
 
+/// Records that a connected instance wants the reports of the schedulers that run here, and sends it what there is.
+pub fn add_follower(gateway: &Rc<Gateway>, client: Client) {
+    gateway.suspects.followers.borrow_mut().insert(client);
+    for zone in gateway.leadership.scheduled_zones() {
+        send_report(gateway, &zone, client);
+    }
+}
+
+/// Records that an instance is no longer connected.
+pub fn remove_follower(gateway: &Rc<Gateway>, client: Client) {
+    gateway.suspects.followers.borrow_mut().remove(&client);
+}
+
+fn send_report(gateway: &Rc<Gateway>, zone: &Arc<str>, client: Client) {
+    let row = row(gateway, zone).and_then(|row| serde_json::to_string(&row).ok());
+    if let Some(row) = row {
+        let message = ToInstance::Suspects { zone: zone.clone(), row: row.into() };
+        link::send_to_instance(gateway, client, message);
+    }
+}
+
+/// Returns the row of a zone that is scheduled here, if there is anything to report.
+fn row(gateway: &Rc<Gateway>, zone: &Arc<str>) -> Option<Row> {
+    let fencing = gateway.leadership.fencing_token(zone)?;
+    let report = gateway.suspects.report(zone, gateway.now())?;
+    let sequence = gateway.suspects.published.get();
+    Some(Row { fencing, sequence, written_ms: unix_ms(), report })
+}
+
 /// Writes the report of a zone again that is scheduled here, because the store may have lost it.
 pub fn publish_again(gateway: &Rc<Gateway>, zone: &Arc<str>) {
     if let Some(report) = gateway.suspects.report(zone, gateway.now()) {
@@ -114,7 +194,68 @@
     }
 }
 
-/// Checks whether an engine on which a run broke off is lost, and passes the result to its scheduler.
+/// Reports the end of a run that no scheduler granted to the scheduler that collects the losses of its upstream, if one is
+/// in reach. That a run was sound is reported only if it is suspected.
+pub fn report_run(gateway: &Rc<Gateway>, mut ended: UngrantedRun, result: RunResult) {
+    match result {
+        RunResult::Answered => {
+            let quarantine = gateway.suspects.quarantine.borrow();
+            let service = ended.service.clone();
+            ended.run.retain(|key| {
+                quarantine.losses_under(&Subject { service: service.clone(), key }) > 0
+            });
+            if ended.run.is_sound() {
+                return;
+            }
+        }
+        // An upstream that leaves ends soon, whatever it runs.
+        RunResult::Broken if is_staying(gateway, &ended.upstream) => {}
+        _ => return,
+    }
+    let Some((zone, scheduler)) = collector(gateway, &ended) else { return };
+    ended.zone = zone;
+    let ticket = gateway.links.next_ticket();
+    scheduler.send(gateway, ToScheduler::ended_ungranted(ticket, result, ended));
+}
+
+fn is_staying(gateway: &Gateway, upstream: &str) -> bool {
+    matches!(gateway.registry().standing(upstream), Standing::Ready | Standing::Missing)
+}
+
+/// Returns the scheduler that collects the losses of an upstream: that of its zone, or another one that all instances choose
+/// alike.
+fn collector(gateway: &Rc<Gateway>, ended: &UngrantedRun) -> Option<(Arc<str>, SchedulerHandle)> {
+    let mut zones: Vec<Arc<str>> = gateway.leadership.leaders.led_zones();
+    let item = hash::digest(&ended.address);
+    zones.sort_by_key(|zone| (*zone != ended.zone, hash::weight(item, hash::digest(&**zone))));
+    zones.into_iter().find_map(|zone| {
+        let scheduler = scheduler_of(gateway, &zone)?;
+        Some((zone, scheduler))
+    })
+}
+
+/// Connects to the schedulers of all zones, because they report lost upstreams to those that are connected.
+pub fn follow_schedulers(gateway: &Rc<Gateway>) {
+    for zone in gateway.leadership.leaders.led_zones() {
+        scheduler_of(gateway, &zone);
+    }
+}
+
+/// Returns the scheduler of a zone if it is in reach.
+fn scheduler_of(gateway: &Rc<Gateway>, zone: &str) -> Option<SchedulerHandle> {
+    if gateway.leadership.fencing_token(zone).is_some() {
+        return Some(SchedulerHandle::Local);
+    }
+    let holder = gateway.leadership.leaders.leader(zone)?.holder;
+    let address = {
+        let roster = gateway.roster();
+        let is_responsive = roster.is_responsive(&holder, gateway.now());
+        roster.member(&holder).filter(|_| is_responsive)?.peer_address
+    };
+    SchedulerHandle::for_address(gateway, address)
+}
+
+/// Checks whether an upstream on which a run broke off is lost, and passes the result to its scheduler.
 pub async fn check_engine(
     gateway: Rc<Gateway>,
     zone: Arc<str>,
@@ -140,31 +281,46 @@
     let changes = {
         let mut quarantine = gateway.suspects.quarantine.borrow_mut();
         let changes = quarantine.update(zone, report, gateway.now());
-        metrics::gauge!("orioleroute_blamed_parts").set(quarantine.blamed_parts() as f64);
+        metrics::gauge!("orioleroute_blamed_parts").set(quarantine.blamed_count(Kind::Part) as f64);
+        metrics::gauge!("orioleroute_blamed_requests")
+            .set(quarantine.blamed_count(Kind::Request) as f64);
         changes
     };
-    for change in changes {
-        match change {
-            Change::Blamed(part, verdict) => warn!(gateway.log, "prompt part quarantined";
-                "part" => format!("{:x}", part.id), "service" => &*part.service,
-                "losses" => verdict.losses, "requests" => verdict.requests,
-                "for_s" => verdict.until.since(gateway.now()).as_secs()),
-            Change::Released(part) => warn!(gateway.log, "prompt part released";
-                "part" => format!("{:x}", part.id), "service" => &*part.service),
-        }
+    for change in &changes {
+        log_change(gateway, change);
     }
     leadership::update_quarantine(gateway);
 }
 
+fn log_change(gateway: &Rc<Gateway>, change: &Change) {
+    let (subject, verdict) = match change {
+        Change::Blamed(subject, verdict) => (subject, Some(verdict)),
+        Change::Released(subject) => (subject, None),
+    };
+    let message = match (subject.key.kind, verdict) {
+        (Kind::Part, Some(_)) => "prompt part quarantined",
+        (Kind::Part, None) => "prompt part released",
+        (Kind::Request, Some(_)) => "request quarantined",
+        (Kind::Request, None) => "request released",
+    };
+    let id = format!("{:x}", subject.key.id);
+    let (part, content) = match subject.key.kind {
+        Kind::Part => (Some(&id), None),
+        Kind::Request => (None, Some(&id)),
+    };
+    warn!(gateway.log, "{}", message; "part" => part, "content" => content,
+        "service" => &*subject.service, "losses" => verdict.map(|verdict| verdict.losses),
+        "requests" => verdict.map(|verdict| verdict.requests),
+        "for_s" => verdict.map(|verdict| verdict.until.since(gateway.now()).as_secs()));
+}
+
 /// Writes reports until all are written. Those of zones that are scheduled elsewhere by now are dropped.
 async fn write_reports(gateway: Rc<Gateway>) {
     loop {
         let next = gateway.suspects.unwritten.borrow().iter().next().cloned();
         let Some(zone) = next else { break };
         gateway.suspects.unwritten.borrow_mut().remove(&zone);
-        let Some(fencing) = gateway.leadership.fencing_token(&zone) else { continue };
-        let Some(report) = gateway.suspects.report(&zone, gateway.now()) else { continue };
-        let row = Row { fencing, written_ms: unix_ms(), report };
+        let Some(row) = row(&gateway, &zone) else { continue };
         let write = Write {
             table: CLUSTER_TABLE,
             key: format!("{REPORT_PREFIX}{zone}"),
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -391,7 +391,7 @@
             }
         }
     } else if let Some(zone) = row.key.strip_prefix(quarantine::REPORT_PREFIX) {
-        quarantine::apply_row(gateway, zone, row.value.as_deref());
+        quarantine::apply_row(gateway, zone, row.value.as_deref(), quarantine::Way::Store);
     } else if let Some(zone) = row.key.strip_prefix(LEADER_PREFIX) {
         let leader = row.value.as_deref().map(serde_json::from_str::<Leader>);
         match leader {
--- a/crates/orioleroute-node/src/gateway/unscheduled.rs
+++ b/crates/orioleroute-node/src/gateway/unscheduled.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use orioleroute::ingress::quarantine::Run;
 use orioleroute::ingress::upstream::Description;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::Reason;
@@ -41,15 +42,21 @@
         (health.cost(upstream.slots, extra_latency(gateway, &upstream.zone)), upstream)
     });
     let (_, best) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
-    let (upstream, address) = (best.id.clone(), best.address);
+    let best = best.clone();
     let version = wanted.and_then(|(adapter, _)| best.version(&generation.model, adapter));
     drop((registry, health));
     // The listed version may be a second old; the engine checks it again.
-    let mut permit = Permit::unscheduled(gateway, upstream, address);
+    let mut permit = Permit::unscheduled(gateway, &best, generation_run(request));
     permit.version = version;
     Some(permit)
 }
 
+fn generation_run(request: &PermitRequest<'_>) -> Run {
+    let parts: Vec<u64> = request.generation.parts.iter().map(|part| part.id).collect();
+    let (own, shared) = parts.split_last().unwrap_or((&0, &[]));
+    Run { own: *own, parts: shared.to_vec(), request: Some(request.content), ran_ms: 0 }
+}
+
 /// Returns a permit on the upstream of a plain service with the least expected cost, among those whose limits allow a
 /// request.
 pub fn acquire_plain(
@@ -57,6 +64,7 @@
     service: &str,
     excluded: &[Arc<str>],
     attempt: Option<&Arc<str>>,
+    content: u64,
 ) -> Result<Permit, Refusal> {
     let now = gateway.now();
     let (best, soonest) = {
@@ -75,15 +83,15 @@
             (health.cost(upstream.slots, extra_latency), upstream)
         });
         let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
-        let best = best.map(|(_, upstream)| (upstream.id.clone(), upstream.address));
+        let best = best.map(|(_, upstream)| Description::clone(upstream));
         (best, delayed.iter().map(|(delay, _)| *delay).min())
     };
     let refusal = match soonest {
         Some(delay) => Refusal::until_free(Reason::Overloaded, delay, attempt),
         None => Refusal::new(Reason::NoEngine, NO_UPSTREAM_RETRY_AFTER),
     };
-    let (upstream, address) = best.ok_or(refusal)?;
-    Ok(Permit::unscheduled(gateway, upstream, address))
+    let run = Run { request: Some(content), ..Run::default() };
+    Ok(Permit::unscheduled(gateway, &best.ok_or(refusal)?, run))
 }
 
 /// The retry-after time if a service has no usable upstream: about the length of an ejection.
--- a/crates/orioleroute/src/ingress/attempt.rs
+++ b/crates/orioleroute/src/ingress/attempt.rs
@@ -1,6 +1,5 @@
 //! An attempt of a client, as described by its header fields.
 
-use crate::hash;
 use crate::prelude::*;
 
 /// An attempt of a client at a request.
@@ -17,7 +16,7 @@
 }
 
 /// What a client asks for, which is the same in all attempts at one request.
-#[derive(Clone, Copy, Debug, Hash)]
+#[derive(Clone, Copy, Debug)]
 pub struct Content<'a> {
     /// The method.
     pub method: &'a str,
@@ -34,14 +33,34 @@
 }
 
 impl Content<'_> {
-    /// Returns the number by which all instances recognize the request.
+    /// Returns the number by which all instances recognize the request. It is the start of a cryptographic hash, so that no
+    /// client can make up a request that is taken for another one's.
     pub fn digest(&self) -> u64 {
-        hash::digest(self)
+        let mut hasher = blake3::Hasher::new();
+        let mut add = |field: &[u8]| {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        };
+        add(self.method.as_bytes());
+        add(self.host.as_bytes());
+        add(self.target.as_bytes());
+        add(self.credentials.unwrap_or_default());
+        add(self.body);
+        if let Some(generation) = self.generation {
+            add(generation.model.as_bytes());
+            add(generation.adapter.as_deref().unwrap_or_default().as_bytes());
+            add(&generation.prompt_tokens.to_le_bytes());
+            add(&generation.output_tokens.to_le_bytes());
+            generation.parts.iter().for_each(|part| add(&part.id.to_le_bytes()));
+        }
+        let mut start = [0; 8];
+        hasher.finalize_xof().fill(&mut start);
+        u64::from_le_bytes(start)
     }
 }
 
 /// The parameters of a generation by a model engine.
-#[derive(Clone, Debug, Hash)]
+#[derive(Clone, Debug)]
 pub struct Generation {
     /// The base model.
     pub model: Arc<str>,
@@ -57,7 +76,7 @@
 }
 
 /// A part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Part {
     /// A number that identifies the content.
     pub id: u64,
--- a/crates/orioleroute/src/ingress/health.rs
+++ b/crates/orioleroute/src/ingress/health.rs
@@ -25,6 +25,7 @@
 pub struct Health {
     failure_rate: f64,
     latency_s: f64,
+    has_answered: bool,
     ejections: u32,
     ejected_until: Instant,
     outstanding: usize,
@@ -64,6 +65,7 @@
         let failure = match outcome {
             Outcome::Answered(time) => {
                 self.ejections = 0;
+                self.has_answered = true;
                 let latency = time.as_secs_f64();
                 self.latency_s += SMOOTHING * (latency - self.latency_s);
                 0.0
@@ -78,6 +80,11 @@
         self.failure_rate += SMOOTHING * (failure - self.failure_rate);
     }
 
+    /// Returns whether the upstream has answered a request.
+    pub fn has_answered(&self) -> bool {
+        self.has_answered
+    }
+
     /// Returns whether the upstream is ejected, so that it gets no requests.
     pub fn is_ejected(&self, now: Instant) -> bool {
         now < self.ejected_until
--- a/crates/orioleroute/src/ingress/quarantine.rs
+++ b/crates/orioleroute/src/ingress/quarantine.rs
@@ -1,13 +1,13 @@
-//! Prompt parts that are refused because they end the engines that run them.
+//! Requests and prompt parts that are refused because they end the upstreams that run them.
 //!
-//! Load pattern: one part of a prompt ends every engine that begins to write an answer on it, whatever else the request
-//! holds, and requests with that part come at every instance. A loss by itself blames nobody: engines end for other
-//! reasons too, and every request that runs beside the one that ended its engine is lost with it. The parts that
-//! these share with sound requests are cleared by answers; what the losses of several engines and several requests
-//! still have in common is blamed.
+//! Load patterns: a request ends every upstream that begins to run it, and comes again and again, at every instance; or one
+//! part of a prompt does, whatever else the request holds, and no two requests with it are alike. A loss by itself blames
+//! nothing: upstreams end for other reasons too, and every request that runs beside the one that ended its upstream is lost
+//! with it. What has been sound is cleared by its answers; what the losses of several upstreams still have in common
+//! is blamed.
 //!
-//! The scheduler of each availability zone reports the losses of its engines, and each instance derives the same verdicts
-//! from all reports. `docs/PLATFORM.md`, section "Prompts that crash engines", compares the alternatives.
+//! The scheduler of each availability zone reports the losses of its upstreams, and each instance derives the same verdicts
+//! from all reports. `docs/PLATFORM.md`, section "Requests that crash upstreams", compares the alternatives.
 
 use std::net::SocketAddr;
 
@@ -15,70 +15,148 @@
 
 use crate::prelude::*;
 
-/// The number of different moments at which engines have to be lost under a part for it to be blamed.
-const MIN_MOMENTS: usize = 3;
+/// The number of separate losses of upstreams under a request or part for it to be blamed.
+const MIN_LOSSES: usize = 3;
 
-/// The time between losses under which they count as one moment: several engines are lost at once when their machine,
-/// rack or network is. Reports of two zones arrive up to 250 ms apart.
+/// The time between losses under which they count as one for a part: several engines are lost at once when their machine,
+/// rack or network is. It covers [`REPORT_DELAY`].
 const SIMULTANEOUS: Duration = Duration::from_millis(300);
 
-/// The number of different requests, and of different addresses of engines, among these losses. A request that is retried
-/// could otherwise blame all its parts, and one defective machine every part that it runs.
+/// How much later than a loss its report may arrive.
+const REPORT_DELAY: Duration = Duration::from_millis(250);
+
+/// The least time between losses that count separately for a request. Instances in all regions notice a loss within half of it.
+const MIN_SEPARATION: Duration = Duration::from_millis(50);
+
+/// The number of different addresses of upstreams among these losses and, for a part, of different requests. A request that
+/// is retried could otherwise blame all its parts, and one defective machine everything that it runs.
 const MIN_DIFFERENT: usize = 2;
 
-/// How long a part is refused after the last engine was lost under it. Its next request is then run by itself, which
-/// clears the part or blames it again.
+/// How long a request or part is refused after the last upstream was lost under it. The next request is then run by itself,
+/// which clears it or blames it again.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 
 /// The retry-after time of a refused request.
 pub const RETRY_AFTER: Duration = QUARANTINE_TIME;
 
-/// A prompt part as used by one service.
+/// What may end upstreams.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A part of a prompt, which different requests share.
+    #[default]
+    Part,
+    /// A whole request, which is sent again and again.
+    Request,
+}
+
+impl Kind {
+    fn is_part(&self) -> bool {
+        *self == Self::Part
+    }
+}
+
+/// Identifies a prompt part or a request within a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key {
+    /// What it identifies.
+    #[serde(default, skip_serializing_if = "Kind::is_part")]
+    pub kind: Kind,
+    /// The number that identifies the content.
+    pub id: u64,
+}
+
+impl Key {
+    /// Returns the key of a prompt part.
+    pub fn part(id: u64) -> Self {
+        Self { kind: Kind::Part, id }
+    }
+
+    /// Returns the key of a request, from its
+    /// [digest](crate::ingress::attempt::Content::digest).
+    pub fn request(id: u64) -> Self {
+        Self { kind: Kind::Request, id }
+    }
+}
+
+/// A prompt part or a request, as used by one service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Part {
+pub struct Subject {
     /// The service.
     pub service: Arc<str>,
-    /// The number that identifies the content.
-    pub id: u64,
+    /// What it is.
+    #[serde(flatten)]
+    pub key: Key,
 }
 
-/// A request that ran on an engine when it was lost, and had not shown that it is sound.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A request that ran on an upstream when it was lost, and had not shown that it is sound.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
     /// The last part of its prompt, which is its own: the same for all attempts at one request.
     pub own: u64,
     /// The other parts of its prompt that are not known to be sound.
     pub parts: Vec<u64>,
+    /// The digest of the request, unless that is known to be sound.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<u64>,
+    /// How long it had run when the upstream was lost, in milliseconds.
+    #[serde(default)]
+    pub ran_ms: u64,
+}
+
+impl Run {
+    /// Returns what may have ended the upstream.
+    pub fn keys(&self) -> impl Iterator<Item = Key> {
+        let parts = self.parts.iter().copied().map(Key::part);
+        parts.chain(self.request.map(Key::request))
+    }
+
+    /// Keeps what may have ended the upstream according to `is_suspect`.
+    pub fn retain(&mut self, mut is_suspect: impl FnMut(Key) -> bool) {
+        self.parts.retain(|id| is_suspect(Key::part(*id)));
+        self.request = self.request.filter(|id| is_suspect(Key::request(*id)));
+    }
+
+    /// Returns whether nothing in it may have ended the upstream.
+    pub fn is_sound(&self) -> bool {
+        self.parts.is_empty() && self.request.is_none()
+    }
 }
 
-/// The loss of an engine.
+/// The loss of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loss {
-    /// The engine's service.
+    /// The upstream's service.
     pub service: Arc<str>,
-    /// The engine's address, which it keeps when it is restarted.
+    /// The upstream's address, which it keeps when it is restarted.
     pub engine: SocketAddr,
+    /// Whether the upstream had answered a request since its start, as far as is known.
+    #[serde(default)]
+    pub has_answered: bool,
     /// The time since the loss when it was reported, in milliseconds.
     pub age_ms: u64,
-    /// What ran on the engine.
+    /// What ran on the upstream.
     pub runs: Vec<Run>,
 }
 
 /// What the scheduler of one availability zone reports.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// The losses of engines that are not explained otherwise.
+    /// The losses of upstreams that are not explained otherwise.
     pub losses: Vec<Loss>,
-    /// Parts that other zones suspect and that have just been sound here.
-    pub sound: Vec<Part>,
+    /// What other zones suspect and has just been sound here.
+    pub sound: Vec<Subject>,
 }
 
-/// The verdicts on prompt parts, from the reports of all zones.
+/// The verdicts on requests and prompt parts, from the reports of all zones.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     reports: Map<Arc<str>, Received>,
-    blamed: Map<Part, Verdict>,
-    suspects: Set<Part>,
+    blamed: Map<Subject, Verdict>,
+    /// What is suspected or blamed, with the number of losses under it.
+    suspects: Map<Subject, usize>,
 }
 
 #[derive(Clone, Debug)]
@@ -87,10 +165,10 @@
     at: Instant,
 }
 
-/// Why a part is blamed.
+/// Why a request or part is blamed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Verdict {
-    /// The number of engines that were lost under it.
+    /// The number of upstreams that were lost under it.
     pub losses: usize,
     /// The number of different requests that they ran.
     pub requests: usize,
@@ -101,10 +179,10 @@
 /// A changed verdict, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// The part is refused from now on.
-    Blamed(Part, Verdict),
-    /// The part is not refused any more.
-    Released(Part),
+    /// It is refused from now on.
+    Blamed(Subject, Verdict),
+    /// It is not refused any more.
+    Released(Subject),
 }
 
 impl Quarantine {
@@ -113,11 +191,11 @@
         self.reports.insert(zone.clone(), Received { report, at: now });
         let before = std::mem::take(&mut self.blamed);
         self.judge();
-        let blamed = self.blamed.iter().filter(|(part, _)| !before.contains_key(*part));
-        let released = before.keys().filter(|part| !self.blamed.contains_key(*part));
+        let blamed = self.blamed.iter().filter(|(subject, _)| !before.contains_key(*subject));
+        let released = before.keys().filter(|subject| !self.blamed.contains_key(*subject));
         blamed
-            .map(|(part, verdict)| Change::Blamed(part.clone(), *verdict))
-            .chain(released.map(|part| Change::Released(part.clone())))
+            .map(|(subject, verdict)| Change::Blamed(subject.clone(), *verdict))
+            .chain(released.map(|subject| Change::Released(subject.clone())))
             .collect()
     }
 
@@ -129,67 +207,80 @@
         Some(report)
     }
 
-    /// Returns the parts that zones other than `zone` suspect.
-    pub fn suspects_elsewhere(&self, zone: &str) -> Set<Part> {
+    /// Returns what zones other than `zone` suspect.
+    pub fn suspects_elsewhere(&self, zone: &str) -> Set<Subject> {
         let others = self.reports.iter().filter(|(name, _)| ***name != *zone);
         others.flat_map(|(_, received)| received.report.suspects()).collect()
     }
 
-    /// Returns the parts that zones other than `zone` have just found to be sound.
-    pub fn sound_elsewhere<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Part> {
+    /// Returns what zones other than `zone` have just found to be sound.
+    pub fn sound_elsewhere<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Subject> {
         let others = self.reports.iter().filter(move |(name, _)| ***name != *zone);
         others.flat_map(|(_, received)| &received.report.sound)
     }
 
-    /// Returns the part among `ids` for which requests of a service are refused.
+    /// Returns the one among `keys` for which requests of a service are refused.
     pub fn blamed(
         &self,
         service: &Arc<str>,
-        ids: impl IntoIterator<Item = u64>,
+        keys: impl IntoIterator<Item = Key>,
         now: Instant,
-    ) -> Option<u64> {
+    ) -> Option<Key> {
         if self.blamed.is_empty() {
             return None;
         }
-        ids.into_iter().find(|id| {
-            let part = Part { service: service.clone(), id: *id };
-            self.blamed.get(&part).is_some_and(|verdict| now < verdict.until)
+        keys.into_iter().find(|key| {
+            let subject = Subject { service: service.clone(), key: *key };
+            self.blamed.get(&subject).is_some_and(|verdict| now < verdict.until)
         })
     }
 
-    /// Returns the parts that are suspected, with those that are blamed.
-    pub fn suspects(&self) -> &Set<Part> {
-        &self.suspects
+    /// Returns whether anything is suspected or blamed.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
     }
 
-    /// Returns the number of blamed parts.
-    pub fn blamed_parts(&self) -> usize {
-        self.blamed.len()
+    /// Returns the number of losses under a suspect, which is zero if it is none.
+    pub fn losses_under(&self, subject: &Subject) -> usize {
+        self.suspects.get(subject).copied().unwrap_or_default()
     }
 
-    /// Derives the verdicts. The part that the most losses have in common is blamed first, and the losses that it explains
-    /// blame no other part. Parts that cannot be told apart are blamed together.
+    /// Returns how many parts or requests are blamed.
+    pub fn blamed_count(&self, kind: Kind) -> usize {
+        self.blamed.keys().filter(|subject| subject.key.kind == kind).count()
+    }
+
+    /// Derives the verdicts. What the most losses have in common is blamed first, and the losses that it explains
+    /// blame nothing else. What cannot be told apart in the end is blamed together.
     fn judge(&mut self) {
-        let sound: Set<&Part> =
+        let sound: Set<&Subject> =
             self.reports.values().flat_map(|received| &received.report.sound).collect();
-        let mut losses: Vec<(Instant, &Loss)> = Vec::new();
+        let mut losses: Vec<TimedLoss<'_>> = Vec::new();
         for received in self.reports.values() {
-            losses.extend(
-                received
-                    .report
-                    .losses
-                    .iter()
-                    .map(|loss| (received.at - Duration::from_millis(loss.age_ms), loss)),
-            );
+            losses.extend(received.report.losses.iter().map(|loss| TimedLoss {
+                at: received.at - Duration::from_millis(loss.age_ms),
+                loss,
+            }));
+        }
+        losses.sort_by_key(|timed| timed.at);
+        let mut under: Map<Subject, Vec<usize>> = Map::default();
+        for (index, timed) in losses.iter().enumerate() {
+            let subjects: Set<Subject> = timed.loss.suspects().collect();
+            for subject in subjects.into_iter().filter(|subject| !sound.contains(subject)) {
+                under.entry(subject).or_default().push(index);
+            }
         }
-        self.suspects = losses.iter().flat_map(|(_, loss)| loss.suspects()).collect();
-        self.suspects.retain(|part| !sound.contains(part));
+        self.suspects =
+            under.iter().map(|(subject, indices)| (subject.clone(), indices.len())).collect();
+        let mut is_explained = vec![false; losses.len()];
         loop {
-            let worst = most_blamed(&self.suspects, &losses);
+            let worst = most_blamed(&under, &losses, &is_explained);
             if worst.is_empty() {
                 return;
             }
-            losses.retain(|(_, loss)| !worst.iter().any(|(part, _)| loss.has(part)));
+            for (subject, _) in &worst {
+                under[subject].iter().for_each(|index| is_explained[*index] = true);
+            }
             self.blamed.extend(worst);
         }
     }
@@ -201,73 +292,148 @@
         self.losses.iter_mut().for_each(|loss| loss.age_ms += age.as_millis() as u64);
     }
 
-    /// Returns the parts that the report suspects.
-    pub fn suspects(&self) -> impl Iterator<Item = Part> {
+    /// Returns what the report suspects.
+    pub fn suspects(&self) -> impl Iterator<Item = Subject> {
         self.losses.iter().flat_map(Loss::suspects)
     }
 }
 
 impl Loss {
-    /// Returns the parts of the requests that ran on the engine.
-    pub fn suspects(&self) -> impl Iterator<Item = Part> {
-        let ids = self.runs.iter().flat_map(|run| &run.parts);
-        ids.map(|id| Part { service: self.service.clone(), id: *id })
+    /// Returns what may have ended the upstream.
+    pub fn suspects(&self) -> impl Iterator<Item = Subject> {
+        let keys = self.runs.iter().flat_map(Run::keys);
+        keys.map(|key| Subject { service: self.service.clone(), key })
     }
 
-    /// Removes a part that is sound, and returns whether the loss had it.
-    pub fn clear(&mut self, part: &Part) -> bool {
-        let has_part = self.has(part);
-        if has_part {
-            self.runs.iter_mut().for_each(|run| run.parts.retain(|id| *id != part.id));
-            self.runs.retain(|run| !run.parts.is_empty());
+    /// Removes what is sound, and returns whether the loss had it.
+    pub fn clear(&mut self, subject: &Subject) -> bool {
+        let is_suspect =
+            self.service == subject.service && self.runs_of(subject.key).next().is_some();
+        if is_suspect {
+            self.runs.iter_mut().for_each(|run| run.retain(|key| key != subject.key));
+            self.runs.retain(|run| !run.is_sound());
         }
-        has_part
+        is_suspect
     }
 
-    fn has(&self, part: &Part) -> bool {
-        self.service == part.service && self.runs.iter().any(|run| run.parts.contains(&part.id))
+    fn runs_of(&self, key: Key) -> impl Iterator<Item = &Run> {
+        self.runs.iter().filter(move |run| run.keys().any(|suspect| suspect == key))
     }
 }
 
-/// Returns the parts that the most losses have in common, if there are enough of them to blame a part.
-fn most_blamed(suspects: &Set<Part>, losses: &[(Instant, &Loss)]) -> Vec<(Part, Verdict)> {
-    let judged = suspects.iter().filter_map(|part| Some((part, judge_part(part, losses)?)));
-    let judged: Vec<(&Part, Verdict)> = judged.collect();
+/// A loss, and when it happened.
+struct TimedLoss<'a> {
+    at: Instant,
+    loss: &'a Loss,
+}
+
+/// Returns what the most unexplained losses have in common, if there are enough of them to blame it. `under` has the indices
+/// of the losses under each suspect, in order of time.
+fn most_blamed(
+    under: &Map<Subject, Vec<usize>>,
+    losses: &[TimedLoss<'_>],
+    is_explained: &[bool],
+) -> Vec<(Subject, Verdict)> {
+    let judged = under.iter().filter_map(|(subject, indices)| {
+        let unexplained = indices.iter().filter(|index| !is_explained[**index]);
+        let under: Vec<&TimedLoss<'_>> = unexplained.map(|index| &losses[*index]).collect();
+        let verdict = match subject.key.kind {
+            Kind::Part => judge_part(subject.key, &under),
+            Kind::Request => judge_request(subject.key, &under, losses),
+        };
+        Some((subject, verdict?))
+    });
+    let judged: Vec<(&Subject, Verdict)> = judged.collect();
     let weight = |verdict: &Verdict| (verdict.losses, verdict.requests);
     let Some(most) = judged.iter().map(|(_, verdict)| weight(verdict)).max() else {
         return Vec::new();
     };
-    let worst = judged.into_iter().filter(|(_, verdict)| weight(verdict) == most);
-    worst.map(|(part, verdict)| (part.clone(), verdict)).collect()
+    let worst: Vec<(&Subject, Verdict)> =
+        judged.into_iter().filter(|(_, verdict)| weight(verdict) == most).collect();
+    // Another run tells requests apart that were only lost together: one is answered, or under one more upstreams are lost.
+    let is_ambiguous = |subject: &Subject, verdict: &Verdict| {
+        subject.key.kind == Kind::Request
+            && verdict.losses == MIN_LOSSES
+            && worst.iter().any(|(other, _)| {
+                *other != subject
+                    && other.key.kind == Kind::Request
+                    && under[*other] == under[subject]
+            })
+    };
+    let clear = worst.iter().filter(|(subject, verdict)| !is_ambiguous(subject, verdict));
+    clear.map(|(subject, verdict)| (Subject::clone(subject), *verdict)).collect()
 }
 
-fn judge_part(part: &Part, losses: &[(Instant, &Loss)]) -> Option<Verdict> {
-    let under: Vec<&(Instant, &Loss)> = losses.iter().filter(|(_, loss)| loss.has(part)).collect();
-    let engines: Set<SocketAddr> = under.iter().map(|(_, loss)| loss.engine).collect();
-    let runs = under.iter().flat_map(|(_, loss)| &loss.runs);
-    let requests: Set<u64> =
-        runs.filter(|run| run.parts.contains(&part.id)).map(|run| run.own).collect();
-    let last = under.iter().map(|(at, _)| *at).max()?;
-    let is_blamed = count_moments(under.iter().map(|(at, _)| *at)) >= MIN_MOMENTS
-        && engines.len() >= MIN_DIFFERENT
+/// Judges a part, whose requests differ: enough losses at different moments, on different engines and under different
+/// requests blame it.
+fn judge_part(key: Key, under: &[&TimedLoss<'_>]) -> Option<Verdict> {
+    let runs = under.iter().flat_map(|timed| timed.loss.runs_of(key));
+    let requests: Set<u64> = runs.map(|run| run.own).collect();
+    let is_blamed = count_moments(under) >= MIN_LOSSES
+        && count_addresses(under) >= MIN_DIFFERENT
         && requests.len() >= MIN_DIFFERENT;
-    is_blamed.then(|| Verdict {
-        losses: under.len(),
-        requests: requests.len(),
-        until: last + QUARANTINE_TIME,
-    })
+    is_blamed.then(|| verdict(under, requests.len()))
+}
+
+/// Judges a request that comes again: enough losses, each of a run that began after the loss before, blame it. What
+/// was running on several upstreams when they lost power began before the first of these losses.
+///
+/// Where all of them were at one address, the upstream itself may be defective. It is not if several of its processes had
+/// answered something else, and none was lost without the request meanwhile.
+fn judge_request(key: Key, under: &[&TimedLoss<'_>], losses: &[TimedLoss<'_>]) -> Option<Verdict> {
+    let chain = consecutive(key, under);
+    let is_blamed = chain.len() >= MIN_LOSSES
+        && (count_addresses(&chain) >= MIN_DIFFERENT
+            || chain.iter().filter(|timed| timed.loss.has_answered).count() >= MIN_DIFFERENT
+                && is_in_all_losses_at_its_address(key, &chain, losses));
+    is_blamed.then(|| verdict(under, 1))
+}
+
+/// Returns the losses under a request of which each is of a run that began after the loss before, as far as can be told.
+fn consecutive<'a>(key: Key, under: &[&'a TimedLoss<'a>]) -> Vec<&'a TimedLoss<'a>> {
+    let mut chain: Vec<&TimedLoss<'_>> = Vec::new();
+    for timed in under {
+        let last = chain.last().map(|last| last.at);
+        let mut runs = timed.loss.runs_of(key);
+        let began_after =
+            |run: &Run, last| timed.at - Duration::from_millis(run.ran_ms) + REPORT_DELAY >= last;
+        let is_separate = |last| timed.at.since(last) >= MIN_SEPARATION;
+        if last.is_none_or(|last| is_separate(last) && runs.any(|run| began_after(run, last))) {
+            chain.push(timed);
+        }
+    }
+    chain
+}
+
+fn is_in_all_losses_at_its_address(
+    key: Key,
+    chain: &[&TimedLoss<'_>],
+    losses: &[TimedLoss<'_>],
+) -> bool {
+    let (Some(first), Some(last)) = (chain.first(), chain.last()) else { return false };
+    let meanwhile = losses.iter().filter(|timed| {
+        (first.at..=last.at).contains(&timed.at) && timed.loss.engine == first.loss.engine
+    });
+    meanwhile.into_iter().all(|timed| timed.loss.runs_of(key).next().is_some())
+}
+
+fn verdict(under: &[&TimedLoss<'_>], requests: usize) -> Verdict {
+    let last = under.iter().map(|timed| timed.at).max().unwrap_or_default();
+    Verdict { losses: under.len(), requests, until: last + QUARANTINE_TIME }
+}
+
+fn count_addresses(losses: &[&TimedLoss<'_>]) -> usize {
+    losses.iter().map(|timed| timed.loss.engine).collect::<Set<SocketAddr>>().len()
 }
 
-/// Returns how many of these times are apart from each other.
-fn count_moments(times: impl Iterator<Item = Instant>) -> usize {
-    let mut times: Vec<Instant> = times.collect();
-    times.sort_unstable();
+/// Returns how many of these losses, in order of time, are apart from each other.
+fn count_moments(losses: &[&TimedLoss<'_>]) -> usize {
     let mut last: Option<Instant> = None;
     let mut moments = 0;
-    for time in times {
-        if last.is_none_or(|last| time.since(last) >= SIMULTANEOUS) {
+    for timed in losses {
+        if last.is_none_or(|last| timed.at.since(last) >= SIMULTANEOUS) {
             moments += 1;
-            last = Some(time);
+            last = Some(timed.at);
         }
     }
     moments
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -5,6 +5,7 @@
 use crate::ingress::Notice;
 use crate::ingress::attempt::Part;
 use crate::ingress::health::Outcome;
+use crate::ingress::quarantine::Run;
 use crate::prelude::*;
 
 /// A message from an instance to a scheduler.
@@ -33,9 +34,45 @@
         /// What the engine says of itself in the head of its answer.
         #[serde(default, skip_serializing_if = "Notice::is_empty")]
         notice: Notice,
+        /// What ended, if no scheduler granted it. Schedulers of an older release ignore it, with the ticket.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        ungranted: Option<Box<UngrantedRun>>,
+        /// Whether the instance wants the reports of lost upstreams, which it says once, under a ticket without a request. An
+        /// instance of an older release could not read them.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        follows_suspects: bool,
     },
 }
 
+impl ToScheduler {
+    /// Returns the message that a granted request has ended.
+    pub fn ended(
+        ticket: u64,
+        result: Option<RunResult>,
+        is_unconfirmed: bool,
+        notice: Notice,
+    ) -> Self {
+        let (ungranted, follows_suspects) = (None, false);
+        Self::Ended { ticket, result, is_unconfirmed, notice, ungranted, follows_suspects }
+    }
+
+    /// Returns the message that a run has ended that no scheduler granted, under a ticket without a request.
+    pub fn ended_ungranted(ticket: u64, result: RunResult, run: UngrantedRun) -> Self {
+        let (result, ungranted) = (Some(result), Some(Box::new(run)));
+        let (is_unconfirmed, follows_suspects) = (false, false);
+        let notice = Notice::default();
+        Self::Ended { ticket, result, is_unconfirmed, notice, ungranted, follows_suspects }
+    }
+
+    /// Returns the message that the instance wants the reports of lost upstreams, under a ticket without a request.
+    pub fn follow(ticket: u64) -> Self {
+        let (result, ungranted) = (None, None);
+        let (is_unconfirmed, follows_suspects) = (false, true);
+        let notice = Notice::default();
+        Self::Ended { ticket, result, is_unconfirmed, notice, ungranted, follows_suspects }
+    }
+}
+
 /// A message from a scheduler to an instance.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 #[serde(tag = "method", content = "params", rename_all = "snake_case")]
@@ -56,6 +93,30 @@
         /// The reason for the refusal.
         reason: Reason,
     },
+    /// What the scheduler of a zone reports of lost upstreams, for instances that follow it.
+    Suspects {
+        /// The availability zone.
+        zone: Arc<str>,
+        /// The row that the scheduler writes to the store.
+        row: Box<str>,
+    },
+}
+
+/// A run that no scheduler granted, because its service has no engines or its zone had no scheduler.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct UngrantedRun {
+    /// The availability zone whose scheduler collects the losses of the upstream.
+    pub zone: Arc<str>,
+    /// The service.
+    pub service: Arc<str>,
+    /// The upstream's id.
+    pub upstream: Arc<str>,
+    /// The upstream's address.
+    pub address: SocketAddr,
+    /// Whether the upstream has answered the instance since its start.
+    pub has_answered: bool,
+    /// What ran.
+    pub run: Run,
 }
 
 /// A request that needs a grant for a model engine.
@@ -81,6 +142,9 @@
     pub output_tokens: u32,
     /// The parts of the prompt, for prefix caching.
     pub parts: Vec<Part>,
+    /// The digest of what the client asks for.
+    #[serde(default)]
+    pub content: Option<u64>,
     /// The priority of the request; 0 is the highest.
     pub priority: u8,
     /// The time until the client's deadline, in milliseconds.
@@ -179,7 +243,7 @@
     TooLate,
     /// No engine can run the request.
     NoEngine,
-    /// A part of the prompt is blamed for the loss of engines. Instances of an older release know no such reason.
+    /// The request or a part of its prompt is blamed for the loss of upstreams. Instances of an older release know no such reason.
     #[serde(rename(serialize = "no_engine"), skip_deserializing)]
     Quarantined,
     /// The zone does not hold the adapter, whose home zone is more likely to hold it.
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -368,6 +368,7 @@
         Request {
             parts: parts.collect(),
             part_ids: placement.parts.iter().map(|part| part.id).collect(),
+            content: placement.content,
             service: placement.service,
             model: placement.model,
             adapter,
--- a/crates/orioleroute/src/scheduler/output.rs
+++ b/crates/orioleroute/src/scheduler/output.rs
@@ -3,6 +3,7 @@
 use super::message::ToInstance;
 use super::order::Order;
 use super::request::Client;
+use super::suspects::Process;
 use crate::prelude::*;
 
 /// An action for the caller of the scheduler.
@@ -29,7 +30,7 @@
 
 /// Identifies the check of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EngineCheck(pub(super) key::Upstream);
+pub struct EngineCheck(pub(super) Process);
 
 /// The decision on a request and the estimates behind it, for the log.
 #[derive(Clone, Debug)]
--- a/crates/orioleroute/src/scheduler/request.rs
+++ b/crates/orioleroute/src/scheduler/request.rs
@@ -34,6 +34,8 @@
     pub parts: Vec<CachedPart>,
     /// The ids of the parts, as all requests share them; the last one is the request's own.
     pub part_ids: Arc<[u64]>,
+    /// The digest of what the client asks for, if the instance sent it.
+    pub content: Option<u64>,
     /// The priority; 0 is the highest.
     pub priority: u8,
     /// When the client stops waiting.
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -155,6 +155,8 @@
     pub adapter: Option<Arc<str>>,
     /// The ids of the prompt's parts; the last one is the request's own.
     pub part_ids: Arc<[u64]>,
+    /// The digest of what the client asks for, if the instance sent it.
+    pub content: Option<u64>,
     /// The prompt tokens that the engine has to prefill.
     pub prefill_tokens: u32,
     /// The tokens of the prompt plus the maximum of the output.
@@ -399,6 +401,7 @@
         let entry = InFlightRequest {
             adapter: request.adapter.clone(),
             part_ids: request.part_ids.clone(),
+            content: request.content,
             prefill_tokens: self.uncached_tokens(request),
             tokens: u64::from(request.prompt_tokens) + u64::from(request.output_tokens),
             started_at: None,
--- a/crates/orioleroute/src/scheduler/suspects.rs
+++ b/crates/orioleroute/src/scheduler/suspects.rs
@@ -1,22 +1,27 @@
-//! Which prompt parts may have ended engines of the zone, from how the runs on them ended.
+//! Which requests and prompt parts may have ended upstreams of the zone, from how the runs on them ended.
 //!
 //! See [`crate::ingress::quarantine`] for the verdicts.
 
 use std::net::SocketAddr;
 
-use crate::ingress::quarantine::{Loss, Part, Quarantine, Report, Run};
+use crate::hash;
+use crate::ingress::quarantine::{Key, Loss, Quarantine, Report, Run, Subject};
 use crate::prelude::*;
 
-/// How long a part counts as sound after a run of it. A part that begins to end engines within this time is suspected
+/// How long a request or part counts as sound after a run of it. What begins to end upstreams within this time is suspected
 /// only after it.
 const SOUND_TTL: Duration = Duration::from_secs(60);
 
-/// The most parts that are remembered as sound.
-const MAX_SOUND_PARTS: usize = 4_096;
+/// The most requests and parts that are remembered as sound.
+const MAX_SOUND: usize = 4_096;
 
 /// How long the runs that a lost engine breaks off are counted towards its loss.
 const LOSS_SPAN: Duration = Duration::from_secs(2);
 
+/// The least time in which a lost upstream is started again. Runs that begin earlier were sent to a process that was
+/// ending.
+const MIN_RESTART_TIME: Duration = Duration::from_millis(500);
+
 /// How long a loss is remembered.
 const LOSS_TTL: Duration = Duration::from_secs(3_600);
 
@@ -29,32 +34,61 @@
 /// The most parts that are remembered of a run, the first ones.
 const MAX_PARTS: usize = 8;
 
-/// How long a part that another zone suspects is reported as sound after a run of it. It is short, because the report
-/// clears the part also of losses that are newer than the run.
+/// How long something that another zone suspects is reported as sound after a run of it. It is short, because the report
+/// clears it also of losses that are newer than the run.
 const SOUND_REPORT_TIME: Duration = Duration::from_millis(2_000);
 
 /// What the zone's runs say about prompt parts.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
-    /// The engines on which a run broke off.
-    broken: Map<key::Upstream, BrokenEngine>,
+    /// The upstreams on which a run broke off.
+    broken: Map<Process, BrokenEngine>,
     losses: Vec<TimedLoss>,
-    sound: Map<Part, Instant>,
-    /// The parts that other zones suspect.
-    elsewhere: Set<Part>,
-    reported_sound: Set<Part>,
+    sound: Map<Subject, Instant>,
+    /// What other zones suspect.
+    elsewhere: Set<Subject>,
+    reported_sound: Set<Subject>,
     has_changed: bool,
 }
 
+/// Identifies a process of an upstream: a digest of its id, which a restart changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Process(u64);
+
+impl Process {
+    /// Returns the process of the upstream with this id.
+    pub fn of(upstream: &str) -> Self {
+        Self(hash::digest(upstream))
+    }
+}
+
+/// An upstream on which a run broke off.
+#[derive(Clone, Debug)]
+pub(super) struct Broken {
+    /// The process that ran it.
+    pub process: Process,
+    /// The address of the upstream.
+    pub address: SocketAddr,
+    /// The service of the upstream.
+    pub service: Arc<str>,
+    /// Whether the upstream had answered a request since its start, as far as is known.
+    pub has_answered: bool,
+    /// What broke off. The time for which it ran is up to now.
+    pub run: Run,
+    /// Whether it was answered, but in a way that does not show whether the answer is whole.
+    pub is_answered: bool,
+}
+
 #[derive(Clone, Debug)]
 struct BrokenEngine {
     address: SocketAddr,
     service: Arc<str>,
+    has_answered: bool,
     since: Instant,
     runs: Vec<Run>,
-    /// The parts of those runs that were answered, and sound if the engine lives.
-    answered: Set<u64>,
-    /// Whether the engine was found to be lost, and its loss is among the losses.
+    /// What those runs held that were answered, and is sound if the upstream lives.
+    answered: Set<Key>,
+    /// Whether the upstream was found to be lost, and its loss is among the losses.
     is_lost: bool,
 }
 
@@ -65,34 +99,41 @@
 }
 
 impl Suspects {
-    /// Records that a run was sound.
-    pub fn record_sound(&mut self, service: &Arc<str>, ids: &[u64], now: Instant) {
-        for id in ids {
-            let part = Part { service: service.clone(), id: *id };
-            self.clear(&part);
-            self.sound.insert(part, now);
+    /// Records that runs of these were sound.
+    pub fn record_sound(
+        &mut self,
+        service: &Arc<str>,
+        keys: impl IntoIterator<Item = Key>,
+        now: Instant,
+    ) {
+        for key in keys {
+            let subject = Subject { service: service.clone(), key };
+            self.clear(&subject);
+            self.sound.insert(subject, now);
         }
         self.evict_sound(now);
     }
 
-    /// Records that a run broke off, or was answered in a way that does not show whether the answer is whole. Returns
-    /// whether to check whether its engine is lost.
-    pub fn record_broken(
-        &mut self,
-        engine: key::Upstream,
-        (service, address): (&Arc<str>, SocketAddr),
-        (run, is_answered): (Run, bool),
-        now: Instant,
-    ) -> bool {
-        let parts = run.parts.into_iter().filter(|id| !self.is_sound(service, *id, now));
-        let run = Run { own: run.own, parts: parts.take(MAX_PARTS).collect() };
-        if run.parts.is_empty() {
+    /// Records that a run broke off. Returns whether to check whether its upstream is lost.
+    pub(super) fn record_broken(&mut self, broken: Broken, now: Instant) -> bool {
+        let Broken { process, address, service, has_answered, mut run, is_answered } = broken;
+        run.retain(|key| !self.is_sound(&service, key, now));
+        run.parts.truncate(MAX_PARTS);
+        if run.is_sound() {
             return false;
         }
-        let answered: Vec<u64> = if is_answered { run.parts.clone() } else { Vec::new() };
+        let answered: Vec<Key> = if is_answered { run.keys().collect() } else { Vec::new() };
         self.broken.retain(|_, broken| now.since(broken.since) < LOSS_SPAN);
-        if let Some(broken) = self.broken.get_mut(&engine) {
+        let ran = Duration::from_millis(run.ran_ms);
+        // The process may have been started again with the same id.
+        self.broken.retain(|known, broken| {
+            *known != process || !broken.is_lost || now.since(broken.since) < ran + MIN_RESTART_TIME
+        });
+        if let Some(broken) = self.broken.get_mut(&process) {
             broken.answered.extend(answered);
+            broken.has_answered |= has_answered;
+            // The loss was noticed when the first run broke off.
+            run.ran_ms = run.ran_ms.saturating_sub(now.since(broken.since).as_millis() as u64);
             match broken.is_lost {
                 true => self.add_to_loss(address, run),
                 false if broken.runs.len() < MAX_RUNS => broken.runs.push(run),
@@ -100,47 +141,48 @@
             }
             return false;
         }
-        let service = service.clone();
         let answered = answered.into_iter().collect();
         let (runs, is_lost) = (vec![run], false);
-        let broken = BrokenEngine { address, service, since: now, runs, answered, is_lost };
-        self.broken.insert(engine, broken);
+        let broken =
+            BrokenEngine { address, service, has_answered, since: now, runs, answered, is_lost };
+        self.broken.insert(process, broken);
         true
     }
 
-    /// Handles the result of the check of an engine.
-    pub fn handle_check(&mut self, engine: key::Upstream, is_lost: bool, now: Instant) {
-        let Some(broken) = self.broken.get_mut(&engine).filter(|broken| !broken.is_lost) else {
+    /// Handles the result of the check of an upstream.
+    pub(super) fn handle_check(&mut self, process: Process, is_lost: bool, now: Instant) {
+        let Some(broken) = self.broken.get_mut(&process).filter(|broken| !broken.is_lost) else {
             return;
         };
         if !is_lost {
             let (service, answered) =
                 (broken.service.clone(), std::mem::take(&mut broken.answered));
-            self.broken.remove(&engine);
-            let answered: Vec<u64> = answered.into_iter().collect();
-            return self.record_sound(&service, &answered, now);
+            self.broken.remove(&process);
+            return self.record_sound(&service, answered, now);
         }
         broken.is_lost = true;
         let runs = std::mem::take(&mut broken.runs);
         let (service, engine) = (broken.service.clone(), broken.address);
+        let (has_answered, at) = (broken.has_answered, broken.since);
         self.has_changed = true;
         if self.losses.len() >= MAX_LOSSES {
             self.losses.remove(0);
         }
-        self.losses.push(TimedLoss { at: now, loss: Loss { service, engine, age_ms: 0, runs } });
+        let loss = Loss { service, engine, has_answered, age_ms: 0, runs };
+        self.losses.push(TimedLoss { at, loss });
     }
 
-    /// Returns whether an engine on which a run with this part broke off is being checked.
-    pub fn is_being_checked(&self, part: &Part, now: Instant) -> bool {
+    /// Returns whether an upstream on which a run of this broke off is being checked.
+    pub fn is_being_checked(&self, subject: &Subject, now: Instant) -> bool {
         self.broken.values().any(|broken| {
             !broken.is_lost
                 && now.since(broken.since) < LOSS_SPAN
-                && broken.service == part.service
-                && broken.runs.iter().any(|run| run.parts.contains(&part.id))
+                && broken.service == subject.service
+                && broken.runs.iter().flat_map(Run::keys).any(|key| key == subject.key)
         })
     }
 
-    /// Returns whether any engine is being checked.
+    /// Returns whether any upstream is being checked.
     pub fn is_checking(&self) -> bool {
         self.broken.values().any(|broken| !broken.is_lost)
     }
@@ -148,8 +190,8 @@
     /// Takes over what other zones report.
     pub fn update(&mut self, quarantine: &Quarantine, zone: &str) {
         self.elsewhere = quarantine.suspects_elsewhere(zone);
-        for part in quarantine.sound_elsewhere(zone) {
-            self.clear(part);
+        for subject in quarantine.sound_elsewhere(zone) {
+            self.clear(subject);
         }
     }
 
@@ -166,10 +208,10 @@
     pub fn take_report(&mut self, now: Instant) -> Option<Report> {
         let known = self.losses.len();
         self.losses.retain(|timed| now.since(timed.at) < LOSS_TTL && !timed.loss.runs.is_empty());
-        let sound = self.elsewhere.iter().filter(|part| {
-            self.sound.get(*part).is_some_and(|at| now.since(*at) < SOUND_REPORT_TIME)
+        let sound = self.elsewhere.iter().filter(|subject| {
+            self.sound.get(*subject).is_some_and(|at| now.since(*at) < SOUND_REPORT_TIME)
         });
-        let sound: Set<Part> = sound.cloned().collect();
+        let sound: Set<Subject> = sound.cloned().collect();
         self.has_changed |= self.losses.len() < known || sound != self.reported_sound;
         if !std::mem::take(&mut self.has_changed) {
             return None;
@@ -182,18 +224,18 @@
         Some(Report { losses: losses.collect(), sound: sound.into_iter().collect() })
     }
 
-    fn is_sound(&self, service: &Arc<str>, id: u64, now: Instant) -> bool {
-        let part = Part { service: service.clone(), id };
-        self.sound.get(&part).is_some_and(|at| now.since(*at) < SOUND_TTL)
+    fn is_sound(&self, service: &Arc<str>, key: Key, now: Instant) -> bool {
+        let subject = Subject { service: service.clone(), key };
+        self.sound.get(&subject).is_some_and(|at| now.since(*at) < SOUND_TTL)
     }
 
-    fn clear(&mut self, part: &Part) {
+    fn clear(&mut self, subject: &Subject) {
         for timed in &mut self.losses {
-            self.has_changed |= timed.loss.clear(part);
+            self.has_changed |= timed.loss.clear(subject);
         }
     }
 
-    /// Adds a run to the newest loss of an engine.
+    /// Adds a run to the newest loss of an upstream.
     fn add_to_loss(&mut self, address: SocketAddr, run: Run) {
         let mut losses = self.losses.iter_mut().rev();
         if let Some(timed) = losses.find(|timed| timed.loss.engine == address)
@@ -205,7 +247,7 @@
     }
 
     fn evict_sound(&mut self, now: Instant) {
-        if self.sound.len() <= MAX_SOUND_PARTS {
+        if self.sound.len() <= MAX_SOUND {
             return;
         }
         let mut times: Vec<Instant> = self.sound.values().copied().collect();
--- a/crates/orioleroute/src/scheduler/suspicion.rs
+++ b/crates/orioleroute/src/scheduler/suspicion.rs
@@ -1,13 +1,14 @@
-//! Protects the zone's engines from prompts that end them.
+//! Protects the zone's upstreams from requests that end them.
 //!
-//! Load pattern: see [`crate::ingress::quarantine`]. Between the first loss and the verdict, the requests with a suspected
-//! part are run one at a time, so that they do not end many engines at once.
+//! Load pattern: see [`crate::ingress::quarantine`]. Between the first loss and the verdict, the requests that are suspected,
+//! or have a suspected part, run one at a time on the zone's engines, so that they do not end many at once.
 
-use super::message::RunResult;
+use super::message::{RunResult, UngrantedRun};
 use super::output::EngineCheck;
 use super::runner::InFlightRequest;
+use super::suspects::{Broken, Process};
 use super::{Output, Request, Scheduler};
-use crate::ingress::quarantine::{Part, Quarantine, Report, Run};
+use crate::ingress::quarantine::{Key, Quarantine, Report, Run, Subject};
 use crate::prelude::*;
 
 /// How long after its grant a run holds back requests with the same suspected part. It limits what a run costs others
@@ -18,7 +19,7 @@
 /// two at most.
 const SOUND_TIME: Duration = Duration::from_millis(1_000);
 
-/// What the end of a run says about the parts of its prompt.
+/// What the end of a run says about the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Evidence {
     /// The engine has written the whole answer.
@@ -45,19 +46,19 @@
 }
 
 impl Scheduler {
-    /// Takes over the verdicts on prompt parts, and refuses the waiting requests that they concern.
+    /// Takes over the verdicts, and refuses the waiting requests that they concern.
     pub fn update_quarantine(&mut self, quarantine: Quarantine, zone: &str, now: Instant) {
         self.suspects.update(&quarantine, zone);
         self.quarantine = quarantine;
         self.dispatch(now);
     }
 
-    /// Takes over what a predecessor has reported about prompt parts.
+    /// Takes over what a predecessor has reported.
     pub fn restore_suspects(&mut self, report: &Report, now: Instant) {
         self.suspects.restore(report, now);
     }
 
-    /// Handles the result of the check of an engine. Requests that wait for it go on at once if the engine lives, else
+    /// Handles the result of the check of an upstream. Requests that wait for it go on at once if the engine lives, else
     /// with the verdicts that follow from its loss.
     pub fn handle_check(&mut self, check: EngineCheck, is_lost: bool, now: Instant) {
         self.suspects.handle_check(check.0, is_lost, now);
@@ -67,7 +68,30 @@
         }
     }
 
-    /// Draws conclusions about prompt parts from the end of a run.
+    /// Handles the end of a run that no scheduler granted.
+    pub fn handle_ungranted(
+        &mut self,
+        ended: UngrantedRun,
+        result: Option<RunResult>,
+        is_unconfirmed: bool,
+        now: Instant,
+    ) {
+        let Some(result) = result else { return };
+        let UngrantedRun { service, upstream, address, has_answered, run, .. } = ended;
+        match Evidence::of(result, !is_unconfirmed) {
+            Evidence::Sound => self.suspects.record_sound(&service, run.keys(), now),
+            evidence @ (Evidence::Unconfirmed | Evidence::Broken) => {
+                let process = Process::of(&upstream);
+                let is_answered = evidence == Evidence::Unconfirmed;
+                let broken = Broken { process, address, service, has_answered, run, is_answered };
+                self.record_broken(broken, now);
+            }
+            Evidence::None => return,
+        }
+        self.report_suspects(now);
+    }
+
+    /// Draws conclusions about a request from the end of a granted run.
     pub(super) fn observe_run(
         &mut self,
         upstream: key::Upstream,
@@ -75,61 +99,91 @@
         evidence: Evidence,
         now: Instant,
     ) {
-        let Some((own, shared)) = entry.part_ids.split_last() else { return };
         let Some(runner) = self.runners.get(upstream) else { return };
         match evidence {
-            Evidence::Sound => self.suspects.record_sound(&runner.service, shared, now),
+            Evidence::Sound => {
+                let keys = keys(&entry.part_ids, entry.content);
+                self.suspects.record_sound(&runner.service, keys, now);
+            }
             // An engine that drains ends soon, whatever it runs.
             Evidence::Unconfirmed | Evidence::Broken if !runner.is_draining => {
-                let run = Run { own: *own, parts: shared.to_vec() };
-                let run = (run, evidence == Evidence::Unconfirmed);
-                let engine = (&runner.service, runner.address);
-                if self.suspects.record_broken(upstream, engine, run, now) {
-                    let check = Output::CheckEngine(runner.address, EngineCheck(upstream));
-                    self.outputs.push(check);
-                }
+                let broken = Broken {
+                    process: Process::of(&runner.id),
+                    address: runner.address,
+                    service: runner.service.clone(),
+                    has_answered: runner.health.has_answered(),
+                    run: broken_run(entry, now),
+                    is_answered: evidence == Evidence::Unconfirmed,
+                };
+                self.record_broken(broken, now);
             }
             Evidence::Unconfirmed | Evidence::Broken | Evidence::None => {}
         }
     }
 
-    /// Publishes what the runs say about prompt parts, if it has changed.
+    fn record_broken(&mut self, broken: Broken, now: Instant) {
+        let (address, check) = (broken.address, EngineCheck(broken.process));
+        if self.suspects.record_broken(broken, now) {
+            self.outputs.push(Output::CheckEngine(address, check));
+        }
+    }
+
+    /// Publishes what the runs say, if it has changed.
     pub(super) fn report_suspects(&mut self, now: Instant) {
         let report = self.suspects.take_report(now);
         self.outputs.extend(report.map(Output::ReportSuspects));
     }
 
     pub(super) fn is_blamed(&self, request: &Request, now: Instant) -> bool {
-        let shared = request.part_ids.split_last().map(|(_, shared)| shared).unwrap_or_default();
-        self.quarantine.blamed(&request.service, shared.iter().copied(), now).is_some()
+        let keys = keys(&request.part_ids, request.content);
+        self.quarantine.blamed(&request.service, keys, now).is_some()
     }
 
-    /// Returns whether a request has to wait because of a suspected part: one that runs in another request which has not
-    /// shown yet that it is sound, or that ran on an engine that is being checked.
+    /// Returns whether a request has to wait because it or a part of it is suspected, and runs as or in another request which
+    /// has not shown yet that it is sound, or ran on an engine that is being checked.
     pub(super) fn is_held_back(&self, request: &Request, now: Instant) -> bool {
-        if self.quarantine.suspects().is_empty() && !self.suspects.is_checking() {
+        if !self.quarantine.has_suspects() && !self.suspects.is_checking() {
             return false;
         }
-        let Some((_, shared)) = request.part_ids.split_last() else { return false };
-        shared.iter().any(|id| {
-            let part = Part { service: request.service.clone(), id: *id };
-            self.suspects.is_being_checked(&part, now)
-                || self.quarantine.suspects().contains(&part) && self.is_unproven(&part, now)
+        keys(&request.part_ids, request.content).any(|key| {
+            let subject = Subject { service: request.service.clone(), key };
+            self.suspects.is_being_checked(&subject, now)
+                || self.quarantine.losses_under(&subject) > 0 && self.is_unproven(&subject, now)
         })
     }
 
-    /// Returns whether a request with this part has been running for a short time and has not shown yet that it is sound.
-    fn is_unproven(&self, part: &Part, now: Instant) -> bool {
-        let runners = self.runners.values().filter(|runner| runner.service == part.service);
+    /// Returns whether a run of this has lasted for a short time and has not shown yet that it is sound.
+    fn is_unproven(&self, subject: &Subject, now: Instant) -> bool {
+        let runners = self.runners.values().filter(|runner| runner.service == subject.service);
         let mut entries = runners.flat_map(|runner| runner.in_flight.values());
         entries.any(|entry| {
-            let shared = entry.part_ids.split_last().map(|(_, shared)| shared);
-            holds_back(entry, now) && shared.is_some_and(|shared| shared.contains(&part.id))
+            holds_back(entry, now)
+                && keys(&entry.part_ids, entry.content).any(|key| key == subject.key)
         })
     }
 }
 
 fn holds_back(entry: &InFlightRequest, now: Instant) -> bool {
-    now.since(entry.granted) < MAX_HOLD
-        && entry.started_at.is_none_or(|started| now.since(started) < SOUND_TIME)
+    now.since(entry.granted) < MAX_HOLD && !has_streamed(entry, now)
+}
+
+/// Returns whether a run has been streaming for longer than an engine that it ends.
+fn has_streamed(entry: &InFlightRequest, now: Instant) -> bool {
+    entry.started_at.is_some_and(|started| now.since(started) >= SOUND_TIME)
+}
+
+fn broken_run(entry: &InFlightRequest, now: Instant) -> Run {
+    let (own, shared) = entry.part_ids.split_last().unwrap_or((&0, &[]));
+    Run {
+        own: *own,
+        parts: shared.to_vec(),
+        request: entry.content.filter(|_| !has_streamed(entry, now)),
+        ran_ms: now.since(entry.granted).as_millis() as u64,
+    }
+}
+
+/// Returns what a request consists of that may end upstreams: itself, and the parts of its prompt that others may share.
+fn keys(part_ids: &[u64], content: Option<u64>) -> impl Iterator<Item = Key> {
+    let shared = part_ids.split_last().map(|(_, shared)| shared).unwrap_or_default();
+    shared.iter().copied().map(Key::part).chain(content.map(Key::request))
 }
--- /dev/null
+++ b/crates/orioleroute/tests/crashing_requests.rs
@@ -0,0 +1,267 @@
+//! Verdicts on requests that end the upstreams that run them.
+//!
+//! Guards against a request that comes again and ends one upstream after the other because nothing connects the losses, and
+//! against blaming a sound request for power losses or a defective upstream.
+
+mod scheduling;
+
+use std::net::SocketAddr;
+
+use orioleroute::ingress::attempt::{Content, Generation, Part};
+use orioleroute::ingress::quarantine::{Change, Key, Kind, Loss, Quarantine, Report, Run};
+use orioleroute::prelude::*;
+use orioleroute::scheduler::message::{RunResult, UngrantedRun};
+use orioleroute::scheduler::{Output, Scheduler};
+use rstest::rstest;
+
+/// The request that ends upstreams, and sound ones.
+const BAD: u64 = 0xbad;
+const SOUND: u64 = 1;
+const OTHER: u64 = 2;
+
+const SERVICE: &str = "desk";
+
+/// Returns a loss of the upstream with this number under requests, each given by its digest and the time for which it ran.
+fn loss(upstream: u16, runs: &[(u64, u64)]) -> Loss {
+    let run = |(request, ran_ms): &(u64, u64)| Run {
+        request: Some(*request),
+        ran_ms: *ran_ms,
+        ..Run::default()
+    };
+    Loss {
+        service: SERVICE.into(),
+        engine: address(upstream),
+        has_answered: false,
+        age_ms: 0,
+        runs: runs.iter().map(run).collect(),
+    }
+}
+
+/// Returns a loss of an upstream that had answered other requests.
+fn loss_after_answers(upstream: u16, runs: &[(u64, u64)]) -> Loss {
+    Loss { has_answered: true, ..loss(upstream, runs) }
+}
+
+fn address(upstream: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], upstream))
+}
+
+/// Returns the requests that these losses blame, in order. The losses are this far apart.
+fn blamed(losses: Vec<Loss>, distance: Duration) -> Vec<u64> {
+    let ages = (0..losses.len()).rev().map(|number| distance * number as u32);
+    let losses = losses.into_iter().zip(ages);
+    let losses = losses.map(|(loss, age)| Loss { age_ms: age.as_millis() as u64, ..loss });
+    let report = Report { losses: losses.collect(), sound: Vec::new() };
+    let changes = Quarantine::default().update(&"z".into(), report, Instant::from_millis(60_000));
+    let mut ids: Vec<u64> = changes
+        .into_iter()
+        .filter_map(|change| match change {
+            Change::Blamed(subject, _) if subject.key.kind == Kind::Request => Some(subject.key.id),
+            Change::Blamed(..) | Change::Released(_) => None,
+        })
+        .collect();
+    ids.sort_unstable();
+    ids
+}
+
+/// The second is a retry of the first, 120 ms later; the others come from clients.
+#[rstest]
+#[case::retries(120)]
+#[case::returns(4_000)]
+fn a_request_under_which_three_upstreams_were_lost_is_blamed(#[case] distance_ms: u64) {
+    let losses = vec![loss(1, &[(BAD, 85)]), loss(2, &[(BAD, 85)]), loss(3, &[(BAD, 85)])];
+
+    assert_eq!(blamed(losses, Duration::from_millis(distance_ms)), [BAD]);
+}
+
+#[test]
+fn requests_that_ran_beside_it_are_not_blamed() {
+    let losses = vec![
+        loss(1, &[(BAD, 85), (SOUND, 10)]),
+        loss(2, &[(SOUND, 5), (BAD, 85)]),
+        loss(3, &[(BAD, 85), (OTHER, 3)]),
+        loss(1, &[(BAD, 85), (SOUND, 30)]),
+    ];
+
+    assert_eq!(blamed(losses, Duration::from_secs(1)), [BAD]);
+}
+
+#[test]
+fn two_bad_requests_are_both_blamed() {
+    let losses = [1, 2, 3].into_iter().flat_map(|number| {
+        [loss(number, &[(BAD, 85), (SOUND, 1)]), loss(number + 3, &[(OTHER, 85)])]
+    });
+    let last = loss(1, &[(BAD, 85)]);
+
+    let blamed = blamed(losses.chain([last]).collect(), Duration::from_secs(1));
+
+    assert_eq!(blamed, [OTHER, BAD]);
+}
+
+#[rstest]
+#[case::three_losses(3, &[])]
+#[case::four_losses(4, &[SOUND, BAD])]
+fn requests_that_were_only_lost_together_are_run_once_more(
+    #[case] count: u16,
+    #[case] expected: &[u64],
+) {
+    let losses = (0..count).map(|number| loss(number % 3, &[(SOUND, 85), (BAD, 85)]));
+
+    assert_eq!(blamed(losses.collect(), Duration::from_secs(1)), expected);
+}
+
+#[rstest]
+#[case::two_losses(vec![loss(1, &[(SOUND, 85)]), loss(2, &[(SOUND, 85)])], 1_000)]
+#[case::at_one_moment(
+    vec![loss(1, &[(SOUND, 5)]), loss(2, &[(SOUND, 15)]), loss(3, &[(SOUND, 25)])], 10)]
+#[case::found_one_after_the_other(
+    vec![loss(1, &[(SOUND, 2_500)]), loss(2, &[(SOUND, 2_500)]), loss(3, &[(SOUND, 2_500)])], 300)]
+#[case::a_defective_upstream(
+    vec![loss(1, &[(SOUND, 85)]), loss(1, &[(SOUND, 85)]), loss(1, &[(SOUND, 85)])], 2_000)]
+#[case::an_upstream_that_ends_without_it_too(vec![
+    loss_after_answers(1, &[(SOUND, 85)]), loss_after_answers(1, &[(OTHER, 5)]),
+    loss_after_answers(1, &[(SOUND, 85)]), loss_after_answers(1, &[(SOUND, 85)])], 2_000)]
+fn too_little_evidence_blames_no_request(#[case] losses: Vec<Loss>, #[case] distance_ms: u64) {
+    assert!(blamed(losses, Duration::from_millis(distance_ms)).is_empty());
+}
+
+#[test]
+fn a_request_that_ends_the_only_upstream_is_blamed_if_that_answers_others() {
+    let losses = vec![
+        loss_after_answers(1, &[(BAD, 85), (SOUND, 5)]),
+        loss(1, &[(BAD, 85)]),
+        loss_after_answers(1, &[(BAD, 85)]),
+    ];
+
+    assert_eq!(blamed(losses, Duration::from_secs(2)), [BAD]);
+}
+
+/// The scheduler of a zone without engines, which collects what instances report.
+struct Zone {
+    scheduler: Scheduler,
+    quarantine: Quarantine,
+    now: Instant,
+}
+
+impl Zone {
+    fn new() -> Self {
+        let (scheduler, _) = scheduling::scheduler(&[]);
+        Self { scheduler, quarantine: Quarantine::default(), now: scheduling::START }
+    }
+
+    /// Reports the end of a run, and finds the upstream to be lost if it is checked. Returns the number of checks.
+    fn end(&mut self, upstream: u16, request: u64, result: RunResult) -> usize {
+        let run = Run { request: Some(request), ran_ms: 85, ..Run::default() };
+        let ended = UngrantedRun {
+            zone: "z".into(),
+            service: SERVICE.into(),
+            upstream: format!("i-{upstream}").into(),
+            address: address(upstream),
+            has_answered: false,
+            run,
+        };
+        self.scheduler.handle_ungranted(ended, Some(result), false, self.now);
+        let mut checks = 0;
+        let mut outputs = self.scheduler.take_outputs();
+        while let Some(output) = outputs.pop() {
+            match output {
+                Output::CheckEngine(_, check) => {
+                    checks += 1;
+                    self.scheduler.handle_check(check, true, self.now);
+                    outputs.extend(self.scheduler.take_outputs());
+                }
+                Output::ReportSuspects(report) => {
+                    self.quarantine.update(&"z".into(), report, self.now);
+                }
+                _ => {}
+            }
+        }
+        checks
+    }
+
+    fn is_blamed(&self, request: u64) -> bool {
+        self.quarantine.blamed(&SERVICE.into(), [Key::request(request)], self.now).is_some()
+    }
+}
+
+/// Instances report the runs that one loss breaks off at different times.
+#[test]
+fn runs_that_one_loss_breaks_off_are_checked_once() {
+    let mut zone = Zone::new();
+
+    let checks = zone.end(1, BAD, RunResult::Broken);
+    zone.now += Duration::from_millis(30);
+    let more = zone.end(1, SOUND, RunResult::Broken);
+
+    assert_eq!((checks, more), (1, 0));
+}
+
+/// The row of a restarted upstream is written while the store is away, so instances know it by its former id.
+#[test]
+fn losses_of_an_upstream_that_keeps_its_id_count_separately() {
+    let mut zone = Zone::new();
+
+    for upstream in [1, 2, 1] {
+        assert!(!zone.is_blamed(BAD));
+        zone.now += Duration::from_millis(900);
+        assert_eq!(zone.end(upstream, BAD, RunResult::Broken), 1);
+    }
+
+    assert!(zone.is_blamed(BAD));
+}
+
+#[test]
+fn an_answer_clears_a_request() {
+    let mut zone = Zone::new();
+
+    for upstream in [1, 2] {
+        zone.now += Duration::from_secs(1);
+        zone.end(upstream, SOUND, RunResult::Broken);
+    }
+    zone.end(3, SOUND, RunResult::Answered);
+    zone.now += Duration::from_secs(1);
+    zone.end(3, SOUND, RunResult::Broken);
+
+    assert!(!zone.is_blamed(SOUND));
+}
+
+fn generation() -> Generation {
+    Generation {
+        model: "m".into(),
+        adapter: Some("a1".into()),
+        prompt_tokens: 100,
+        output_tokens: 20,
+        parts: vec![Part { id: 7, tokens: 100 }],
+    }
+}
+
+/// Each request differs from the first in one thing.
+#[test]
+fn requests_that_differ_have_different_digests() {
+    let generation = generation();
+    let other = Generation { parts: vec![Part { id: 8, tokens: 100 }], ..generation.clone() };
+    let content = Content {
+        method: "GET",
+        host: "desk.example",
+        target: "/read/1?station=7",
+        credentials: None,
+        generation: Some(&generation),
+        body: b"",
+    };
+    let contents = [
+        content,
+        Content { method: "PUT", ..content },
+        Content { host: "else.example", ..content },
+        Content { target: "/read/1?station=8", ..content },
+        Content { target: "/read/1?station=7GET", ..content },
+        Content { credentials: Some(b"one"), ..content },
+        Content { generation: None, ..content },
+        Content { generation: Some(&other), ..content },
+        Content { body: b"one", ..content },
+    ];
+
+    let digests: Set<u64> = contents.iter().map(Content::digest).collect();
+
+    assert_eq!(digests.len(), contents.len());
+    assert_eq!(content.digest(), contents[0].digest());
+}
--- a/crates/orioleroute/tests/quarantine.rs
+++ b/crates/orioleroute/tests/quarantine.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use orioleroute::ingress::attempt::Part as PromptPart;
-use orioleroute::ingress::quarantine::{Change, Loss, Part, Quarantine, Report, Run};
+use orioleroute::ingress::quarantine::{Change, Key, Loss, Quarantine, Report, Run, Subject};
 use orioleroute::ingress::upstream::{Description, State};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Placement, Reason, RunResult, ToInstance};
@@ -151,16 +151,18 @@
     format!("z{number}").into()
 }
 
-fn part(id: u64) -> Part {
-    Part { service: SERVICE.into(), id }
+fn part(id: u64) -> Subject {
+    Subject { service: SERVICE.into(), key: Key::part(id) }
 }
 
 /// Returns a loss of the engine with this number under requests, each given by its own part and the others.
 fn loss(engine: u16, runs: &[(u64, &[u64])]) -> Loss {
-    let runs = runs.iter().map(|(own, parts)| Run { own: *own, parts: parts.to_vec() });
+    let runs =
+        runs.iter().map(|(own, parts)| Run { own: *own, parts: parts.to_vec(), ..Run::default() });
     Loss {
         service: SERVICE.into(),
         engine: SocketAddr::from(([10, 0, 0, 1], engine)),
+        has_answered: false,
         age_ms: 0,
         runs: runs.collect(),
     }
@@ -185,7 +187,7 @@
     let mut ids: Vec<u64> = changes
         .into_iter()
         .filter_map(|change| match change {
-            Change::Blamed(part, _) => Some(part.id),
+            Change::Blamed(subject, _) => Some(subject.key.id),
             Change::Released(_) => None,
         })
         .collect();
@@ -254,13 +256,13 @@
     let now = Instant::from_millis(60_000);
     let losses = (0..4).map(|number| loss(number, &[(number.into(), &[BAD])])).collect();
     quarantine.update(&"y".into(), report(losses, Duration::from_secs(1)), now);
-    assert_eq!(quarantine.blamed(&SERVICE.into(), [BAD], now), Some(BAD));
+    assert_eq!(quarantine.blamed(&SERVICE.into(), [Key::part(BAD)], now), Some(Key::part(BAD)));
 
     let report = Report { losses: Vec::new(), sound: vec![part(BAD)] };
     let changes = quarantine.update(&"z".into(), report, now);
 
     assert_eq!(changes, [Change::Released(part(BAD))]);
-    assert_eq!(quarantine.blamed(&SERVICE.into(), [BAD], now), None);
+    assert_eq!(quarantine.blamed(&SERVICE.into(), [Key::part(BAD)], now), None);
 }
 
 /// Requests come to all zones in turn, so that none of them sees more than a part of the losses.
@@ -521,7 +523,7 @@
         zones.now += Duration::from_secs(60);
         zones.crash(zone, &[200 + zone as u64, 300]);
     }
-    assert_eq!(zones.quarantine.blamed(&SERVICE.into(), [7], zones.now), None);
+    assert_eq!(zones.quarantine.blamed(&SERVICE.into(), [Key::part(7)], zones.now), None);
 
     let mut new = Quarantine::default();
     for zone in 0..3 {
@@ -529,7 +531,7 @@
         new.update(&zone_name(zone), report, zones.now);
     }
 
-    assert_eq!(new.blamed(&SERVICE.into(), [7], zones.now), None);
+    assert_eq!(new.blamed(&SERVICE.into(), [Key::part(7)], zones.now), None);
 }
 
 /// Engines whose answers all end with their connection, so that only the check of the engine shows that they are whole.
--- a/crates/orioleroute/tests/scheduling/mod.rs
+++ b/crates/orioleroute/tests/scheduling/mod.rs
@@ -90,6 +90,7 @@
         excluded: Vec::new(),
         is_return: false,
         may_fetch: true,
+        content: None,
     }
 }
 
