Count losses of upstreams that are older than the process that judges them

A request or prompt part that had ended three upstreams was sent once more by each instance that started later.

Cause: the time of a loss was an instant of the judging process, which begins at zero at its start; older losses were all moved to that start, so that they seemed to be one moment and blamed nothing. In the same way a scheduler in a new process reported its predecessor's losses again as no older than itself, which prolongs a quarantine.

Ages are kept instead of instants.

--- a/crates/orioleroute/src/ingress/quarantine.rs
+++ b/crates/orioleroute/src/ingress/quarantine.rs
@@ -9,6 +9,7 @@
 //! The scheduler of each availability zone reports the losses of its upstreams, and each instance derives the same verdicts
 //! from all reports. `docs/PLATFORM.md`, section "Requests that crash upstreams", compares the alternatives.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -190,7 +191,7 @@
     pub fn update(&mut self, zone: &Arc<str>, report: Report, now: Instant) -> Vec<Change> {
         self.reports.insert(zone.clone(), Received { report, at: now });
         let before = std::mem::take(&mut self.blamed);
-        self.judge();
+        self.judge(now);
         let blamed = self.blamed.iter().filter(|(subject, _)| !before.contains_key(*subject));
         let released = before.keys().filter(|subject| !self.blamed.contains_key(*subject));
         blamed
@@ -252,17 +253,18 @@
 
     /// Derives the verdicts. What the most losses have in common is blamed first, and the losses that it explains
     /// blame nothing else. What cannot be told apart in the end is blamed together.
-    fn judge(&mut self) {
+    fn judge(&mut self, now: Instant) {
         let sound: Set<&Subject> =
             self.reports.values().flat_map(|received| &received.report.sound).collect();
         let mut losses: Vec<TimedLoss<'_>> = Vec::new();
         for received in self.reports.values() {
-            losses.extend(received.report.losses.iter().map(|loss| TimedLoss {
-                at: received.at - Duration::from_millis(loss.age_ms),
-                loss,
+            let since = now.since(received.at);
+            losses.extend(received.report.losses.iter().map(|loss| {
+                let age = since + Duration::from_millis(loss.age_ms);
+                TimedLoss { age, loss }
             }));
         }
-        losses.sort_by_key(|timed| timed.at);
+        losses.sort_by_key(|timed| Reverse(timed.age));
         let mut under: Map<Subject, Vec<usize>> = Map::default();
         for (index, timed) in losses.iter().enumerate() {
             let subjects: Set<Subject> = timed.loss.suspects().collect();
@@ -281,7 +283,11 @@
             for (subject, _) in &worst {
                 under[subject].iter().for_each(|index| is_explained[*index] = true);
             }
-            self.blamed.extend(worst);
+            self.blamed.extend(worst.into_iter().map(|(subject, blame)| {
+                let until = (now + QUARANTINE_TIME) - blame.age;
+                let Blame { losses, requests, .. } = blame;
+                (subject, Verdict { losses, requests, until })
+            }));
         }
     }
 }
@@ -321,58 +327,68 @@
     }
 }
 
-/// A loss, and when it happened.
+/// A loss, and how long ago it happened. It may be older than this process, whose instants begin at its start.
 struct TimedLoss<'a> {
-    at: Instant,
+    age: Duration,
     loss: &'a Loss,
 }
 
+/// What a part or request is blamed for.
+struct Blame {
+    losses: usize,
+    requests: usize,
+    /// The time since the last loss.
+    age: Duration,
+}
+
 /// Returns what the most unexplained losses have in common, if there are enough of them to blame it. `under` has the indices
 /// of the losses under each suspect, in order of time.
 fn most_blamed(
     under: &Map<Subject, Vec<usize>>,
     losses: &[TimedLoss<'_>],
     is_explained: &[bool],
-) -> Vec<(Subject, Verdict)> {
+) -> Vec<(Subject, Blame)> {
     let judged = under.iter().filter_map(|(subject, indices)| {
         let unexplained = indices.iter().filter(|index| !is_explained[**index]);
         let under: Vec<&TimedLoss<'_>> = unexplained.map(|index| &losses[*index]).collect();
-        let verdict = match subject.key.kind {
+        let blame = match subject.key.kind {
             Kind::Part => judge_part(subject.key, &under),
             Kind::Request => judge_request(subject.key, &under, losses),
         };
-        Some((subject, verdict?))
+        Some((subject, blame?))
     });
-    let judged: Vec<(&Subject, Verdict)> = judged.collect();
-    let weight = |verdict: &Verdict| (verdict.losses, verdict.requests);
-    let Some(most) = judged.iter().map(|(_, verdict)| weight(verdict)).max() else {
+    let judged: Vec<(&Subject, Blame)> = judged.collect();
+    let weight = |blame: &Blame| (blame.losses, blame.requests);
+    let Some(most) = judged.iter().map(|(_, blame)| weight(blame)).max() else {
         return Vec::new();
     };
-    let worst: Vec<(&Subject, Verdict)> =
-        judged.into_iter().filter(|(_, verdict)| weight(verdict) == most).collect();
+    let worst: Vec<(&Subject, Blame)> =
+        judged.into_iter().filter(|(_, blame)| weight(blame) == most).collect();
     // Another run tells requests apart that were only lost together: one is answered, or under one more upstreams are lost.
-    let is_ambiguous = |subject: &Subject, verdict: &Verdict| {
+    let is_ambiguous = |subject: &Subject, blame: &Blame| {
         subject.key.kind == Kind::Request
-            && verdict.losses == MIN_LOSSES
+            && blame.losses == MIN_LOSSES
             && worst.iter().any(|(other, _)| {
                 *other != subject
                     && other.key.kind == Kind::Request
                     && under[*other] == under[subject]
             })
     };
-    let clear = worst.iter().filter(|(subject, verdict)| !is_ambiguous(subject, verdict));
-    clear.map(|(subject, verdict)| (Subject::clone(subject), *verdict)).collect()
+    let ambiguous: Vec<bool> =
+        worst.iter().map(|(subject, blame)| is_ambiguous(subject, blame)).collect();
+    let clear = worst.into_iter().zip(ambiguous).filter(|(_, is_ambiguous)| !is_ambiguous);
+    clear.map(|((subject, blame), _)| (subject.clone(), blame)).collect()
 }
 
 /// Judges a part, whose requests differ: enough losses at different moments, on different engines and under different
 /// requests blame it.
-fn judge_part(key: Key, under: &[&TimedLoss<'_>]) -> Option<Verdict> {
+fn judge_part(key: Key, under: &[&TimedLoss<'_>]) -> Option<Blame> {
     let runs = under.iter().flat_map(|timed| timed.loss.runs_of(key));
     let requests: Set<u64> = runs.map(|run| run.own).collect();
     let is_blamed = count_moments(under) >= MIN_LOSSES
         && count_addresses(under) >= MIN_DIFFERENT
         && requests.len() >= MIN_DIFFERENT;
-    is_blamed.then(|| verdict(under, requests.len()))
+    is_blamed.then(|| blame(under, requests.len()))
 }
 
 /// Judges a request that comes again: enough losses, each of a run that began after the loss before, blame it. What
@@ -380,24 +396,24 @@
 ///
 /// Where all of them were at one address, the upstream itself may be defective. It is not if several of its processes had
 /// answered something else, and none was lost without the request meanwhile.
-fn judge_request(key: Key, under: &[&TimedLoss<'_>], losses: &[TimedLoss<'_>]) -> Option<Verdict> {
+fn judge_request(key: Key, under: &[&TimedLoss<'_>], losses: &[TimedLoss<'_>]) -> Option<Blame> {
     let chain = consecutive(key, under);
     let is_blamed = chain.len() >= MIN_LOSSES
         && (count_addresses(&chain) >= MIN_DIFFERENT
             || chain.iter().filter(|timed| timed.loss.has_answered).count() >= MIN_DIFFERENT
                 && is_in_all_losses_at_its_address(key, &chain, losses));
-    is_blamed.then(|| verdict(under, 1))
+    is_blamed.then(|| blame(under, 1))
 }
 
 /// Returns the losses under a request of which each is of a run that began after the loss before, as far as can be told.
 fn consecutive<'a>(key: Key, under: &[&'a TimedLoss<'a>]) -> Vec<&'a TimedLoss<'a>> {
     let mut chain: Vec<&TimedLoss<'_>> = Vec::new();
     for timed in under {
-        let last = chain.last().map(|last| last.at);
+        let last = chain.last().map(|last| last.age);
         let mut runs = timed.loss.runs_of(key);
         let began_after =
-            |run: &Run, last| timed.at - Duration::from_millis(run.ran_ms) + REPORT_DELAY >= last;
-        let is_separate = |last| timed.at.since(last) >= MIN_SEPARATION;
+            |run: &Run, last| timed.age + Duration::from_millis(run.ran_ms) <= last + REPORT_DELAY;
+        let is_separate = |last: Duration| last.saturating_sub(timed.age) >= MIN_SEPARATION;
         if last.is_none_or(|last| is_separate(last) && runs.any(|run| began_after(run, last))) {
             chain.push(timed);
         }
@@ -412,14 +428,14 @@
 ) -> bool {
     let (Some(first), Some(last)) = (chain.first(), chain.last()) else { return false };
     let meanwhile = losses.iter().filter(|timed| {
-        (first.at..=last.at).contains(&timed.at) && timed.loss.engine == first.loss.engine
+        (last.age..=first.age).contains(&timed.age) && timed.loss.engine == first.loss.engine
     });
     meanwhile.into_iter().all(|timed| timed.loss.runs_of(key).next().is_some())
 }
 
-fn verdict(under: &[&TimedLoss<'_>], requests: usize) -> Verdict {
-    let last = under.iter().map(|timed| timed.at).max().unwrap_or_default();
-    Verdict { losses: under.len(), requests, until: last + QUARANTINE_TIME }
+fn blame(under: &[&TimedLoss<'_>], requests: usize) -> Blame {
+    let age = under.iter().map(|timed| timed.age).min().unwrap_or_default();
+    Blame { losses: under.len(), requests, age }
 }
 
 fn count_addresses(losses: &[&TimedLoss<'_>]) -> usize {
@@ -428,12 +444,12 @@
 
 /// Returns how many of these losses, in order of time, are apart from each other.
 fn count_moments(losses: &[&TimedLoss<'_>]) -> usize {
-    let mut last: Option<Instant> = None;
+    let mut last: Option<Duration> = None;
     let mut moments = 0;
     for timed in losses {
-        if last.is_none_or(|last| timed.at.since(last) >= SIMULTANEOUS) {
+        if last.is_none_or(|last| last.saturating_sub(timed.age) >= SIMULTANEOUS) {
             moments += 1;
-            last = Some(timed.at);
+            last = Some(timed.age);
         }
     }
     moments
--- a/crates/orioleroute/src/scheduler/suspects.rs
+++ b/crates/orioleroute/src/scheduler/suspects.rs
@@ -92,12 +92,21 @@
     is_lost: bool,
 }
 
+/// A loss with the age that it had at a moment. It may be older than this process, whose instants begin at its start.
 #[derive(Clone, Debug)]
 struct TimedLoss {
     at: Instant,
     loss: Loss,
 }
 
+impl TimedLoss {
+    /// Returns the loss with the age that it has by now.
+    fn aged(&self, now: Instant) -> Loss {
+        let age_ms = self.loss.age_ms + now.since(self.at).as_millis() as u64;
+        Loss { age_ms, ..self.loss.clone() }
+    }
+}
+
 impl Suspects {
     /// Records that runs of these were sound.
     pub fn record_sound(
@@ -197,17 +206,17 @@
 
     /// Takes over what a predecessor has reported.
     pub fn restore(&mut self, report: &Report, now: Instant) {
-        let losses = report.losses.iter().map(|loss| {
-            let at = now - Duration::from_millis(loss.age_ms);
-            TimedLoss { at, loss: loss.clone() }
-        });
+        let losses = report.losses.iter().map(|loss| TimedLoss { at: now, loss: loss.clone() });
         self.losses = losses.chain(std::mem::take(&mut self.losses)).collect();
     }
 
     /// Returns the report if it has changed since the last call.
     pub fn take_report(&mut self, now: Instant) -> Option<Report> {
         let known = self.losses.len();
-        self.losses.retain(|timed| now.since(timed.at) < LOSS_TTL && !timed.loss.runs.is_empty());
+        self.losses.retain(|timed| {
+            let age = now.since(timed.at) + Duration::from_millis(timed.loss.age_ms);
+            age < LOSS_TTL && !timed.loss.runs.is_empty()
+        });
         let sound = self.elsewhere.iter().filter(|subject| {
             self.sound.get(*subject).is_some_and(|at| now.since(*at) < SOUND_REPORT_TIME)
         });
@@ -217,10 +226,7 @@
             return None;
         }
         self.reported_sound = sound.clone();
-        let losses = self.losses.iter().map(|timed| {
-            let age_ms = now.since(timed.at).as_millis() as u64;
-            Loss { age_ms, ..timed.loss.clone() }
-        });
+        let losses = self.losses.iter().map(|timed| timed.aged(now));
         Some(Report { losses: losses.collect(), sound: sound.into_iter().collect() })
     }
 
--- a/crates/orioleroute/tests/quarantine.rs
+++ b/crates/orioleroute/tests/quarantine.rs
@@ -561,3 +561,54 @@
     assert!(text.contains("\"no_engine\""), "{text}");
     assert!(serde_json::from_str::<ToInstance>(&text).is_ok());
 }
+
+/// The losses are older than the process that reads the report.
+#[test]
+fn losses_before_the_start_of_an_instance_count() {
+    let losses = (0..3).map(|number| loss(number, &[(number.into(), &[BAD])])).collect();
+    let mut report = report(losses, Duration::from_secs(1));
+    report.add_age(Duration::from_secs(20));
+    let started = Instant::from_millis(500);
+    let mut quarantine = Quarantine::default();
+
+    quarantine.update(&"z".into(), report, started);
+
+    let left = QUARANTINE_TIME - Duration::from_secs(20);
+    let is_blamed = |at| quarantine.blamed(&SERVICE.into(), [Key::part(BAD)], at).is_some();
+    assert!(is_blamed(started));
+    assert!(is_blamed(started + left - Duration::from_secs(1)));
+    assert!(!is_blamed(started + left));
+}
+
+/// The losses are older than the process of the scheduler, which reports them again after another one.
+#[test]
+fn a_scheduler_reports_the_losses_before_its_start_at_their_age() {
+    let started = Instant::from_millis(500);
+    let mut former = report(vec![loss(1, &[(1, &[BAD])])], Duration::ZERO);
+    former.add_age(Duration::from_secs(20));
+    let mut scheduler = zone_scheduler(0);
+
+    scheduler.restore_suspects(&former, started);
+    let later = started + Duration::from_secs(1);
+    let (ticket, parts) =
+        (1, vec![PromptPart { id: 7, tokens: 100 }, PromptPart { id: 8, tokens: 1 }]);
+    scheduler.place(CLIENT, Placement { parts, ..placement(ticket, "a1") }, later);
+    let key = RequestKey { client: CLIENT, ticket };
+    scheduler.handle_ended(key, Some(RunResult::Broken), later);
+    let mut ages = Vec::new();
+    let mut outputs = scheduler.take_outputs();
+    while let Some(output) = outputs.pop() {
+        match output {
+            Output::CheckEngine(_, check) => {
+                scheduler.handle_check(check, true, later);
+                outputs.extend(scheduler.take_outputs());
+            }
+            Output::ReportSuspects(report) => {
+                ages = report.losses.iter().map(|loss| loss.age_ms).collect();
+            }
+            _ => {}
+        }
+    }
+
+    assert_eq!(ages, [21_000, 0]);
+}
