Let streams go on only at the software version that began them

Cause: an upstream's software version was not read, so the continuation of a broken or silent stream took any engine; 'Resumes' was not read, and nobody but the serving instance could know where a stream began when its client came back elsewhere. The class is state of a conversation that lives only where it began.

Change: the list's version becomes Description::build, and a grant has it. A stream is bound to the build whose first event goes out; continuations and successors ask schedulers and the list for that build alone, in all zones if need be. Before that event goes out, the instance records the build under the first attempt's digest, and sends it to the schedulers of three zones chosen by that digest. An instance that gets a take-up asks all schedulers at once, again while some are out of reach, and refuses at once (503, not run) if all answer that they do not know and there has been more than one build within a minute. Schedulers of an older release get none of the new messages: a scheduler says that it reads them when it is followed.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -20,12 +20,13 @@
 
 use super::ending::{refuse_early, respond_locally};
 use super::exchange::{Failure, Incoming, Loss, Outgoing, Target};
+use super::origins::{self, Build};
 use super::placement::{self, Permit, PermitRequest, Refusal};
 use super::relaying::RelayOutcome;
 use super::response::Response;
 use super::startup;
 use super::state::Gateway;
-use super::unscheduled;
+use super::unscheduled::{self, PlainRequest};
 
 /// The number of upstreams that may decline one request, or be unreachable, before it is refused.
 const MAX_DECLINES: u32 = 3;
@@ -33,6 +34,10 @@
 /// The number of upstreams that may be lost under a request without an answer before it is no longer sent on at once.
 const MAX_UNPROVEN_LOSSES: usize = 2;
 
+/// The retry-after time of a stream that is taken up and of which nobody knows where it began. Those who know may be out of
+/// reach for a moment.
+const UNKNOWN_ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// The retry-after time of a request that every tried upstream declined.
 const DECLINED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -104,6 +109,7 @@
         deadline: inbound.arrived + timeout,
         objective: inbound.arrived + route.objective.saturating_sub(elapsed),
         last_event: Cell::new(attempt.last_event),
+        build: RefCell::default(),
         inbound,
         attempt,
         route,
@@ -154,6 +160,8 @@
     /// The upstreams that have failed the request.
     excluded: RefCell<Vec<Arc<str>>>,
     pub(super) last_event: Cell<Option<u64>>,
+    /// The build at which the stream began, once it has.
+    pub(super) build: RefCell<Option<Arc<str>>>,
     /// The upstreams tried and how each try ended, for the log.
     pub(super) tried_upstreams: RefCell<Vec<String>>,
     /// When the last data of an upstream arrived, for the log.
@@ -176,6 +184,18 @@
 
 impl Relay<'_> {
     async fn run(&mut self, response: &mut Response<'_>) -> (Disposition, &'static str) {
+        if self.attempt.last_event.is_some() {
+            let origin = self.attempt.resumes.as_deref();
+            let left = self.deadline.since(self.gateway.now());
+            match origins::find(self.gateway, &self.service, origin, left).await {
+                Build::Known(build) => *self.build.borrow_mut() = Some(build),
+                Build::Any => {}
+                Build::Unknown => {
+                    let refusal = Refusal::new(Reason::UnknownOrigin, UNKNOWN_ORIGIN_RETRY_AFTER);
+                    return self.refuse(response, refusal).await;
+                }
+            }
+        }
         loop {
             let remaining = self.deadline.since(self.gateway.now());
             let tried = monoio::select! {
@@ -288,6 +308,7 @@
     async fn acquire_permit_without(&self, excluded: &[Arc<str>]) -> Result<Permit, Refusal> {
         match &self.attempt.generation {
             Some(generation) if self.has_engine => {
+                let build = self.build.borrow().clone();
                 let request = PermitRequest {
                     service: &self.service,
                     generation,
@@ -297,14 +318,22 @@
                     excluded,
                     attempt: self.attempt.id.as_ref(),
                     content: self.content,
+                    build: build.as_ref(),
                     is_return: self.is_return,
                 };
                 placement::acquire(self.gateway, &request).await
             }
             _ => {
                 let attempt = self.attempt.id.as_ref();
-                let (service, content) = (&self.service, self.content);
-                unscheduled::acquire_plain(self.gateway, service, excluded, attempt, content)
+                let build = self.build.borrow().clone();
+                let request = PlainRequest {
+                    service: &self.service,
+                    excluded,
+                    attempt,
+                    content: self.content,
+                    build: build.as_ref(),
+                };
+                unscheduled::acquire_plain(self.gateway, &request)
             }
         }
     }
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -251,6 +251,13 @@
                 scheduler.handle_ungranted(*ended, result, is_unconfirmed, now);
             });
         }
+        ToScheduler::Began { origin, build } => {
+            gateway.origins.record(origin, build, gateway.now());
+        }
+        ToScheduler::FindOrigin { ticket, origin } => {
+            let build = gateway.origins.build(origin);
+            link::send_to_instance(gateway, client, ToInstance::Origin { ticket, build });
+        }
         ToScheduler::Ended { follows_suspects: true, .. } => {
             quarantine::add_follower(gateway, client);
         }
--- a/crates/orioleroute-node/src/gateway/link.rs
+++ b/crates/orioleroute-node/src/gateway/link.rs
@@ -56,6 +56,8 @@
 pub struct Link {
     queue: mpsc::unbounded::Tx<ToScheduler>,
     pending: PendingReplies,
+    /// Whether the scheduler has said that it reads all messages of this release.
+    is_current: Cell<bool>,
     /// When the scheduler last failed to reply in time.
     suspected: Cell<Option<Instant>>,
 }
@@ -90,7 +92,8 @@
             ToInstance::Queued { ticket } => (*ticket, false),
             ToInstance::Grant(grant) => (grant.ticket, true),
             ToInstance::Refuse { ticket, .. } => (*ticket, true),
-            ToInstance::Suspects { .. } => return,
+            ToInstance::Origin { ticket, .. } => (*ticket, true),
+            ToInstance::Suspects { .. } | ToInstance::Current => return,
         };
         if let Some(sender) = self.0.borrow().get(&ticket) {
             // Fails if the request was withdrawn meanwhile; dropping its permit notifies the scheduler.
@@ -125,8 +128,12 @@
             return None;
         }
         let (queue, messages) = mpsc::unbounded::channel();
-        let link =
-            Rc::new(Link { queue, pending: PendingReplies::default(), suspected: Cell::new(None) });
+        let link = Rc::new(Link {
+            queue,
+            pending: PendingReplies::default(),
+            is_current: Cell::new(false),
+            suspected: Cell::new(None),
+        });
         // Fails only once the task of the link has ended.
         let _ = link.queue.send(ToScheduler::follow(links.next_ticket()));
         links.outgoing.borrow_mut().insert(address, link.clone());
@@ -143,6 +150,36 @@
         }
     }
 
+    /// Sends a message that schedulers of an older release cannot read, unless this may be one.
+    pub fn send_current(&self, gateway: &Rc<Gateway>, message: ToScheduler) {
+        let is_current = match self {
+            Self::Local => true,
+            Self::Remote(link) => link.is_current.get(),
+        };
+        if is_current {
+            self.send(gateway, message);
+        }
+    }
+
+    /// Asks a question that schedulers of an older release cannot read, and returns whether it was sent. The answer goes to
+    /// `answers`.
+    pub fn ask(
+        &self,
+        gateway: &Rc<Gateway>,
+        ticket: u64,
+        answers: mpsc::unbounded::Tx<ToInstance>,
+        question: ToScheduler,
+    ) -> bool {
+        let pending = match self {
+            Self::Local => &gateway.links.local,
+            Self::Remote(link) if link.is_current.get() => &link.pending,
+            Self::Remote(_) => return false,
+        };
+        pending.0.borrow_mut().insert(ticket, answers);
+        self.send(gateway, question);
+        true
+    }
+
     /// Discards a request for which no more replies are expected.
     pub fn discard(&self, gateway: &Rc<Gateway>, ticket: u64) {
         match self {
@@ -168,6 +205,20 @@
     }
 }
 
+/// Returns the scheduler of a zone if it is in reach.
+pub fn scheduler_of(gateway: &Rc<Gateway>, zone: &str) -> Option<SchedulerHandle> {
+    if gateway.leadership.fencing_token(zone).is_some() {
+        return Some(SchedulerHandle::Local);
+    }
+    let holder = gateway.leadership.leaders.leader(zone)?.holder;
+    let address = {
+        let roster = gateway.roster();
+        let is_responsive = roster.is_responsive(&holder, gateway.now());
+        roster.member(&holder).filter(|_| is_responsive)?.peer_address
+    };
+    SchedulerHandle::for_address(gateway, address)
+}
+
 /// Sends a scheduler's reply to an instance.
 pub fn send_to_instance(gateway: &Rc<Gateway>, client: Client, message: ToInstance) {
     if client == leadership::LOCAL_CLIENT {
@@ -229,6 +280,7 @@
                 ToInstance::Suspects { zone, row } => {
                     quarantine::apply_row(&gateway, &zone, Some(&row), quarantine::Way::Scheduler);
                 }
+                ToInstance::Current => link.is_current.set(true),
                 reply => link.pending.deliver(reply),
             };
             run_connection(socket, messages, receive).await
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod link;
 mod orders;
+mod origins;
 mod pauses;
 mod placement;
 mod quarantine;
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -42,6 +42,8 @@
     pub attempt: Option<&'a Arc<str>>,
     /// The digest of what the client asks for.
     pub content: u64,
+    /// The only build whose engines may run the request, if not all may.
+    pub build: Option<&'a Arc<str>>,
     /// Whether the client retries after a refusal.
     pub is_return: bool,
 }
@@ -60,6 +62,8 @@
     pub entry_version: u64,
     /// The version of the adapter that the engine holds, if known.
     pub version: Option<u64>,
+    /// The version of the upstream's software, if known.
+    pub build: Option<Arc<str>>,
     /// Whether the scheduler knows that the upstream has named a limit.
     is_limited: bool,
     /// What the upstream says of itself in the head of its response, and when that arrived, until the scheduler is told.
@@ -107,7 +111,7 @@
 impl Permit {
     /// Returns a permit on an upstream that this instance chose itself.
     pub fn unscheduled(gateway: &Rc<Gateway>, upstream: &Description, run: Run) -> Self {
-        let Description { id, address, service, zone, .. } = upstream.clone();
+        let Description { id, address, service, zone, build, .. } = upstream.clone();
         let run =
             UngrantedRun { zone, service, upstream: id.clone(), address, has_answered: false, run };
         let upstream = id;
@@ -121,6 +125,7 @@
             upstream,
             address,
             entry_version,
+            build: Some(build),
             version: None,
             is_limited: false,
             notice: Cell::default(),
@@ -262,7 +267,10 @@
                 Some(zone) => search.overflow_to(zone),
                 None => break refusal,
             },
-            Step::Refuse => break refusal,
+            Step::Refuse => match other_zone(gateway, request, search.tried()) {
+                Some(zone) => search.overflow_to(zone),
+                None => break refusal,
+            },
         };
     };
     if refusal.reason == Reason::NotScheduler {
@@ -272,6 +280,19 @@
     Err(refusal)
 }
 
+/// Returns a zone that has not been asked yet for a request that only engines of one build may run, of which there may be few.
+fn other_zone(
+    gateway: &Gateway,
+    request: &PermitRequest<'_>,
+    tried: &[Arc<str>],
+) -> Option<Arc<str>> {
+    request.build?;
+    let zones = gateway.leadership.leaders.led_zones();
+    let region = gateway.settings().region.clone();
+    let untried = zones.into_iter().filter(|zone| !tried.contains(zone));
+    untried.min_by_key(|zone| gateway.region_of(zone).as_ref() != Some(&region))
+}
+
 /// The retry-after time if the zone has no scheduler and no engine is listed with the adapter: about
 /// the time until a new scheduler is elected.
 const UNSCHEDULED_RETRY_AFTER: Duration = Duration::from_millis(1_000);
@@ -314,6 +335,7 @@
         upstream: "".into(),
         address: gateway.settings().peer_address,
         entry_version: 0,
+        build: None,
         version: None,
         is_limited: false,
         notice: Cell::default(),
@@ -327,7 +349,9 @@
         match monoio::time::timeout(timeout, replies.recv()).await {
             Ok(Some(ToInstance::Queued { .. })) => timeout = QUEUE_CHECK_INTERVAL,
             // Answers no request.
-            Ok(Some(ToInstance::Suspects { .. })) => {}
+            Ok(Some(
+                ToInstance::Suspects { .. } | ToInstance::Current | ToInstance::Origin { .. },
+            )) => {}
             Ok(Some(ToInstance::Grant(grant))) => {
                 permit.granted_at = gateway.now();
                 permit.upstream = grant.upstream;
@@ -335,6 +359,12 @@
                 permit.entry_version = grant.entry_version;
                 permit.version = grant.version;
                 permit.is_limited = grant.is_limited;
+                permit.build = grant.build;
+                if request.build.is_some_and(|build| permit.build.as_ref() != Some(build)) {
+                    // A scheduler of an older release does not know of builds.
+                    permit.end_unsent(Notice::default());
+                    return Err(Refusal::new(Reason::NoEngine, Duration::ZERO));
+                }
                 return Ok(permit);
             }
             Ok(Some(ToInstance::Refuse { retry_after_ms, reason, .. })) => {
@@ -412,6 +442,7 @@
         output_tokens: generation.output_tokens,
         parts: generation.parts.clone(),
         content: Some(request.content),
+        build: request.build.cloned(),
         priority: request.priority,
         time_left_ms: request.deadline.since(now).as_millis() as u64,
         objective_left_ms: request.objective.since(now).as_millis() as u64,
--- a/crates/orioleroute-node/src/gateway/quarantine.rs
+++ b/crates/orioleroute-node/src/gateway/quarantine.rs
@@ -161,6 +161,7 @@
 /// Records that a connected instance wants the reports of the schedulers that run here, and sends it what there is.
 pub fn add_follower(gateway: &Rc<Gateway>, client: Client) {
     gateway.suspects.followers.borrow_mut().insert(client);
+    link::send_to_instance(gateway, client, ToInstance::Current);
     for zone in gateway.leadership.scheduled_zones() {
         send_report(gateway, &zone, client);
     }
@@ -229,7 +230,7 @@
     let item = hash::digest(&ended.address);
     zones.sort_by_key(|zone| (*zone != ended.zone, hash::weight(item, hash::digest(&**zone))));
     zones.into_iter().find_map(|zone| {
-        let scheduler = scheduler_of(gateway, &zone)?;
+        let scheduler = link::scheduler_of(gateway, &zone)?;
         Some((zone, scheduler))
     })
 }
@@ -237,24 +238,10 @@
 /// Connects to the schedulers of all zones, because they report lost upstreams to those that are connected.
 pub fn follow_schedulers(gateway: &Rc<Gateway>) {
     for zone in gateway.leadership.leaders.led_zones() {
-        scheduler_of(gateway, &zone);
+        link::scheduler_of(gateway, &zone);
     }
 }
 
-/// Returns the scheduler of a zone if it is in reach.
-fn scheduler_of(gateway: &Rc<Gateway>, zone: &str) -> Option<SchedulerHandle> {
-    if gateway.leadership.fencing_token(zone).is_some() {
-        return Some(SchedulerHandle::Local);
-    }
-    let holder = gateway.leadership.leaders.leader(zone)?.holder;
-    let address = {
-        let roster = gateway.roster();
-        let is_responsive = roster.is_responsive(&holder, gateway.now());
-        roster.member(&holder).filter(|_| is_responsive)?.peer_address
-    };
-    SchedulerHandle::for_address(gateway, address)
-}
-
 /// Checks whether an upstream on which a run broke off is lost, and passes the result to its scheduler.
 pub async fn check_engine(
     gateway: Rc<Gateway>,
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -8,6 +8,7 @@
 
 use super::exchange::{Incoming, Loss};
 use super::forward::Relay;
+use super::origins;
 use super::placement::Permit;
 use super::response::{Disconnected, Response, Started, State};
 use super::takeover::Search;
@@ -188,12 +189,23 @@
                 head::write_field(&mut head, "transfer-encoding", "chunked");
                 head.extend_from_slice(b"\r\n");
                 permit.send_started();
+                self.bind_to_build(permit);
                 self.observe_first_event();
                 unstarted.start(head, events).await
             }
         }
     }
 
+    /// Records at which build the stream begins, before its first event goes out. It goes on there alone.
+    fn bind_to_build(&self, permit: &Permit) {
+        let Some(build) = &permit.build else { return };
+        *self.build.borrow_mut() = Some(build.clone());
+        let attempt = self.attempt.resumes.as_ref().or(self.attempt.id.as_ref());
+        if let Some(attempt) = attempt.filter(|_| self.route.is_resumable) {
+            origins::record(self.gateway, attempt, build);
+        }
+    }
+
     fn response_head(&self, incoming: &Incoming) -> Vec<u8> {
         let mut headers = incoming.head().headers.clone();
         head::strip_connection_fields(&mut headers);
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -60,6 +60,7 @@
             "route" => &*self.route.name, "service" => &*self.service,
             "version" => self.version, "upstreams" => self.tried_upstreams.borrow().join(", "),
             "outcome" => outcome, "parts" => self.shared_parts(), "content" => format!("{:x}", self.content),
+            "build" => self.build.borrow().as_deref(), "resumes" => self.attempt.resumes.as_deref(),
             "refusal" => self.refusal.map(|reason| reason.to_string()),
             "ms" => time.as_millis() as u64);
     }
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -28,8 +28,8 @@
 use super::limits::Limits;
 use super::link::Links;
 use super::pauses::Pauses;
-use super::quarantine;
 use super::settings::{Outcome, Settings};
+use super::{origins, quarantine};
 use crate::log;
 
 /// The fraction of the grace period during which a stopping instance still accepts new requests.
@@ -63,7 +63,9 @@
     pub links: Links,
     /// The tables of the store, and their feeds between instances.
     pub feed: Feed,
-    /// The verdicts on prompts that end engines.
+    /// The software versions at which streams began.
+    pub origins: origins::Shared,
+    /// The verdicts on requests that end upstreams.
     pub suspects: quarantine::Shared,
     /// The leaders of the availability zones, and the schedulers that run here.
     pub leadership: Leadership,
@@ -107,6 +109,7 @@
             pauses: Pauses::default(),
             links: Links::default(),
             feed: Feed::default(),
+            origins: origins::Shared::default(),
             suspects: quarantine::Shared::default(),
             leadership: Leadership::default(),
             settings: RefCell::new(settings),
--- a/crates/orioleroute-node/src/gateway/unscheduled.rs
+++ b/crates/orioleroute-node/src/gateway/unscheduled.rs
@@ -34,6 +34,7 @@
             && zone.is_none_or(|zone| *zone == *upstream.zone)
             && upstream.has_model(&generation.model)
             && !request.excluded.contains(&upstream.id)
+            && request.build.is_none_or(|build| *build == upstream.build)
             && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
             && gateway.limits.delay(upstream, now).is_zero()
     });
@@ -57,21 +58,30 @@
     Run { own: *own, parts: shared.to_vec(), request: Some(request.content), ran_ms: 0 }
 }
 
+/// A request for a permit on an upstream of a plain service.
+pub struct PlainRequest<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Upstreams that have already failed this request, or pause.
+    pub excluded: &'a [Arc<str>],
+    /// The client's attempt id.
+    pub attempt: Option<&'a Arc<str>>,
+    /// The digest of what the client asks for.
+    pub content: u64,
+    /// The only build whose upstreams may run the request, if not all may.
+    pub build: Option<&'a Arc<str>>,
+}
+
 /// Returns a permit on the upstream of a plain service with the least expected cost, among those whose limits allow a
 /// request.
-pub fn acquire_plain(
-    gateway: &Rc<Gateway>,
-    service: &str,
-    excluded: &[Arc<str>],
-    attempt: Option<&Arc<str>>,
-    content: u64,
-) -> Result<Permit, Refusal> {
+pub fn acquire_plain(gateway: &Rc<Gateway>, request: &PlainRequest<'_>) -> Result<Permit, Refusal> {
     let now = gateway.now();
     let (best, soonest) = {
         let registry = gateway.registry();
         let health = gateway.health();
-        let usable = registry.ready(service).filter(|upstream| {
-            !excluded.contains(&upstream.id)
+        let usable = registry.ready(request.service).filter(|upstream| {
+            !request.excluded.contains(&upstream.id)
+                && request.build.is_none_or(|build| *build == upstream.build)
                 && !health.get(&upstream.id).is_some_and(|health| health.is_ejected(now))
         });
         let delayed: Vec<(Duration, &Description)> =
@@ -87,10 +97,10 @@
         (best, delayed.iter().map(|(delay, _)| *delay).min())
     };
     let refusal = match soonest {
-        Some(delay) => Refusal::until_free(Reason::Overloaded, delay, attempt),
+        Some(delay) => Refusal::until_free(Reason::Overloaded, delay, request.attempt),
         None => Refusal::new(Reason::NoEngine, NO_UPSTREAM_RETRY_AFTER),
     };
-    let run = Run { request: Some(content), ..Run::default() };
+    let run = Run { request: Some(request.content), ..Run::default() };
     Ok(Permit::unscheduled(gateway, &best.ok_or(refusal)?, run))
 }
 
--- a/crates/orioleroute/src/ingress/attempt.rs
+++ b/crates/orioleroute/src/ingress/attempt.rs
@@ -13,6 +13,8 @@
     pub generation: Option<Generation>,
     /// The number of the last event that the client has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that the client resumes.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// What a client asks for, which is the same in all attempts at one request.
--- a/crates/orioleroute/src/ingress/mod.rs
+++ b/crates/orioleroute/src/ingress/mod.rs
@@ -12,6 +12,7 @@
 pub mod health;
 pub mod isolation;
 pub mod notice;
+pub mod origins;
 pub mod pace;
 pub mod quarantine;
 pub mod registry;
--- a/crates/orioleroute/src/ingress/registry.rs
+++ b/crates/orioleroute/src/ingress/registry.rs
@@ -1,5 +1,6 @@
 //! The registered upstreams, which survive outages of the list that they are read from.
 
+use super::origins::ORIGIN_TTL;
 use super::upstream::{Description, State};
 use crate::prelude::*;
 
@@ -33,6 +34,8 @@
     era_began: Option<Instant>,
     /// The upstreams that were removed.
     removed: Map<Arc<str>, Departed>,
+    /// When upstreams of builds that are no longer listed were last seen, by service and build.
+    former_builds: Map<(Arc<str>, Arc<str>), Instant>,
     /// The upstreams that are known to leave or to have left, although their entries may say that they are ready.
     departed: Map<Arc<str>, Departed>,
 }
@@ -153,6 +156,17 @@
             .filter(move |upstream| &*upstream.service == service && upstream.state == State::Ready)
     }
 
+    /// Returns the builds of a service's upstreams that are listed, or were for as long as a stream lasts.
+    pub fn recent_builds(&self, service: &str, now: Instant) -> Set<Arc<str>> {
+        let listed = self.iter().filter(|upstream| &*upstream.service == service);
+        let former = self
+            .former_builds
+            .iter()
+            .filter(|((of, _), at)| &**of == service && now.since(**at) < ORIGIN_TTL);
+        let former = former.map(|((_, build), _)| build.clone());
+        listed.map(|upstream| upstream.build.clone()).chain(former).collect()
+    }
+
     /// Records that the list is unavailable to this instance.
     pub fn mark_unavailable(&mut self, now: Instant) {
         self.unavailable = true;
@@ -193,7 +207,7 @@
             self.remove(&id, now);
         }
         for entry in entries {
-            self.write(entry);
+            self.write(entry, now);
         }
     }
 
@@ -202,7 +216,7 @@
         self.recover(now);
         for change in changes {
             match change {
-                Change::Written(entry) => self.write(entry),
+                Change::Written(entry) => self.write(entry, now),
                 Change::Removed(id) => self.remove(&id, now),
             }
         }
@@ -240,7 +254,7 @@
         }
     }
 
-    fn write(&mut self, mut entry: Description) {
+    fn write(&mut self, mut entry: Description, now: Instant) {
         self.missing.remove(&entry.id);
         self.removed.remove(&entry.id);
         if let Some(departed) = self.departed.get_mut(&entry.id) {
@@ -249,7 +263,17 @@
                 false => entry.state = State::Draining,
             }
         }
-        self.upstreams.insert(entry.id.clone(), entry);
+        let build = entry.build.clone();
+        let previous = self.upstreams.insert(entry.id.clone(), entry);
+        if let Some(previous) = previous.filter(|previous| previous.build != build) {
+            self.record_former_build(&previous, now);
+        }
+    }
+
+    fn record_former_build(&mut self, upstream: &Description, now: Instant) {
+        self.former_builds.retain(|_, at| now.since(*at) < ORIGIN_TTL);
+        let key = (upstream.service.clone(), upstream.build.clone());
+        self.former_builds.insert(key, now);
     }
 
     fn remove(&mut self, id: &Arc<str>, now: Instant) {
@@ -270,6 +294,7 @@
         let upstreams = &self.upstreams;
         self.departed.retain(|id, departed| is_recent(departed) || upstreams.contains_key(id));
         if let Some(entry) = self.upstreams.remove(id) {
+            self.record_former_build(&entry, now);
             self.removed.insert(id.clone(), Departed::new(&entry, now));
         }
     }
--- a/crates/orioleroute/src/ingress/upstream.rs
+++ b/crates/orioleroute/src/ingress/upstream.rs
@@ -26,6 +26,9 @@
     pub accepted_orders: u64,
     /// The base models that it holds.
     pub models: Vec<Model>,
+    /// The version of its software. What two builds write does not fit together.
+    #[serde(default)]
+    pub build: Arc<str>,
     /// The version of the entry in the list, which orders what instances know of the upstream. It is set
     /// by the instance that reads the entry.
     #[serde(skip)]
--- a/crates/orioleroute/src/scheduler/dispatch.rs
+++ b/crates/orioleroute/src/scheduler/dispatch.rs
@@ -184,6 +184,7 @@
             entry_version: runner.entry_version,
             version,
             is_limited: runner.is_limited(),
+            build: Some(runner.build.clone()),
         };
         let upstream = Some(runner.id.clone());
         self.granted.insert(item.key, key);
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -5,6 +5,7 @@
 use crate::ingress::Notice;
 use crate::ingress::attempt::Part;
 use crate::ingress::health::Outcome;
+use crate::ingress::origins::Origin;
 use crate::ingress::quarantine::Run;
 use crate::prelude::*;
 
@@ -42,6 +43,20 @@
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         follows_suspects: bool,
     },
+    /// A stream begins at an upstream of this build. Sent only to schedulers that have said [`ToInstance::Current`].
+    Began {
+        /// The attempt that brings its first event.
+        origin: Origin,
+        /// The version of the upstream's software.
+        build: Arc<str>,
+    },
+    /// Asks where a stream began. Sent only to schedulers that have said [`ToInstance::Current`].
+    FindOrigin {
+        /// The ticket of the question.
+        ticket: u64,
+        /// The attempt that brought its first event.
+        origin: Origin,
+    },
 }
 
 impl ToScheduler {
@@ -100,6 +115,15 @@
         /// The row that the scheduler writes to the store.
         row: Box<str>,
     },
+    /// The scheduler reads all messages of this release. It says so to instances that follow it.
+    Current,
+    /// The answer to the question where a stream began.
+    Origin {
+        /// The ticket of the question.
+        ticket: u64,
+        /// The version of the software at which it began, if it is known.
+        build: Option<Arc<str>>,
+    },
 }
 
 /// A run that no scheduler granted, because its service has no engines or its zone had no scheduler.
@@ -145,6 +169,9 @@
     /// The digest of what the client asks for.
     #[serde(default)]
     pub content: Option<u64>,
+    /// The only build whose engines may run the request, because it goes on with what one of them began.
+    #[serde(default)]
+    pub build: Option<Arc<str>>,
     /// The priority of the request; 0 is the highest.
     pub priority: u8,
     /// The time until the client's deadline, in milliseconds.
@@ -175,6 +202,9 @@
     /// Whether the scheduler knows that the engine has named a limit.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_limited: bool,
+    /// The version of the engine's software.
+    #[serde(default)]
+    pub build: Option<Arc<str>>,
 }
 
 /// How a request ended at its engine.
@@ -246,6 +276,9 @@
     /// The request or a part of its prompt is blamed for the loss of upstreams. Instances of an older release know no such reason.
     #[serde(rename(serialize = "no_engine"), skip_deserializing)]
     Quarantined,
+    /// The request goes on with a stream of which nobody knows at which build it began. Only instances say so.
+    #[serde(skip)]
+    UnknownOrigin,
     /// The zone does not hold the adapter, whose home zone is more likely to hold it.
     NotHere,
     /// The instance is not, or no longer, the scheduler of the availability zone.
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -369,6 +369,7 @@
             parts: parts.collect(),
             part_ids: placement.parts.iter().map(|part| part.id).collect(),
             content: placement.content,
+            build: placement.build,
             service: placement.service,
             model: placement.model,
             adapter,
--- a/crates/orioleroute/src/scheduler/placement.rs
+++ b/crates/orioleroute/src/scheduler/placement.rs
@@ -160,7 +160,8 @@
         && runner.service == request.service
         && runner.base_model == BaseModel::Present(request.model.clone())
         && !runner.health.is_ejected(now)
-        && !request.excluded.contains(&runner.id);
+        && !request.excluded.contains(&runner.id)
+        && request.build.as_ref().is_none_or(|build| *build == runner.build);
     if !is_usable {
         return None;
     }
--- a/crates/orioleroute/src/scheduler/request.rs
+++ b/crates/orioleroute/src/scheduler/request.rs
@@ -36,6 +36,8 @@
     pub part_ids: Arc<[u64]>,
     /// The digest of what the client asks for, if the instance sent it.
     pub content: Option<u64>,
+    /// The only build whose engines may run the request, if not all may.
+    pub build: Option<Arc<str>>,
     /// The priority; 0 is the highest.
     pub priority: u8,
     /// When the client stops waiting.
--- a/crates/orioleroute/src/scheduler/runner.rs
+++ b/crates/orioleroute/src/scheduler/runner.rs
@@ -34,6 +34,8 @@
     pub service: Arc<str>,
     /// The address for requests and orders.
     pub address: SocketAddr,
+    /// The version of its software.
+    pub build: Arc<str>,
     /// The engine's start time, in milliseconds since the Unix epoch.
     pub started_ms: u64,
     /// Whether the engine is draining, or leaving according to an instance with a newer list.
@@ -200,6 +202,7 @@
             id: description.id.clone(),
             service: description.service.clone(),
             address: description.address,
+            build: description.build.clone(),
             started_ms: description.started_ms,
             is_draining: description.state == State::Draining,
             entry_version: description.entry_version,
--- a/crates/orioleroute/tests/eras.rs
+++ b/crates/orioleroute/tests/eras.rs
@@ -57,6 +57,7 @@
         started_ms,
         accepted_orders: 0,
         models: Vec::new(),
+        build: "v1".into(),
         entry_version,
     }
 }
--- a/crates/orioleroute/tests/feed.rs
+++ b/crates/orioleroute/tests/feed.rs
@@ -261,6 +261,7 @@
         started_ms: 1,
         accepted_orders: 3,
         models: vec![Model { name: "m".into(), adapters }],
+        build: "v1".into(),
         entry_version: 1,
     }
 }
--- a/crates/orioleroute/tests/ingress.rs
+++ b/crates/orioleroute/tests/ingress.rs
@@ -24,6 +24,7 @@
         started_ms: 1,
         accepted_orders: 0,
         models: Vec::new(),
+        build: "v1".into(),
         entry_version: 1,
     }
 }
--- a/crates/orioleroute/tests/scheduling/mod.rs
+++ b/crates/orioleroute/tests/scheduling/mod.rs
@@ -68,6 +68,7 @@
         started_ms: 1,
         accepted_orders: 0,
         models: vec![upstream::Model { name: "m".into(), adapters: held.collect() }],
+        build: "v1".into(),
         entry_version: 1,
     }
 }
@@ -91,6 +92,7 @@
         is_return: false,
         may_fetch: true,
         content: None,
+        build: None,
     }
 }
 
