Split permits, tries and judgements into modules of their own

Moves only: gateway/permit.rs, gateway/tries.rs, ingress/quarantine/judgement.rs; a permit that a scheduler was asked for is made and filled by its own methods.

--- a/crates/orioleroute-node/src/gateway/ending.rs
+++ b/crates/orioleroute-node/src/gateway/ending.rs
@@ -10,7 +10,7 @@
 use slog::info;
 
 use super::forward::{Disposition, Relay};
-use super::placement::Refusal;
+use super::permit::Refusal;
 use super::response::{Response, State};
 use super::server;
 use super::state::Gateway;
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod orders;
 mod origins;
 mod pauses;
+mod permit;
 mod placement;
 mod quarantine;
 mod relaying;
@@ -31,6 +32,7 @@
 mod state;
 mod sync;
 mod takeover;
+mod tries;
 mod unscheduled;
 
 use std::process::ExitCode;
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -9,7 +9,7 @@
 use super::exchange::{Incoming, Loss};
 use super::forward::Relay;
 use super::origins;
-use super::placement::Permit;
+use super::permit::Permit;
 use super::response::{Disconnected, Response, Started, State};
 use super::takeover::Search;
 
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -5,7 +5,7 @@
 
 use super::exchange::{Incoming, Loss};
 use super::forward::Relay;
-use super::placement::Permit;
+use super::permit::Permit;
 
 impl Relay<'_> {
     pub(super) fn report_retry(&self) {
--- a/crates/orioleroute-node/src/gateway/takeover.rs
+++ b/crates/orioleroute-node/src/gateway/takeover.rs
@@ -14,8 +14,9 @@
 use orioleroute_wire::sse;
 
 use super::exchange::{Incoming, Loss};
-use super::forward::{Relay, TryOutcome};
-use super::placement::Permit;
+use super::forward::Relay;
+use super::permit::Permit;
+use super::tries::TryOutcome;
 
 /// How long a started stream may be silent before another upstream is asked to take it over, and the time between
 /// two such tries. This is below the two seconds after which clients disconnect.
--- a/crates/orioleroute-node/src/gateway/unscheduled.rs
+++ b/crates/orioleroute-node/src/gateway/unscheduled.rs
@@ -8,7 +8,8 @@
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::Reason;
 
-use super::placement::{Permit, PermitRequest, Refusal};
+use super::permit::{Permit, Refusal};
+use super::placement::PermitRequest;
 use super::state::Gateway;
 
 /// Returns a permit on an engine, in `zone` or in any zone, that is listed with the request's model and
--- a/crates/orioleroute/src/ingress/quarantine.rs
+++ b/crates/orioleroute/src/ingress/quarantine.rs
@@ -9,30 +9,16 @@
 //! The scheduler of each availability zone reports the losses of its upstreams, and each instance derives the same verdicts
 //! from all reports. `docs/PLATFORM.md`, section "Requests that crash upstreams", compares the alternatives.
 
+mod judgement;
+
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use self::judgement::{Blame, TimedLoss, most_blamed};
 use crate::prelude::*;
 
-/// The number of separate losses of upstreams under a request or part for it to be blamed.
-const MIN_LOSSES: usize = 3;
-
-/// The time between losses under which they count as one for a part: several engines are lost at once when their machine,
-/// rack or network is. It covers [`REPORT_DELAY`].
-const SIMULTANEOUS: Duration = Duration::from_millis(300);
-
-/// How much later than a loss its report may arrive.
-const REPORT_DELAY: Duration = Duration::from_millis(250);
-
-/// The least time between losses that count separately for a request. Instances in all regions notice a loss within half of it.
-const MIN_SEPARATION: Duration = Duration::from_millis(50);
-
-/// The number of different addresses of upstreams among these losses and, for a part, of different requests. A request that
-/// is retried could otherwise blame all its parts, and one defective machine everything that it runs.
-const MIN_DIFFERENT: usize = 2;
-
 /// How long a request or part is refused after the last upstream was lost under it. The next request is then run by itself,
 /// which clears it or blames it again.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
@@ -326,131 +312,3 @@
         self.runs.iter().filter(move |run| run.keys().any(|suspect| suspect == key))
     }
 }
-
-/// A loss, and how long ago it happened. It may be older than this process, whose instants begin at its start.
-struct TimedLoss<'a> {
-    age: Duration,
-    loss: &'a Loss,
-}
-
-/// What a part or request is blamed for.
-struct Blame {
-    losses: usize,
-    requests: usize,
-    /// The time since the last loss.
-    age: Duration,
-}
-
-/// Returns what the most unexplained losses have in common, if there are enough of them to blame it. `under` has the indices
-/// of the losses under each suspect, in order of time.
-fn most_blamed(
-    under: &Map<Subject, Vec<usize>>,
-    losses: &[TimedLoss<'_>],
-    is_explained: &[bool],
-) -> Vec<(Subject, Blame)> {
-    let judged = under.iter().filter_map(|(subject, indices)| {
-        let unexplained = indices.iter().filter(|index| !is_explained[**index]);
-        let under: Vec<&TimedLoss<'_>> = unexplained.map(|index| &losses[*index]).collect();
-        let blame = match subject.key.kind {
-            Kind::Part => judge_part(subject.key, &under),
-            Kind::Request => judge_request(subject.key, &under, losses),
-        };
-        Some((subject, blame?))
-    });
-    let judged: Vec<(&Subject, Blame)> = judged.collect();
-    let weight = |blame: &Blame| (blame.losses, blame.requests);
-    let Some(most) = judged.iter().map(|(_, blame)| weight(blame)).max() else {
-        return Vec::new();
-    };
-    let worst: Vec<(&Subject, Blame)> =
-        judged.into_iter().filter(|(_, blame)| weight(blame) == most).collect();
-    // Another run tells requests apart that were only lost together: one is answered, or under one more upstreams are lost.
-    let is_ambiguous = |subject: &Subject, blame: &Blame| {
-        subject.key.kind == Kind::Request
-            && blame.losses == MIN_LOSSES
-            && worst.iter().any(|(other, _)| {
-                *other != subject
-                    && other.key.kind == Kind::Request
-                    && under[*other] == under[subject]
-            })
-    };
-    let ambiguous: Vec<bool> =
-        worst.iter().map(|(subject, blame)| is_ambiguous(subject, blame)).collect();
-    let clear = worst.into_iter().zip(ambiguous).filter(|(_, is_ambiguous)| !is_ambiguous);
-    clear.map(|((subject, blame), _)| (subject.clone(), blame)).collect()
-}
-
-/// Judges a part, whose requests differ: enough losses at different moments, on different engines and under different
-/// requests blame it.
-fn judge_part(key: Key, under: &[&TimedLoss<'_>]) -> Option<Blame> {
-    let runs = under.iter().flat_map(|timed| timed.loss.runs_of(key));
-    let requests: Set<u64> = runs.map(|run| run.own).collect();
-    let is_blamed = count_moments(under) >= MIN_LOSSES
-        && count_addresses(under) >= MIN_DIFFERENT
-        && requests.len() >= MIN_DIFFERENT;
-    is_blamed.then(|| blame(under, requests.len()))
-}
-
-/// Judges a request that comes again: enough losses, each of a run that began after the loss before, blame it. What
-/// was running on several upstreams when they lost power began before the first of these losses.
-///
-/// Where all of them were at one address, the upstream itself may be defective. It is not if several of its processes had
-/// answered something else, and none was lost without the request meanwhile.
-fn judge_request(key: Key, under: &[&TimedLoss<'_>], losses: &[TimedLoss<'_>]) -> Option<Blame> {
-    let chain = consecutive(key, under);
-    let is_blamed = chain.len() >= MIN_LOSSES
-        && (count_addresses(&chain) >= MIN_DIFFERENT
-            || chain.iter().filter(|timed| timed.loss.has_answered).count() >= MIN_DIFFERENT
-                && is_in_all_losses_at_its_address(key, &chain, losses));
-    is_blamed.then(|| blame(under, 1))
-}
-
-/// Returns the losses under a request of which each is of a run that began after the loss before, as far as can be told.
-fn consecutive<'a>(key: Key, under: &[&'a TimedLoss<'a>]) -> Vec<&'a TimedLoss<'a>> {
-    let mut chain: Vec<&TimedLoss<'_>> = Vec::new();
-    for timed in under {
-        let last = chain.last().map(|last| last.age);
-        let mut runs = timed.loss.runs_of(key);
-        let began_after =
-            |run: &Run, last| timed.age + Duration::from_millis(run.ran_ms) <= last + REPORT_DELAY;
-        let is_separate = |last: Duration| last.saturating_sub(timed.age) >= MIN_SEPARATION;
-        if last.is_none_or(|last| is_separate(last) && runs.any(|run| began_after(run, last))) {
-            chain.push(timed);
-        }
-    }
-    chain
-}
-
-fn is_in_all_losses_at_its_address(
-    key: Key,
-    chain: &[&TimedLoss<'_>],
-    losses: &[TimedLoss<'_>],
-) -> bool {
-    let (Some(first), Some(last)) = (chain.first(), chain.last()) else { return false };
-    let meanwhile = losses.iter().filter(|timed| {
-        (last.age..=first.age).contains(&timed.age) && timed.loss.engine == first.loss.engine
-    });
-    meanwhile.into_iter().all(|timed| timed.loss.runs_of(key).next().is_some())
-}
-
-fn blame(under: &[&TimedLoss<'_>], requests: usize) -> Blame {
-    let age = under.iter().map(|timed| timed.age).min().unwrap_or_default();
-    Blame { losses: under.len(), requests, age }
-}
-
-fn count_addresses(losses: &[&TimedLoss<'_>]) -> usize {
-    losses.iter().map(|timed| timed.loss.engine).collect::<Set<SocketAddr>>().len()
-}
-
-/// Returns how many of these losses, in order of time, are apart from each other.
-fn count_moments(losses: &[&TimedLoss<'_>]) -> usize {
-    let mut last: Option<Duration> = None;
-    let mut moments = 0;
-    for timed in losses {
-        if last.is_none_or(|last| last.saturating_sub(timed.age) >= SIMULTANEOUS) {
-            moments += 1;
-            last = Some(timed.age);
-        }
-    }
-    moments
-}
