Share builds and suspects directly only when the other ways do not reach

Rows now go to the connected instances only while the store does not take them, which the readers pass on otherwise; a stream's build goes to the holders only if there has been another one within a minute. The tests of the store being away and of software versions pass.

--- a/crates/orioleroute-node/src/gateway/origins.rs
+++ b/crates/orioleroute-node/src/gateway/origins.rs
@@ -52,10 +52,15 @@
     }
 }
 
-/// Records at which build a stream begins, here and at the schedulers that are to hold it.
-pub fn record(gateway: &Rc<Gateway>, attempt: &str, build: &Arc<str>) {
+/// Records at which build a stream of a service begins: here, and at the schedulers that are to hold it if upstreams of other
+/// builds serve beside it. Otherwise their messages would cost more than the few streams that begin just before a release.
+pub fn record(gateway: &Rc<Gateway>, service: &str, attempt: &str, build: &Arc<str>) {
     let origin = Origin::of(attempt);
-    gateway.origins.record(origin, build.clone(), gateway.now());
+    let now = gateway.now();
+    gateway.origins.record(origin, build.clone(), now);
+    if gateway.registry().recent_builds(service, now).iter().all(|other| other == build) {
+        return;
+    }
     let zones = gateway.leadership.leaders.led_zones();
     for zone in origin.holders(&zones) {
         if let Some(scheduler) = link::scheduler_of(gateway, zone) {
--- a/crates/orioleroute-node/src/gateway/quarantine.rs
+++ b/crates/orioleroute-node/src/gateway/quarantine.rs
@@ -1,5 +1,5 @@
-//! Shares what the schedulers know of requests that end upstreams: through a row in the store for each zone, and directly with
-//! the instances that are connected to the scheduler, because the store may be away.
+//! Shares what the schedulers know of requests that end upstreams: through a row in the store for each zone, and while the
+//! store takes no rows, directly with the instances that are connected to the scheduler.
 
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
@@ -149,10 +149,6 @@
     gateway.suspects.published.set(gateway.suspects.published.get() + 1);
     gateway.suspects.unwritten.borrow_mut().insert(zone.clone());
     apply(gateway, zone, report);
-    let followers: Vec<Client> = gateway.suspects.followers.borrow().iter().copied().collect();
-    for follower in followers {
-        send_report(gateway, zone, follower);
-    }
     if !gateway.suspects.is_writing.replace(true) {
         monoio::spawn(write_reports(gateway.clone()));
     }
@@ -163,7 +159,7 @@
     gateway.suspects.followers.borrow_mut().insert(client);
     link::send_to_instance(gateway, client, ToInstance::Current);
     for zone in gateway.leadership.scheduled_zones() {
-        send_report(gateway, &zone, client);
+        send_report(gateway, &zone, &[client]);
     }
 }
 
@@ -172,11 +168,12 @@
     gateway.suspects.followers.borrow_mut().remove(&client);
 }
 
-fn send_report(gateway: &Rc<Gateway>, zone: &Arc<str>, client: Client) {
+fn send_report(gateway: &Rc<Gateway>, zone: &Arc<str>, clients: &[Client]) {
     let row = row(gateway, zone).and_then(|row| serde_json::to_string(&row).ok());
-    if let Some(row) = row {
-        let message = ToInstance::Suspects { zone: zone.clone(), row: row.into() };
-        link::send_to_instance(gateway, client, message);
+    let Some(row) = row else { return };
+    for client in clients {
+        let message = ToInstance::Suspects { zone: zone.clone(), row: row.as_str().into() };
+        link::send_to_instance(gateway, *client, message);
     }
 }
 
@@ -317,6 +314,10 @@
         if let Err(error) = gateway.store.commit(&[write]).await {
             warn!(gateway.log, "reporting suspects failed"; "zone" => &*zone,
                 "error" => error.to_string());
+            // While the store takes no rows, the others learn of them here. It passes them on at a lower cost.
+            let followers: Vec<Client> =
+                gateway.suspects.followers.borrow().iter().copied().collect();
+            send_report(&gateway, &zone, &followers);
             gateway.suspects.unwritten.borrow_mut().insert(zone);
             monoio::time::sleep(RETRY_DELAY).await;
         }
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -202,7 +202,7 @@
         *self.build.borrow_mut() = Some(build.clone());
         let attempt = self.attempt.resumes.as_ref().or(self.attempt.id.as_ref());
         if let Some(attempt) = attempt.filter(|_| self.route.is_resumable) {
-            origins::record(self.gateway, attempt, build);
+            origins::record(self.gateway, &self.service, attempt, build);
         }
     }
 
