Keep the scheduler of a zone when the store comes back from a copy

Cause: the row of a zone in a copy of the store was read as news, although it says who led when the copy was made. An instance whose earlier process is named there took the zone over without a delay and without regard to the scheduler whose heartbeats it heard. That one went on until it had read the row.

Change: a leader's row states the era in which it was written, so a row that a copy brought back is recognized. It replaces no leader that is known and starts no scheduler. The leader writes its row again and goes on with the new token. Nobody takes over a zone that a heartbeat says is scheduled while its row is unconfirmed. So only one instance orders: the one that led last.

--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -4,12 +4,14 @@
 use std::rc::Rc;
 
 use orioleroute::hash;
+use orioleroute::ingress::Version;
+use orioleroute::ingress::feed::Table;
 use orioleroute::ingress::isolation::Isolation;
+use orioleroute::ingress::leaders::Leader;
 use orioleroute::prelude::*;
 use orioleroute_platform::store::{Commit, Write};
 use slog::{debug, warn};
 
-use super::leaders::Leader;
 use super::leadership::{self, ELECTION_INTERVAL, reconcile};
 use super::state::Gateway;
 use super::sync::{CLUSTER_TABLE, LEADER_PREFIX};
@@ -83,9 +85,11 @@
         led.map(|upstream| upstream.zone.clone()).collect()
     };
     for zone in zones {
-        // Zones led by a previous incarnation of this instance need no discovery of other candidates.
-        let was_own =
-            gateway.leadership.leaders.leader(&zone).is_some_and(|leader| leader.holder == own);
+        // Zones led by a previous incarnation of this instance need no discovery of other candidates, unless a copy of the
+        // store says so: another instance may have led since.
+        let leaders = &gateway.leadership.leaders;
+        let was_own = leaders.leader(&zone).is_some_and(|leader| leader.holder == own)
+            && !leaders.is_unconfirmed(&zone);
         if !is_discovery_over && !was_own {
             continue;
         }
@@ -134,18 +138,20 @@
 
 fn is_vacant(gateway: &Rc<Gateway>, zone: &str, now: Instant) -> bool {
     let roster = gateway.roster();
-    match gateway.leadership.leaders.leader(zone) {
+    let leaders = &gateway.leadership.leaders;
+    if leaders.is_unconfirmed(zone) && roster.is_scheduled(zone, now) {
+        return false;
+    }
+    match leaders.leader(zone) {
         None => true,
-        _ if gateway.leadership.leaders.is_abandoned(zone, now) => true,
+        _ if leaders.is_abandoned(zone, now) => true,
         Some(leader) if leader.holder == roster.own().name => {
             leader.incarnation != roster.own().incarnation
         }
         // An instance of another region sends heartbeats to this one only since it leads a zone.
         Some(leader) => {
             let is_new = roster.is_remote(&leader.holder)
-                && gateway
-                    .leadership
-                    .leaders
+                && leaders
                     .known_since(zone)
                     .is_some_and(|since| now.since(since) < REMOTE_LEADER_GRACE);
             !is_new && !roster.is_alive(&leader.holder, now)
@@ -186,8 +192,11 @@
 /// Writes this instance into the leader row of a zone, unless the row has changed since it was read.
 pub async fn take_over(gateway: Rc<Gateway>, zone: Arc<str>) {
     let own = gateway.roster().own().clone();
-    let leader = Leader { holder: own.name, incarnation: own.incarnation };
     let expected = gateway.leadership.leaders.row_version(&zone);
+    // A follower may learn of an era from the feed before the store tells it.
+    let known = gateway.feed.version(Table::Cluster).unwrap_or_default();
+    let era = gateway.store.era().max(Version::from(known).era);
+    let leader = Leader { holder: own.name, incarnation: own.incarnation, era: Some(era) };
     let silence = silence(&gateway, &zone);
     gateway.leadership.timers.silences.borrow_mut().insert(zone.clone(), silence);
     let write = Write {
@@ -214,11 +223,14 @@
 }
 
 /// Returns for how long at least the leader of a zone has not acted: since the start of this process if
-/// it was a previous incarnation of this instance, else since its last heartbeat.
+/// it was a previous incarnation of this instance, else since its last heartbeat. Nothing is known of the leader if a copy
+/// of the store names an earlier one.
 fn silence(gateway: &Gateway, zone: &str) -> Duration {
     let now = gateway.now();
     let roster = gateway.roster();
-    match gateway.leadership.leaders.leader(zone) {
+    let leaders = &gateway.leadership.leaders;
+    match leaders.leader(zone) {
+        _ if leaders.is_unconfirmed(zone) => Duration::ZERO,
         Some(leader) if leader.holder == roster.own().name => now.since(Instant::ZERO),
         Some(leader) => roster.silence(&leader.holder, now),
         None => Duration::ZERO,
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use nix::time::{ClockId, clock_gettime};
+use orioleroute::ingress::leaders::Leaders;
 use orioleroute::ingress::upstream::{Announcement, Description};
 use orioleroute::ingress::{Configuration, Version};
 use orioleroute::prelude::*;
@@ -22,7 +23,6 @@
 };
 use slog::{info, warn};
 
-use super::leaders::Leaders;
 use super::state::Gateway;
 use super::{builds, copies, election, link, orders, origins, quarantine, sync};
 
@@ -231,6 +231,8 @@
                     scheduler.renew(entry.version);
                 }
             }
+            // A row that a copy of the store brought back does not make this instance a scheduler again.
+            (true, None) if entry.is_unconfirmed() => {}
             (true, _) => {
                 let Some(configuration) = gateway.configuration() else { continue };
                 let silence = gateway.leadership.timers.take_silence(&zone);
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -14,7 +14,6 @@
 mod feed;
 mod forward;
 mod heartbeat;
-mod leaders;
 mod leadership;
 mod limits;
 mod link;
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -5,6 +5,7 @@
 
 use orioleroute::ingress::Version;
 use orioleroute::ingress::feed::{self, Record, Table};
+use orioleroute::ingress::leaders::Leader;
 use orioleroute::ingress::registry::{Change, Standing};
 use orioleroute::ingress::roster::Member;
 use orioleroute::ingress::upstream::Description;
@@ -15,7 +16,6 @@
 use slog::{info, warn};
 
 use super::feed::{Changes, Extent};
-use super::leaders::Leader;
 use super::leadership;
 use super::state::Gateway;
 use super::{builds, election, quarantine};
@@ -409,7 +409,7 @@
         monoio::spawn(register(gateway.clone()));
     }
     for zone in gateway.leadership.scheduled_zones() {
-        if gateway.leadership.leaders.is_lost(&zone) {
+        if gateway.leadership.leaders.is_unconfirmed(&zone) {
             monoio::spawn(election::take_over(gateway.clone(), zone.clone()));
         }
         quarantine::publish_again(gateway, &zone);
--- a/crates/orioleroute/src/ingress/mod.rs
+++ b/crates/orioleroute/src/ingress/mod.rs
@@ -12,6 +12,7 @@
 pub mod feed;
 pub mod health;
 pub mod isolation;
+pub mod leaders;
 pub mod notice;
 pub mod origins;
 pub mod pace;
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -110,6 +110,8 @@
     incarnations: Incarnations,
     is_serving: bool,
     store: Access,
+    /// The availability zones that the instance schedules, by its last heartbeat.
+    scheduled: Vec<Arc<str>>,
 }
 
 /// The incarnations of an instance, by which late heartbeats are recognized. They are not ordered by size,
@@ -177,6 +179,7 @@
                     incarnations: Incarnations::default(),
                     is_serving: true,
                     store: Access::Unused,
+                    scheduled: Vec::new(),
                 };
                 self.peers.insert(member.name, peer);
             }
@@ -198,6 +201,7 @@
             peer.last_heartbeat = Some(now);
             peer.is_serving = heartbeat.is_serving;
             peer.store = Access::from_report(heartbeat.store, now);
+            peer.scheduled = heartbeat.loads.iter().map(|load| load.zone.clone()).collect();
             self.record_loads(&heartbeat.loads, now);
         }
     }
@@ -249,6 +253,14 @@
         self.is_recent(name, FAILED_INTERVALS, now)
     }
 
+    /// Returns whether another instance that does not count as failed schedules a zone, by its heartbeats.
+    pub fn is_scheduled(&self, zone: &str, now: Instant) -> bool {
+        self.peers.values().any(|peer| {
+            peer.scheduled.iter().any(|scheduled| **scheduled == *zone)
+                && self.has_recent_heartbeat(peer, FAILED_INTERVALS, now)
+        })
+    }
+
     /// Returns the instances that can take on duties: those that are serving and have not failed,
     /// including this one if it is serving.
     pub fn serving(&self, now: Instant) -> Vec<&Member> {
