Assign responses that name no attempt only on new connections

Callers saw: 503, 429, 408 or 421 (not run, try again) for requests that an upstream had run, when it wrote the refusal of an earlier request once more on a kept connection (REFUSED); a second upstream then ran the request too (TWICE).

Cause: a response without an attempt id was taken for one to the current request, also on a connection that had carried others.

Change: a response belongs to the attempt that it names, and one that names none only to the first request of its connection. It works because the first response on a connection cannot be an earlier one.

--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use orioleroute::prelude::*;
+use orioleroute_platform::ingress::Connection;
 use orioleroute_wire::connect::Options;
 use orioleroute_wire::http1::head::{self, Response};
 use orioleroute_wire::http1::incoming::{self, Cut};
@@ -115,6 +116,7 @@
 pub struct Incoming {
     response: incoming::Incoming,
     target: Target,
+    connection: Connection,
 }
 
 impl Connections {
@@ -130,18 +132,19 @@
         now: Instant,
     ) -> Result<Incoming, Failure> {
         let max_idle = if request.is_repeatable { Duration::MAX } else { NON_REPEATABLE_MAX_IDLE };
-        let socket = match self.take_idle(&target.id, max_idle, now) {
-            Some(socket) => socket,
+        let (socket, connection) = match self.take_idle(&target.id, max_idle, now) {
+            Some(socket) => (socket, Connection::Reused),
             None => {
                 let options = Options { ack_timeout: ACK_TIMEOUT, ..Options::default() };
-                Socket::connect_with(target.address, CONNECT_TIMEOUT, options)
+                let socket = Socket::connect_with(target.address, CONNECT_TIMEOUT, options)
                     .await
-                    .map_err(|error| Failure::Unreachable(error.to_string()))?
+                    .map_err(|error| Failure::Unreachable(error.to_string()))?;
+                (socket, Connection::New)
             }
         };
         let response =
             incoming::Incoming::receive(socket, encode(&request), request.method).await?;
-        Ok(Incoming { response, target: target.clone() })
+        Ok(Incoming { response, target: target.clone(), connection })
     }
 
     fn take_idle(&self, id: &Arc<str>, max_idle: Duration, now: Instant) -> Option<Socket> {
@@ -180,6 +183,11 @@
         &self.response.head
     }
 
+    /// Returns whether the connection had carried other requests.
+    pub fn connection(&self) -> Connection {
+        self.connection
+    }
+
     /// Returns how many bytes of the body have been received, with its framing.
     pub fn body_bytes(&self) -> usize {
         self.response.body_bytes()
--- a/crates/orioleroute-node/src/gateway/tries.rs
+++ b/crates/orioleroute-node/src/gateway/tries.rs
@@ -65,7 +65,8 @@
     fn classify(&self, mut permit: Permit, incoming: Incoming) -> TryOutcome {
         let id = self.attempt.id.as_deref();
         let headers = &incoming.head().headers;
-        let class = ingress::classify_response(incoming.head().status, headers, id);
+        let status = incoming.head().status;
+        let class = ingress::classify_response(status, headers, id, incoming.connection());
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
             permit.observe(ingress::notice(headers));
             if let Some(pause) = ingress::pause(incoming.head().status, headers) {
