Relay no promise that an upstream does not state

Callers saw: 408, 429 or 503 (not run, and never will be) for requests that an upstream had run, when it answered with such a status of its own (REFUSED).

Cause: a response without Orioleroute-Not-Executed was relayed with its status, whatever that promises to clients.

Evidence: an_order_that_ran_is_not_reported_as_not_run_whatever_status_its_upstream_gives failed for all three statuses before: (503, 1 run) in place of (502, 1 run).

Change: such an answer is an error of the upstream. What may be repeated goes to another one, the rest gets 502, which promises nothing.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -224,11 +224,18 @@
         self.note(format!("{} {}", permit.upstream, incoming.head().status.as_u16()));
         self.received_at.set(Some(self.gateway.now()));
         let status = incoming.head().status;
-        if status.is_server_error() && self.may_retry() {
+        // The upstream has not stated that the request did not run, or it would not be relayed.
+        let is_unconfirmed = ingress::promises_not_run(status);
+        if (status.is_server_error() || is_unconfirmed) && self.may_retry() {
             permit.end(RunResult::Erred);
             self.report_retry();
             return None;
         }
+        if is_unconfirmed {
+            permit.end(RunResult::Erred);
+            let outcome = "promise not confirmed";
+            return Some(self.fail(response, StatusCode::BAD_GATEWAY, outcome).await);
+        }
         let is_stream = status.is_success() && sse::is_stream(&incoming.head().headers);
         let relayed = match is_stream {
             true => self.relay_stream(response, &mut permit, &mut incoming).await,
