Take no unframed answer without events for the end of a stream

Callers saw: a stream that broke off after some events and ended as if it were complete (ORDER), when the upstream that was asked to go on with it sent only the head of a response without a length and closed.

Cause: the splitter of a resumed stream began with the events of the stream before as its own, so the end of the connection counted as an end after an event.

The case resumes_after_the_last_event of wire/tests/sse.rs asked for the opposite; an upstream may truncate a response, and such an answer cannot be told from a truncated one, so it asks for Broken::Empty now, which is stricter.

Change: only events of its own response show that a stream without framing ended after an event.

--- a/crates/orioleroute-wire/src/sse.rs
+++ b/crates/orioleroute-wire/src/sse.rs
@@ -71,7 +71,7 @@
     may_lf_follow: bool,
     /// The number of bytes received since the last event with data.
     bytes_since_event: usize,
-    /// Whether an event with data has been received, by this stream or the one that it resumes.
+    /// Whether an event with data has been received. Those of a stream that this one resumes show nothing about its end.
     has_event: bool,
     numbering: Numbering,
 }
@@ -102,7 +102,7 @@
     /// upstream may repeat when it resumes a stream.
     pub fn numbered(last: Option<u64>) -> Self {
         let numbering = Numbering::Increasing { last };
-        Self { numbering, has_event: last.is_some(), ..Self::default() }
+        Self { numbering, ..Self::default() }
     }
 
     /// Adds received data.
--- a/crates/orioleroute-wire/tests/sse.rs
+++ b/crates/orioleroute-wire/tests/sse.rs
@@ -121,7 +121,7 @@
 /// Where only the end of the connection marks the end, a stream without any event shows nothing that is complete.
 #[rstest]
 #[case::ends_with_its_connection(Framing::UntilClose, None, Some(Broken::Empty))]
-#[case::resumes_after_the_last_event(Framing::UntilClose, Some(4), None)]
+#[case::resumes_after_the_last_event(Framing::UntilClose, Some(4), Some(Broken::Empty))]
 #[case::ends_with_its_last_chunk(Framing::Chunked, None, None)]
 fn a_stream_without_events_is_complete_if_it_says_so(
     #[case] framing: Framing,
