Continue a started stream only with the events of a 200

Callers saw: foreign text in the middle of a stream (MIXED), or a stream that ended as if it were complete (ORDER), when the upstream that was asked to go on with it answered 206, 204 or 205 with the media type of event streams.

Cause: any success with that media type was taken for the rest of the stream, in two places.

All other errors were kept out before as well.

Change: one check for both places, status 200 and an event stream.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -27,6 +27,7 @@
 use super::response::Response;
 use super::startup;
 use super::state::Gateway;
+use super::takeover;
 use super::tries::TryOutcome;
 
 /// The number of upstreams that may decline one request, or be unreachable, before it is refused.
@@ -238,9 +239,11 @@
         }
         let is_stream = status.is_success() && sse::is_stream(&incoming.head().headers);
         let relayed = match is_stream {
-            true => self.relay_stream(response, &mut permit, &mut incoming).await,
             // Only events can continue a started stream.
-            false if response.is_started() => RelayOutcome::Lost(Loss::NotResumed(status.as_u16())),
+            _ if response.is_started() && !takeover::continues_stream(incoming.head()) => {
+                RelayOutcome::Lost(Loss::NotResumed(status.as_u16()))
+            }
+            true => self.relay_stream(response, &mut permit, &mut incoming).await,
             false => self.relay_buffered(response, &mut incoming).await,
         };
         match relayed {
--- a/crates/orioleroute-node/src/gateway/takeover.rs
+++ b/crates/orioleroute-node/src/gateway/takeover.rs
@@ -9,8 +9,10 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use http::StatusCode;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::RunResult;
+use orioleroute_wire::http1::head;
 use orioleroute_wire::sse;
 
 use super::exchange::{Incoming, Loss};
@@ -99,6 +101,12 @@
     }
 }
 
+/// Returns whether a response goes on with a stream that a client has begun to receive. Other successes do not say that its
+/// body is the rest of the stream, such as 204 and 206.
+pub fn continues_stream(head: &head::Response) -> bool {
+    head.status == StatusCode::OK && sse::is_stream(&head.headers)
+}
+
 /// Asks one upstream to take the stream over, and returns it once its response has begun.
 async fn try_successor(relay: &Relay<'_>, retry: &Retry<'_>) -> Option<Successor> {
     let (permit, mut incoming) = match relay.try_once().await {
@@ -112,8 +120,7 @@
         }
         TryOutcome::Lost(permit, _) => return give_up(relay, permit, RunResult::Broken),
     };
-    let head = incoming.head();
-    if !head.status.is_success() || !sse::is_stream(&head.headers) {
+    if !continues_stream(incoming.head()) {
         return give_up(relay, permit, RunResult::Erred);
     }
     match monoio::time::timeout(FIRST_DATA_TIMEOUT, incoming.next()).await {
