End no resumed stream before an event that had begun

Cause: that an event had begun was forgotten with the response of the first upstream.

Change: the splitter of a resumed stream is made from the one before, and is not complete before the event that had begun there. The stream is then resumed at another upstream, or cut.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -111,6 +111,7 @@
         deadline: inbound.arrived + timeout,
         objective: inbound.arrived + route.objective.saturating_sub(elapsed),
         last_event: Cell::new(attempt.last_event),
+        interrupted: RefCell::default(),
         build: RefCell::default(),
         inbound,
         attempt,
@@ -162,6 +163,8 @@
     /// The upstreams that have failed the request.
     pub(super) excluded: RefCell<Vec<Arc<str>>>,
     pub(super) last_event: Cell<Option<u64>>,
+    /// The events of the upstream that broke the stream off last.
+    pub(super) interrupted: RefCell<sse::Splitter>,
     /// The build at which the stream began, once it has.
     pub(super) build: RefCell<Option<Arc<str>>>,
     /// The upstreams tried and how each try ended, for the log.
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -80,7 +80,19 @@
         permit: &mut Permit,
         incoming: &mut Incoming,
     ) -> RelayOutcome {
-        let mut splitter = Splitter::numbered(self.last_event.get());
+        let mut splitter = self.interrupted.borrow().resumed(self.last_event.get());
+        let outcome = self.relay_events(response, permit, incoming, &mut splitter).await;
+        self.interrupted.replace(splitter);
+        outcome
+    }
+
+    async fn relay_events(
+        &self,
+        response: &mut Response<'_>,
+        permit: &mut Permit,
+        incoming: &mut Incoming,
+        splitter: &mut Splitter,
+    ) -> RelayOutcome {
         loop {
             let remaining = self.deadline.since(self.gateway.now());
             let may_search = response.is_started() && self.route.is_resumable;
@@ -92,15 +104,13 @@
                 () = response.closed() => return RelayOutcome::ClientClosed,
                 () = monoio::time::sleep(remaining) => return RelayOutcome::TimedOut,
                 successor = &mut successor, if may_search => {
-                    splitter = Splitter::numbered(self.last_event.get());
+                    *splitter = splitter.resumed(self.last_event.get());
                     Ok(Some(self.adopt(successor, &Loss::Silent, permit, incoming)))
                 }
             };
             self.received_at.set(Some(self.gateway.now()));
             let passed = match chunk {
-                Ok(chunk) => {
-                    self.pass_chunk(response, permit, incoming, &mut splitter, chunk).await
-                }
+                Ok(chunk) => self.pass_chunk(response, permit, incoming, splitter, chunk).await,
                 Err(cut) => Passed::Ended(RelayOutcome::Lost(cut.into())),
             };
             let outcome = match passed {
@@ -116,10 +126,9 @@
                 () = monoio::time::sleep(remaining) => return RelayOutcome::TimedOut,
             };
             let Some(successor) = successor else { return RelayOutcome::Lost(loss) };
-            splitter = Splitter::numbered(self.last_event.get());
+            *splitter = splitter.resumed(self.last_event.get());
             let data = self.adopt(successor, &loss, permit, incoming);
-            let passed =
-                self.pass_chunk(response, permit, incoming, &mut splitter, Some(data)).await;
+            let passed = self.pass_chunk(response, permit, incoming, splitter, Some(data)).await;
             if let Passed::Ended(outcome) = passed {
                 return outcome;
             }
--- a/crates/orioleroute-wire/src/sse.rs
+++ b/crates/orioleroute-wire/src/sse.rs
@@ -47,8 +47,9 @@
         /// The number of bytes after the last complete event.
         bytes: usize,
     },
-    /// The connection ended before the first event, and nothing else marks the end of the stream.
-    #[error("closed before the first event")]
+    /// The stream ended before its first event, and either only the end of the connection marks that, or the stream that it
+    /// resumes had begun another event.
+    #[error("ended before the first event")]
     Empty,
     /// The stream sent more than [`MAX_BYTES_BETWEEN_EVENTS`] without a new event.
     #[error("no new event within {MAX_BYTES_BETWEEN_EVENTS} bytes")]
@@ -73,6 +74,8 @@
     bytes_since_event: usize,
     /// Whether an event with data has been received. Those of a stream that this one resumes show nothing about its end.
     has_event: bool,
+    /// Whether the stream that this one resumes broke off inside an event, and no new event has been received since.
+    is_event_due: bool,
     numbering: Numbering,
 }
 
@@ -105,6 +108,14 @@
         Self { numbering, ..Self::default() }
     }
 
+    /// Returns a splitter for a stream that resumes the one of `self` after the event `last`. It does not end before the event
+    /// that had begun there.
+    pub fn resumed(&self, last: Option<u64>) -> Self {
+        let is_inside_event = self.block.has_field || self.block.is_in_line;
+        let is_event_due = self.is_event_due || is_inside_event;
+        Self { is_event_due, ..Self::numbered(last) }
+    }
+
     /// Adds received data.
     pub fn push(&mut self, data: &[u8]) {
         self.input.extend_from_slice(data);
@@ -132,6 +143,7 @@
             }
             if event.has_data {
                 self.bytes_since_event = self.input.len();
+                self.is_event_due = false;
             }
             return Ok(Some(event));
         }
@@ -140,7 +152,8 @@
         }
         let Some(end) = self.end else { return Ok(None) };
         if self.input.is_empty() {
-            let is_plausible = end != Framing::UntilClose || self.has_event;
+            let has_mark = end != Framing::UntilClose || self.has_event;
+            let is_plausible = has_mark && !self.is_event_due;
             return if is_plausible { Ok(None) } else { Err(Broken::Empty) };
         }
         if self.block.has_field || self.block.is_in_line {
--- a/crates/orioleroute-wire/tests/sse.rs
+++ b/crates/orioleroute-wire/tests/sse.rs
@@ -249,3 +249,22 @@
         );
     }
 }
+
+/// An upstream breaks off inside an event, and the one that resumes the stream ends before that event.
+#[rstest]
+#[case::nothing("", Some(Broken::Empty))]
+#[case::a_repetition("id: 1\ndata: a\n\n", Some(Broken::Empty))]
+#[case::the_event("id: 2\ndata: b\n\n", None)]
+fn a_resumed_stream_does_not_end_before_an_event_that_had_begun(
+    #[case] rest: &str,
+    #[case] broken: Option<Broken>,
+    #[values(Framing::Chunked, Framing::Length(9), Framing::UntilClose)] framing: Framing,
+) {
+    let mut first = Splitter::numbered(None);
+    first.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    while let Ok(Some(_)) = first.next() {}
+
+    let split = split(first.resumed(Some(1)), &[rest.as_bytes()], Some(framing));
+
+    assert_eq!(split.broken, broken);
+}
