Count what was sound before there was a scheduler

Callers saw: every request of a service refused (503, "quarantined") for ten minutes, because the verdict on a prompt part that crashes engines named the part that sound prompts have as well.

Cause: while no scheduler is in reach, an instance kept the runs that broke off and told the first scheduler of all of them at once, but not of the sound ones. All losses had the shared part, nothing showed that it is sound, and more requests had it than the crashing part.

Change: an instance remembers for a minute what was sound in runs that no scheduler granted. It reports this before the losses that it kept, and whenever a scheduler suspects something of it. The scheduler counts it at its age, by the rule for runs that it granted itself.

--- a/crates/orioleroute-node/src/gateway/quarantine.rs
+++ b/crates/orioleroute-node/src/gateway/quarantine.rs
@@ -9,7 +9,7 @@
 
 use orioleroute::hash;
 use orioleroute::ingress::attempt::Generation;
-use orioleroute::ingress::quarantine::{Change, Key, Kind, Quarantine, Report, Subject};
+use orioleroute::ingress::quarantine::{Change, Key, Kind, Loss, Quarantine, Report, Run, Subject};
 use orioleroute::ingress::registry::Standing;
 use orioleroute::ingress::unreported::Unreported;
 use orioleroute::prelude::*;
@@ -204,6 +204,8 @@
 pub fn report_run(gateway: &Rc<Gateway>, mut ended: UngrantedRun, result: RunResult) {
     match result {
         RunResult::Answered => {
+            let now = gateway.now();
+            gateway.suspects.unreported.borrow_mut().record_sound(&ended, now);
             let quarantine = gateway.suspects.quarantine.borrow();
             let service = ended.service.clone();
             ended.run.retain(|key| {
@@ -228,6 +230,12 @@
 fn report_kept(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     let kept = gateway.suspects.unreported.borrow_mut().take(now);
+    for ended in &kept {
+        let unreported = gateway.suspects.unreported.borrow();
+        let sound = unreported.sound_among(ended, ended.run.keys(), now);
+        drop(unreported);
+        report_sound(gateway, sound);
+    }
     for ended in kept {
         if let Some(ended) = send_ended(gateway, ended, RunResult::Broken) {
             gateway.suspects.unreported.borrow_mut().push(ended, now);
@@ -235,6 +243,34 @@
     }
 }
 
+/// Tells the scheduler of a zone which of its suspects were sound in runs that no scheduler granted.
+fn clear_suspects(gateway: &Rc<Gateway>, zone: &Arc<str>, losses: &[Loss]) {
+    for loss in losses {
+        let run = UngrantedRun {
+            zone: zone.clone(),
+            service: loss.service.clone(),
+            upstream: Arc::default(),
+            started_ms: None,
+            address: loss.engine,
+            has_answered: true,
+            age_ms: 0,
+            run: Run::default(),
+        };
+        let keys: Set<Key> = loss.runs.iter().flat_map(Run::keys).collect();
+        let unreported = gateway.suspects.unreported.borrow();
+        let sound = unreported.sound_among(&run, keys, gateway.now());
+        drop(unreported);
+        report_sound(gateway, sound);
+    }
+}
+
+/// Reports what was sound. It is not kept if no scheduler is in reach, since it is remembered.
+fn report_sound(gateway: &Rc<Gateway>, sound: Option<UngrantedRun>) {
+    if let Some(sound) = sound {
+        let _ = send_ended(gateway, sound, RunResult::Answered);
+    }
+}
+
 /// Sends the end of a run to the scheduler that collects the losses of its upstream, or returns it if none is in reach.
 fn send_ended(
     gateway: &Rc<Gateway>,
@@ -326,6 +362,7 @@
 }
 
 fn apply(gateway: &Rc<Gateway>, zone: &Arc<str>, report: Report) {
+    let losses = report.losses.clone();
     let changes = {
         let mut quarantine = gateway.suspects.quarantine.borrow_mut();
         let changes = quarantine.update(zone, report, gateway.now());
@@ -338,6 +375,7 @@
         log_change(gateway, change);
     }
     leadership::update_quarantine(gateway);
+    clear_suspects(gateway, zone, &losses);
 }
 
 fn log_change(gateway: &Rc<Gateway>, change: &Change) {
--- a/crates/orioleroute/src/ingress/quarantine.rs
+++ b/crates/orioleroute/src/ingress/quarantine.rs
@@ -94,6 +94,18 @@
 }
 
 impl Run {
+    /// Returns a run that consists of these.
+    pub fn of(keys: impl IntoIterator<Item = Key>) -> Self {
+        let mut run = Self::default();
+        for key in keys {
+            match key.kind {
+                Kind::Part => run.parts.push(key.id),
+                Kind::Request => run.request = Some(key.id),
+            }
+        }
+        run
+    }
+
     /// Returns what may have ended the upstream.
     pub fn keys(&self) -> impl Iterator<Item = Key> {
         let parts = self.parts.iter().copied().map(Key::part);
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -27,7 +27,7 @@
 pub mod runner;
 pub mod search;
 mod succession;
-mod suspects;
+pub mod suspects;
 mod suspicion;
 
 use slotmap::SlotMap;
--- a/crates/orioleroute/src/scheduler/suspects.rs
+++ b/crates/orioleroute/src/scheduler/suspects.rs
@@ -11,7 +11,7 @@
 
 /// How long a request or part counts as sound after a run of it. What begins to end upstreams within this time is suspected
 /// only after it.
-const SOUND_TTL: Duration = Duration::from_secs(60);
+pub const SOUND_TTL: Duration = Duration::from_secs(60);
 
 /// The most requests and parts that are remembered as sound.
 const MAX_SOUND: usize = 4_096;
@@ -114,17 +114,22 @@
 }
 
 impl Suspects {
-    /// Records that runs of these were sound.
+    /// Records that runs of these were sound when they ended, `age` ago.
     pub fn record_sound(
         &mut self,
         service: &Arc<str>,
         keys: impl IntoIterator<Item = Key>,
+        age: Duration,
         now: Instant,
     ) {
+        if age >= SOUND_TTL {
+            return;
+        }
         for key in keys {
             let subject = Subject { service: service.clone(), key };
             self.clear(&subject);
-            self.sound.insert(subject, now);
+            let at = self.sound.entry(subject).or_default();
+            *at = (*at).max(now - age);
         }
         self.evict_sound(now);
     }
@@ -183,7 +188,7 @@
                 (broken.service.clone(), std::mem::take(&mut broken.answered));
             self.broken.remove(&process);
             if finding == Finding::Alive {
-                self.record_sound(&service, answered, now);
+                self.record_sound(&service, answered, Duration::ZERO, now);
             }
             return;
         }
--- a/crates/orioleroute/src/scheduler/suspicion.rs
+++ b/crates/orioleroute/src/scheduler/suspicion.rs
@@ -81,7 +81,10 @@
             service, upstream, started_ms, address, has_answered, run, age_ms, ..
         } = ended;
         match Evidence::of(result, !is_unconfirmed) {
-            Evidence::Sound => self.suspects.record_sound(&service, run.keys(), now),
+            Evidence::Sound => {
+                let age = Duration::from_millis(age_ms);
+                self.suspects.record_sound(&service, run.keys(), age, now);
+            }
             evidence @ (Evidence::Unconfirmed | Evidence::Broken) => {
                 let process = Process::of(&upstream);
                 let check = EngineCheck { process, upstream, service: service.clone(), started_ms };
@@ -108,7 +111,7 @@
         match evidence {
             Evidence::Sound => {
                 let keys = keys(&entry.part_ids, entry.content);
-                self.suspects.record_sound(&runner.service, keys, now);
+                self.suspects.record_sound(&runner.service, keys, Duration::ZERO, now);
             }
             // An engine that drains ends soon, whatever it runs.
             Evidence::Unconfirmed | Evidence::Broken if !runner.is_draining => {
--- a/crates/orioleroute/tests/crashing_requests.rs
+++ b/crates/orioleroute/tests/crashing_requests.rs
@@ -176,7 +176,11 @@
     }
 
     fn is_blamed(&self, request: u64) -> bool {
-        self.quarantine.blamed(&SERVICE.into(), [Key::request(request)], self.now).is_some()
+        self.blames(Key::request(request))
+    }
+
+    fn blames(&self, key: Key) -> bool {
+        self.quarantine.blamed(&SERVICE.into(), [key], self.now).is_some()
     }
 }
 
@@ -293,6 +297,62 @@
     assert!(zone.is_blamed(BAD));
 }
 
+/// A part that crashes upstreams, and one that sound requests have as well.
+const CRASHING_PART: u64 = 0xc;
+const SHARED_PART: u64 = 0x5;
+
+/// Returns a run with these parts that has ended.
+fn ended_with_parts(upstream: u16, own: u64, parts: &[u64]) -> UngrantedRun {
+    let run = Run { own, parts: parts.to_vec(), ran_ms: 80, request: None };
+    UngrantedRun { run, ..ended(upstream, 0) }
+}
+
+/// Six upstreams are lost before there is a scheduler, each under a crashing request and a sound one beside it, and other
+/// sound ones are answered. The moments are those of a run. Without the answers the scheduler blames the part that all have.
+#[test]
+fn a_part_that_was_sound_before_there_was_a_scheduler_is_not_blamed() {
+    let mut zone = Zone::new();
+    let mut unreported = Unreported::default();
+    unreported.record_sound(&ended_with_parts(7, 70, &[SHARED_PART]), zone.now);
+    for (number, pause_ms) in [80, 80, 230, 80, 230, 80].into_iter().enumerate() {
+        zone.now += Duration::from_millis(pause_ms);
+        let (upstream, own) = (number as u16 + 1, number as u64);
+        let crashing = ended_with_parts(upstream, own, &[SHARED_PART, CRASHING_PART]);
+        unreported.push(crashing, zone.now);
+        unreported.push(ended_with_parts(upstream, own + 100, &[SHARED_PART]), zone.now);
+    }
+    zone.now += Duration::from_millis(350);
+
+    let kept = unreported.take(zone.now);
+    for run in &kept {
+        if let Some(sound) = unreported.sound_among(run, run.run.keys(), zone.now) {
+            zone.report(sound, RunResult::Answered);
+        }
+    }
+    for run in kept {
+        zone.report(run, RunResult::Broken);
+    }
+
+    assert!(zone.blames(Key::part(CRASHING_PART)));
+    assert!(!zone.blames(Key::part(SHARED_PART)));
+}
+
+/// What was sound once may have begun to crash upstreams since.
+#[test]
+fn an_answer_without_a_scheduler_counts_for_a_minute() {
+    let mut unreported = Unreported::default();
+    let run = ended_with_parts(1, 1, &[SHARED_PART]);
+    let answered = Instant::from_millis(1_000);
+    unreported.record_sound(&run, answered);
+    let age_after = |span| {
+        let now = answered + Duration::from_millis(span);
+        unreported.sound_among(&run, run.run.keys(), now).map(|sound| sound.age_ms)
+    };
+
+    assert_eq!(age_after(59_000), Some(59_000));
+    assert_eq!(age_after(60_000), None);
+}
+
 #[test]
 fn a_loss_that_nobody_could_be_told_of_is_forgotten() {
     let mut unreported = Unreported::default();
