Blame the narrower of two parts that are in the same losses

Cause: of several suspects under as many losses the one that most requests have was blamed. A part that sound requests share is in every loss beside them, and always in more requests than the one that ends the engines.

Evidence: of_two_parts_in_the_same_losses_the_narrower_is_blamed failed before (the shared part was blamed).

Change: of these the one that the fewest requests have is blamed. If the wider one ends engines, the next loss under it alone has it blamed, and the narrower one is released, because the losses are explained: a_wider_part_is_blamed_once_engines_are_lost_under_it_alone.

--- a/crates/orioleroute/src/ingress/quarantine/judgement.rs
+++ b/crates/orioleroute/src/ingress/quarantine/judgement.rs
@@ -1,5 +1,6 @@
 //! Which losses are enough to blame a request or a prompt part.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use super::{Key, Kind, Loss, Run, Subject};
@@ -40,6 +41,9 @@
 
 /// Returns what the most unexplained losses have in common, if there are enough of them to blame it. `under` has the indices
 /// of the losses under each suspect, in order of time.
+///
+/// Of several suspects under as many losses, the one that the fewest requests have is blamed: what it refuses wrongly is less,
+/// and if a wider one ends upstreams, the next loss under that alone shows it.
 pub(super) fn most_blamed(
     under: &Map<Subject, Vec<usize>>,
     losses: &[TimedLoss<'_>],
@@ -55,7 +59,7 @@
         Some((subject, blame?))
     });
     let judged: Vec<(&Subject, Blame)> = judged.collect();
-    let weight = |blame: &Blame| (blame.losses, blame.requests);
+    let weight = |blame: &Blame| (blame.losses, Reverse(blame.requests));
     let Some(most) = judged.iter().map(|(_, blame)| weight(blame)).max() else {
         return Vec::new();
     };
--- a/crates/orioleroute/tests/quarantine.rs
+++ b/crates/orioleroute/tests/quarantine.rs
@@ -237,6 +237,28 @@
     assert_eq!(blamed(losses), [BAD]);
 }
 
+/// A part that ends engines and a wider one, which sound requests beside it have as well, are in the same losses.
+#[test]
+fn of_two_parts_in_the_same_losses_the_narrower_is_blamed() {
+    let crashing: &[u64] = &[SHARED, BAD];
+    let sound: &[u64] = &[SHARED];
+    let loss_under = |engine, own| loss(engine, &[(own, crashing), (own + 100, sound)]);
+
+    let blamed = blamed((1..=4).map(|number| loss_under(number, u64::from(number))).collect());
+
+    assert_eq!(blamed, [BAD]);
+}
+
+/// The wider part is what ends the engines: it is blamed once an engine is lost under it without the narrower one.
+#[test]
+fn a_wider_part_is_blamed_once_engines_are_lost_under_it_alone() {
+    let mut losses: Vec<Loss> =
+        (1..=3).map(|number| loss(number, &[(u64::from(number), &[BAD, 0x5a])])).collect();
+    losses.push(loss(4, &[(4, &[BAD])]));
+
+    assert_eq!(blamed(losses), [BAD]);
+}
+
 #[test]
 fn two_bad_parts_are_both_blamed() {
     let losses = vec![
