Take no row for lost that its leader has written again

Found by reading. If a scheduler has written its row in the new era before a slow read of the copy arrives, the read marked the row as lost again, and every later write of it would conflict, because the version known to the store is another one.

Change: a row counts as lost only up to the version of the table that was read. Test: written_since in tests/leaders.rs; mark_lost had no version to compare before. All 21 tests of eras pass.

--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -436,7 +436,9 @@
     } else if let Some(zone) = row.key.strip_prefix(LEADER_PREFIX) {
         let leader = row.value.as_deref().map(serde_json::from_str::<Leader>);
         match leader {
-            None if extent == Extent::Restored => gateway.leadership.leaders.mark_lost(zone, now),
+            None if extent == Extent::Restored => {
+                gateway.leadership.leaders.mark_lost(zone, row.version, now)
+            }
             None => gateway.leadership.leaders.clear_leader(zone, row.version, now),
             Some(Ok(leader)) => {
                 gateway.leadership.leaders.set_leader(zone, leader, row.version, now)
--- a/crates/orioleroute/src/ingress/leaders.rs
+++ b/crates/orioleroute/src/ingress/leaders.rs
@@ -84,10 +84,11 @@
         self.update_entry(zone, entry);
     }
 
-    /// Records that the store came back from a copy that has no leader of a zone. The leader goes on, and writes its row
-    /// again.
-    pub fn mark_lost(&self, zone: &str, now: Instant) {
-        if let Some(entry) = self.entries.borrow_mut().get_mut(zone) {
+    /// Records that the store came back from a copy that has no leader of a zone, up to a version of the table. The leader goes
+    /// on, and writes its row again unless it has done so since.
+    pub fn mark_lost(&self, zone: &str, version: u64, now: Instant) {
+        let mut leaders = self.entries.borrow_mut();
+        if let Some(entry) = leaders.get_mut(zone).filter(|entry| entry.version < version) {
             let since = entry.unconfirmed.map_or(now, |unconfirmed| unconfirmed.since);
             entry.unconfirmed = Some(Unconfirmed { since, row_version: 0 });
         }
--- a/crates/orioleroute/tests/leaders.rs
+++ b/crates/orioleroute/tests/leaders.rs
@@ -74,6 +74,23 @@
     assert!(!leaders.is_unconfirmed("a"));
 }
 
+/// A leader whose row the copy lacks may have written it again before a slow read of the copy arrives.
+#[rstest]
+#[case::not_written_yet(version(1, 80), true)]
+#[case::written_since(version(2, 71), false)]
+fn a_row_that_the_copy_lacks_is_lost_unless_it_was_written_since(
+    #[case] written: u64,
+    #[case] is_lost: bool,
+) {
+    let leaders = Leaders::default();
+    leaders.set_leader("a", leader("second", Some(Version::from(written).era)), written, NOW);
+
+    leaders.mark_lost("a", version(2, 70), NOW);
+
+    assert_eq!(leaders.is_unconfirmed("a"), is_lost);
+    assert_eq!(leaders.row_version("a"), if is_lost { 0 } else { written });
+}
+
 #[test]
 fn a_second_copy_moves_the_version_at_which_the_row_is_overwritten() {
     let leaders = leaders_of_first_era();
