Identify organisations by their keys

Change: organisations with keys, priority and quota are decoded and checked; a request is identified before any other work; the key never leaves the decoder, whose digests stand in its place in replicas and the feed; the name goes to upstreams on each try and to schedulers. Open routes and the pause objective of a route are decoded as well.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{StatusCode, header};
+use orioleroute::ingress::Organisation;
 use orioleroute::ingress::attempt::{Attempt, Content};
 use orioleroute::ingress::configuration::Route;
 use orioleroute::ingress::origins::Finding;
@@ -24,6 +25,7 @@
 use super::permit::{Permit, Refusal};
 use super::placement;
 use super::relaying::RelayOutcome;
+use super::reporting::report_unidentified;
 use super::response::Response;
 use super::startup;
 use super::state::Gateway;
@@ -92,6 +94,14 @@
     let Some(service) = route.service(attempt.id.as_deref().unwrap_or_default()).cloned() else {
         return respond_locally(gateway, response, StatusCode::NOT_FOUND, &attempt, None).await;
     };
+    let organisation = match configuration.identify(&route, ingress::keys(&inbound.head.headers)) {
+        Ok(organisation) => organisation.cloned(),
+        Err(unidentified) => {
+            report_unidentified(gateway, &attempt, &route, unidentified, configuration.version);
+            let status = StatusCode::UNAUTHORIZED;
+            return respond_locally(gateway, response, status, &attempt, None).await;
+        }
+    };
     let timeout = attempt.time_left.unwrap_or(route.timeout).min(route.timeout);
     let elapsed = attempt.time_left.map(|left| gateway.elapsed_at_client(&route.name, left));
     let elapsed = elapsed.unwrap_or_default();
@@ -101,7 +111,10 @@
         method: inbound.head.method.as_str(),
         host,
         target: &inbound.head.target,
-        credentials: ingress::credentials(&inbound.head.headers),
+        credentials: match &organisation {
+            Some(organisation) => Some(organisation.name.as_bytes()),
+            None => ingress::credentials(&inbound.head.headers),
+        },
         generation: attempt.generation.as_ref(),
         body: &inbound.body,
     };
@@ -115,6 +128,8 @@
         build: RefCell::default(),
         inbound,
         attempt,
+        priority: organisation.as_ref().and_then(|it| it.priority).unwrap_or(route.priority),
+        organisation,
         route,
         service,
         version: configuration.version,
@@ -142,6 +157,10 @@
     pub(super) attempt: Attempt,
     /// The digest of what the client asks for.
     pub(super) content: u64,
+    /// The organisation whose request it is, if it is known.
+    pub(super) organisation: Option<Arc<Organisation>>,
+    /// The priority: that of the organisation, else of the route.
+    pub(super) priority: u8,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
     /// The version of the configuration that routed the request.
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -412,6 +412,7 @@
     metrics::counter!("orioleroute_placements_total", "reason" => decision.reason).increment(1);
     info!(gateway.log, "placement"; "request" => decision.attempt.as_deref(), "outcome" => outcome,
         "reason" => decision.reason, "step" => decision.step, "upstream" => upstream,
+        "organisation" => decision.organisation.as_deref(),
         "zone" => zone.map(|zone| &**zone),
         "waited_ms" => decision.waited.as_millis() as u64,
         "expected_ms" => decision.expected.as_millis() as u64,
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -18,11 +18,13 @@
 
 /// A request for a permit on a model engine.
 pub struct PermitRequest<'a> {
+    /// The organisation whose request it is, if it is known.
+    pub organisation: Option<&'a Arc<str>>,
     /// The service.
     pub service: &'a Arc<str>,
     /// The model, the adapter and the prompt.
     pub generation: &'a Generation,
-    /// The priority of the request's route; 0 is the most urgent.
+    /// The priority of the request; 0 is the most urgent.
     pub priority: u8,
     /// When the client stops waiting.
     pub deadline: Instant,
@@ -220,6 +222,7 @@
     Placement {
         ticket,
         zone: zone.clone(),
+        organisation: request.organisation.cloned(),
         service: request.service.clone(),
         model: generation.model.clone(),
         adapter: adapter.cloned(),
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -1,5 +1,8 @@
 //! The log lines and metrics of one request while it is forwarded.
 
+use orioleroute::ingress::attempt::Attempt;
+use orioleroute::ingress::configuration::Route;
+use orioleroute::ingress::organisation::Unidentified;
 use orioleroute::ingress::origins::Finding;
 use orioleroute::prelude::*;
 use slog::info;
@@ -7,6 +10,7 @@
 use super::exchange::{Incoming, Loss};
 use super::forward::Relay;
 use super::permit::Permit;
+use super::state::Gateway;
 
 impl Relay<'_> {
     pub(super) fn report_retry(&self) {
@@ -79,6 +83,7 @@
             "route" => &*self.route.name, "service" => &*self.service,
             "version" => self.version, "upstreams" => self.tried_upstreams.borrow().join(", "),
             "outcome" => outcome, "parts" => self.shared_parts(), "content" => format!("{:x}", self.content),
+            "organisation" => self.organisation.as_ref().map(|it| &*it.name),
             "build" => self.build.borrow().as_deref(), "resumes" => self.attempt.resumes.as_deref(),
             "refusal" => self.refusal.map(|reason| reason.to_string()),
             "ms" => time.as_millis() as u64);
@@ -97,6 +102,20 @@
     }
 }
 
+/// Reports a request without a known key. The key is not a part of the report.
+pub(super) fn report_unidentified(
+    gateway: &Gateway,
+    attempt: &Attempt,
+    route: &Route,
+    reason: Unidentified,
+    version: u64,
+) {
+    metrics::counter!("orioleroute_unidentified_total", "reason" => <&str>::from(reason))
+        .increment(1);
+    info!(gateway.log, "not identified"; "request" => attempt.id.as_deref(),
+        "route" => &*route.name, "reason" => reason.to_string(), "version" => version);
+}
+
 /// How far a response had come when it was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -211,9 +211,14 @@
                     None
                 }
             },
-            (Table::Operator | Table::Cluster, Some(value)) => {
-                Some(String::from_utf8_lossy(value).into_owned())
-            }
+            (Table::Operator, Some(value)) => match records::conceal_keys(&row.key, value) {
+                Ok(value) => Some(value),
+                Err(error) => {
+                    report_malformed(gateway, table, &row.key, &error.cause);
+                    None
+                }
+            },
+            (Table::Cluster, Some(value)) => Some(String::from_utf8_lossy(value).into_owned()),
         };
         feed::Row {
             key: row.key.into(),
--- a/crates/orioleroute-node/src/gateway/tries.rs
+++ b/crates/orioleroute-node/src/gateway/tries.rs
@@ -117,9 +117,10 @@
             Some(generation) if self.has_engine => {
                 let build = self.build.borrow().clone();
                 let request = PermitRequest {
+                    organisation: self.organisation.as_ref().map(|it| &it.name),
                     service: &self.service,
                     generation,
-                    priority: self.route.priority,
+                    priority: self.priority,
                     deadline: self.deadline,
                     objective: self.objective,
                     excluded,
@@ -153,8 +154,9 @@
             upstream: permit.upstream.clone(),
             time_left: self.deadline.since(self.gateway.now()),
             adapter_version: permit.version,
-            priority: self.has_engine.then_some(self.route.priority.min(MAX_PRIORITY)),
+            priority: self.has_engine.then_some(self.priority.min(MAX_PRIORITY)),
             last_event: self.last_event.get(),
+            organisation: self.organisation.as_ref().map(|it| it.name.clone()),
         };
         ingress::set_dispatch_headers(&mut headers, &dispatch);
         headers
--- a/crates/orioleroute/src/ingress/attempt.rs
+++ b/crates/orioleroute/src/ingress/attempt.rs
@@ -11,6 +11,8 @@
     pub time_left: Option<Duration>,
     /// The generation parameters, for requests to model engines.
     pub generation: Option<Generation>,
+    /// The tokens of the prompt, and the most tokens of the output that the client asks for, if it states them.
+    pub tokens: Option<u64>,
     /// The number of the last event that the client has received, if it resumes a stream.
     pub last_event: Option<u64>,
     /// The attempt that brought the first event of the stream that the client resumes.
@@ -26,7 +28,7 @@
     pub host: &'a str,
     /// The path and query.
     pub target: &'a str,
-    /// The client's credentials, if it sends any.
+    /// Who the client is: its organisation, or the credentials that it sends, if any.
     pub credentials: Option<&'a [u8]>,
     /// The generation parameters, which are not a part of the body.
     pub generation: Option<&'a Generation>,
--- a/crates/orioleroute/src/ingress/configuration.rs
+++ b/crates/orioleroute/src/ingress/configuration.rs
@@ -4,6 +4,7 @@
 
 pub use check::Invalid;
 
+use super::organisation::{Organisation, Organisations, Unidentified};
 use crate::hash;
 use crate::prelude::*;
 
@@ -18,6 +19,8 @@
     pub services: Map<Arc<str>, Service>,
     /// The limits on client requests and connections.
     pub limits: Limits,
+    /// The organisations whose requests carry keys. Without any, no request needs a key.
+    pub organisations: Organisations,
 }
 
 impl Configuration {
@@ -36,7 +39,48 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|service| (service.name.clone(), service));
-        Self { version, routes: by_host, services: services.collect(), limits }
+        Self {
+            version,
+            routes: by_host,
+            services: services.collect(),
+            limits,
+            organisations: Organisations::default(),
+        }
+    }
+
+    /// Returns the configuration with these organisations.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first organisation that makes no sense, alone or beside the others.
+    pub fn with_organisations(
+        self,
+        organisations: impl IntoIterator<Item = Organisation>,
+    ) -> Result<Self, Invalid> {
+        let organisations: Vec<Organisation> = organisations.into_iter().collect();
+        check::check_organisations(&organisations)?;
+        Ok(Self { organisations: organisations.into_iter().collect(), ..self })
+    }
+
+    /// Returns the organisation by whose key a request on a route is made, or `None` if the request needs no key and has
+    /// none that is known.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the route is not open and no organisation has the key.
+    pub fn identify<'a>(
+        &self,
+        route: &Route,
+        keys: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Result<Option<&Arc<Organisation>>, Unidentified> {
+        if self.organisations.is_empty() {
+            return Ok(None);
+        }
+        match self.organisations.identify(keys) {
+            Ok(organisation) => Ok(Some(organisation)),
+            Err(_) if route.is_open => Ok(None),
+            Err(unidentified) => Err(unidentified),
+        }
     }
 
     /// Returns a configuration with these routes, services and limits, if it is valid.
@@ -88,6 +132,10 @@
     pub attempts: u32,
     /// Whether an interrupted stream may be resumed at another upstream.
     pub is_resumable: bool,
+    /// Whether its requests need no key.
+    pub is_open: bool,
+    /// The longest pause between events with which a stream is on time, if the route states one.
+    pub pause_objective: Option<Duration>,
     /// The services among which the requests are split.
     pub targets: Vec<Target>,
 }
--- a/crates/orioleroute/src/ingress/configuration/check.rs
+++ b/crates/orioleroute/src/ingress/configuration/check.rs
@@ -3,8 +3,8 @@
 //! The store is said to accept only valid configurations. One that is not would take the requests of whole routes away
 //! at every instance, so it is not put in force, and the one before it stays.
 
-use super::{Engine, Limits, Route, Service};
-use crate::hash::Set;
+use super::{Engine, Limits, Organisation, Route, Service};
+use crate::hash::{Map, Set};
 
 /// Why a configuration is not valid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -72,6 +72,29 @@
     require(!limits.idle_timeout.is_zero(), place, "leave no time between requests")
 }
 
+/// Checks the organisations, alone and beside each other.
+pub(super) fn check_organisations(organisations: &[Organisation]) -> Result<(), Invalid> {
+    let mut names: Set<&str> = Set::default();
+    // A key is named by its organisation only.
+    let mut owners: Map<String, &str> = Map::default();
+    for organisation in organisations {
+        let place = || format!("organisation {:?}", organisation.name);
+        require(!organisation.name.is_empty(), place, "has no name")?;
+        require(names.insert(&organisation.name), place, "is there twice")?;
+        for digest in &organisation.keys {
+            let owner = *owners.entry(digest.to_string()).or_insert(&organisation.name);
+            let is_own = owner == &*organisation.name;
+            require(is_own, place, "has a key that another one has")?;
+        }
+        if let Some(quota) = &organisation.quota {
+            let is_rate = quota.rate.is_finite() && quota.rate > 0.0;
+            let is_burst = quota.burst.is_finite() && quota.burst >= 0.0;
+            require(is_rate && is_burst, place, "has a quota that is no number of units")?;
+        }
+    }
+    Ok(())
+}
+
 fn require(
     holds: bool,
     place: impl FnOnce() -> String,
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -166,6 +166,9 @@
     pub attempt: Option<Arc<str>>,
     /// The availability zone whose engines may run the request.
     pub zone: Arc<str>,
+    /// The organisation whose request it is, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<Arc<str>>,
     /// The service.
     pub service: Arc<str>,
     /// The base model.
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -372,6 +372,7 @@
             part_ids: placement.parts.iter().map(|part| part.id).collect(),
             content: placement.content,
             build: placement.build,
+            organisation: placement.organisation,
             service: placement.service,
             model: placement.model,
             adapter,
@@ -467,6 +468,7 @@
     ) {
         self.outputs.push(Output::LogDecision(Decision {
             attempt: request.attempt.clone(),
+            organisation: request.organisation.clone(),
             reason,
             step: forecast.step.name(),
             upstream,
--- a/crates/orioleroute/src/scheduler/output.rs
+++ b/crates/orioleroute/src/scheduler/output.rs
@@ -33,6 +33,8 @@
 pub struct Decision {
     /// The client's id of the attempt.
     pub attempt: Option<Arc<str>>,
+    /// The organisation whose request it is, if it is known.
+    pub organisation: Option<Arc<str>>,
     /// What the adapter needed when the request was admitted, or why the request was refused.
     pub reason: &'static str,
     /// What still had to happen before the request could run: as of the admission if it was granted,
--- a/crates/orioleroute/src/scheduler/request.rs
+++ b/crates/orioleroute/src/scheduler/request.rs
@@ -18,6 +18,8 @@
 /// A request that needs a grant for a model engine.
 #[derive(Clone, Debug)]
 pub struct Request {
+    /// The organisation whose request it is, if it is known.
+    pub organisation: Option<Arc<str>>,
     /// The service.
     pub service: Arc<str>,
     /// The base model.
--- a/crates/orioleroute/tests/scheduling/mod.rs
+++ b/crates/orioleroute/tests/scheduling/mod.rs
@@ -83,6 +83,7 @@
         ticket,
         attempt: Some(format!("{ticket:x}").into()),
         zone: "a".into(),
+        organisation: None,
         service: "notices".into(),
         model: "m".into(),
         adapter: Some(adapter.into()),
