Keep organisations to their quotas over all instances

The scheduler of one zone, by rendezvous hashing, holds the token bucket of an organisation and lends from it to the accounts of the other schedulers.

--- a/crates/orioleroute-node/src/gateway/ending.rs
+++ b/crates/orioleroute-node/src/gateway/ending.rs
@@ -14,6 +14,7 @@
 use super::response::{Response, State};
 use super::server;
 use super::state::Gateway;
+use crate::quota::Denied;
 
 /// The retry-after time sent by an instance that has no configuration or is stopping. It is short
 /// because other instances can serve the request.
@@ -48,6 +49,25 @@
         )
     }
 
+    /// Refuses a request that is over the quota of its organisation.
+    pub(super) async fn refuse_charge(
+        &mut self,
+        response: &mut Response<'_>,
+        denied: &Denied,
+    ) -> (Disposition, &'static str) {
+        self.refusal = Some(denied.reason);
+        denied.report(self.gateway, &self.attempt);
+        let status = match denied.reason {
+            Reason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let retry_after = Some(denied.retry_after);
+        (
+            respond_locally(self.gateway, response, status, &self.attempt, retry_after).await,
+            "refused",
+        )
+    }
+
     pub(super) async fn fail(
         &self,
         response: &mut Response<'_>,
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -31,6 +31,7 @@
 use super::state::Gateway;
 use super::takeover;
 use super::tries::TryOutcome;
+use crate::quota;
 
 /// The number of upstreams that may decline one request, or be unreachable, before it is refused.
 const MAX_DECLINES: u32 = 3;
@@ -145,7 +146,15 @@
         refusal: None,
     };
     relay.losses_before = gateway.suspects.losses_under(&relay.service, relay.content);
-    let (disposition, outcome) = relay.run(response).await;
+    let charged = quota::charge(gateway, relay.organisation.as_ref(), &relay.attempt).await;
+    let (disposition, outcome) = match charged {
+        Ok(charge) => {
+            let end = relay.run(response).await;
+            charge.settle(gateway, relay.possible_runs());
+            end
+        }
+        Err(denied) => relay.refuse_charge(response, &denied).await,
+    };
     relay.report_end(outcome);
     disposition
 }
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -25,6 +25,7 @@
 
 use super::state::Gateway;
 use super::{builds, copies, election, link, orders, origins, quarantine, sync};
+use crate::quota;
 
 /// How often elections are run.
 pub const ELECTION_INTERVAL: Duration = Duration::from_millis(250);
@@ -165,6 +166,7 @@
             }
             quarantine::follow_schedulers(&gateway);
             origins::follow_candidates(&gateway);
+            quota::refresh(&gateway);
             builds::write_if_due(&gateway);
             let registry = gateway.registry();
             let is_listed = |id: &str| registry.get(id).is_some();
@@ -185,6 +187,7 @@
         warn!(gateway.log, "process was suspended, orders held until the leaders are read");
         // The monotonic clock did not count the suspension.
         gateway.feed.clear_served();
+        gateway.quotas.clear_account();
         monoio::spawn(election::read_leaders(gateway.clone()));
     }
 }
@@ -303,6 +306,16 @@
             let testimony = origins::testify(gateway, origin, service.as_deref());
             link::send_to_instance(gateway, client, ToInstance::Origin { ticket, testimony });
         }
+        ToScheduler::Charge { ticket, organisation, cost } => {
+            quota::handle_charge(gateway, client, ticket, &organisation, cost);
+        }
+        ToScheduler::Settle { organisation, amount } => {
+            gateway.quotas.settle(&organisation, amount, gateway.now());
+        }
+        ToScheduler::Borrow { ticket, zone, account, loans } => {
+            let loans = quota::lend(gateway, &zone, &account, &loans);
+            link::send_to_instance(gateway, client, ToInstance::Lent { ticket, loans });
+        }
         ToScheduler::Ended { follows_suspects: true, .. } => {
             quarantine::add_follower(gateway, client);
         }
--- a/crates/orioleroute-node/src/gateway/link.rs
+++ b/crates/orioleroute-node/src/gateway/link.rs
@@ -96,7 +96,9 @@
             ToInstance::Queued { ticket } => (*ticket, false),
             ToInstance::Grant(grant) => (grant.ticket, true),
             ToInstance::Refuse { ticket, .. } => (*ticket, true),
-            ToInstance::Origin { ticket, .. } => (*ticket, true),
+            ToInstance::Origin { ticket, .. }
+            | ToInstance::Charged { ticket, .. }
+            | ToInstance::Lent { ticket, .. } => (*ticket, true),
             ToInstance::Suspects { .. } | ToInstance::Current => return,
         };
         if let Some(sender) = self.0.borrow().get(&ticket) {
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -44,8 +44,11 @@
 use slog::info;
 use strum::IntoEnumIterator;
 
+pub use leadership::confirmed_zones;
+pub use link::{SchedulerHandle, scheduler_of, send_to_instance};
 pub use settings::Settings;
-use state::{Gateway, Signals};
+pub use state::Gateway;
+use state::Signals;
 
 use crate::meter;
 
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -144,7 +144,11 @@
             Ok(Some(ToInstance::Queued { .. })) => timeout = QUEUE_CHECK_INTERVAL,
             // Answers no request.
             Ok(Some(
-                ToInstance::Suspects { .. } | ToInstance::Current | ToInstance::Origin { .. },
+                ToInstance::Suspects { .. }
+                | ToInstance::Current
+                | ToInstance::Origin { .. }
+                | ToInstance::Charged { .. }
+                | ToInstance::Lent { .. },
             )) => {}
             Ok(Some(ToInstance::Grant(grant))) => {
                 permit.accept(grant);
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -31,6 +31,7 @@
 use super::settings::{Outcome, Settings};
 use super::{builds, origins, quarantine};
 use crate::log;
+use crate::quota::Quotas;
 
 /// The fraction of the grace period during which a stopping instance still accepts new requests.
 /// Clients may cache its address, so this covers the cache lifetime as far as the grace period allows.
@@ -71,6 +72,8 @@
     pub suspects: quarantine::Shared,
     /// The leaders of the availability zones, and the schedulers that run here.
     pub leadership: Leadership,
+    /// What is lent and borrowed of the quotas of organisations.
+    pub quotas: Quotas,
     settings: RefCell<Settings>,
     started: StdInstant,
     incarnation: u64,
@@ -116,6 +119,7 @@
             origins: origins::Shared::default(),
             suspects: quarantine::Shared::default(),
             leadership: Leadership::default(),
+            quotas: Quotas::default(),
             settings: RefCell::new(settings),
             started: StdInstant::now(),
             incarnation,
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -12,6 +12,7 @@
 mod operators;
 mod peers;
 mod platform;
+mod quota;
 mod relay;
 mod settings;
 mod shell;
--- a/crates/orioleroute/src/ingress/mod.rs
+++ b/crates/orioleroute/src/ingress/mod.rs
@@ -18,6 +18,7 @@
 pub mod origins;
 pub mod pace;
 pub mod quarantine;
+pub mod quota;
 pub mod registry;
 pub mod roster;
 pub mod unreported;
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -7,6 +7,7 @@
 use crate::ingress::health::Outcome;
 use crate::ingress::origins::{Origin, Testimony};
 use crate::ingress::quarantine::Run;
+use crate::ingress::quota::{Lent, Loan, Shortage};
 use crate::prelude::*;
 
 /// A message from an instance to a scheduler.
@@ -60,6 +61,34 @@
         #[serde(default)]
         service: Option<Arc<str>>,
     },
+    /// Charges a request to the quota of its organisation. Sent only to schedulers that have said [`ToInstance::Current`], as
+    /// are the other messages on quotas.
+    Charge {
+        /// The ticket of the charge.
+        ticket: u64,
+        /// The organisation.
+        organisation: Arc<str>,
+        /// What the request costs, in units of the quota.
+        cost: u64,
+    },
+    /// Gives back what was charged, or counts what had to be spent if the amount is negative.
+    Settle {
+        /// The organisation.
+        organisation: Arc<str>,
+        /// The amount, in units of the quota.
+        amount: i64,
+    },
+    /// Borrows from the quotas of organisations.
+    Borrow {
+        /// The ticket of the question.
+        ticket: u64,
+        /// The availability zone whose scheduler lends.
+        zone: Arc<str>,
+        /// The instance that borrows.
+        account: Arc<str>,
+        /// What is asked.
+        loans: Vec<Loan>,
+    },
 }
 
 impl ToScheduler {
@@ -128,6 +157,21 @@
         #[serde(flatten)]
         testimony: Testimony,
     },
+    /// The answer to a charge.
+    Charged {
+        /// The ticket of the charge.
+        ticket: u64,
+        /// Why the request is over the quota, if it is.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        shortage: Option<Shortage>,
+    },
+    /// What the lender of organisations lends.
+    Lent {
+        /// The ticket of the question.
+        ticket: u64,
+        /// What is lent. Empty if the instance does not lend.
+        loans: Vec<Lent>,
+    },
 }
 
 /// A run that no scheduler granted, because its service has no engines or its zone had no scheduler.
@@ -296,6 +340,12 @@
     /// The request goes on with a stream of which nobody knows at which build it began. Only instances say so.
     #[serde(skip)]
     UnknownOrigin,
+    /// The request is over the quota of its organisation. Only instances say so, as the next.
+    #[serde(skip)]
+    OverQuota,
+    /// Nobody who counts for the organisation answers.
+    #[serde(skip)]
+    QuotaUnknown,
     /// The zone does not hold the adapter, whose home zone is more likely to hold it.
     NotHere,
     /// The instance is not, or no longer, the scheduler of the availability zone.
