Elect a scheduler in each zone that lends

A zone without upstreams, or without engines while others have some, had no scheduler, so organisations whose lender it is had none. Seen as a time-out of platform/tests/quotas.rs, which passes now: the lender of an organisation is killed, and a quota is lowered.

--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -15,6 +15,7 @@
 use super::leadership::{self, ELECTION_INTERVAL, reconcile};
 use super::state::Gateway;
 use super::sync::{CLUSTER_TABLE, LEADER_PREFIX};
+use crate::quota;
 
 /// The time after the start during which an instance discovers the others before it takes over a zone.
 const DISCOVERY_PERIOD: Duration = Duration::from_millis(1_500);
@@ -82,7 +83,7 @@
         let led = registry
             .iter()
             .filter(|upstream| !has_engines || leadership::has_engine(&configuration, upstream));
-        led.map(|upstream| upstream.zone.clone()).collect()
+        led.map(|upstream| upstream.zone.clone()).chain(quota::lender_zones(gateway)).collect()
     };
     for zone in zones {
         // Zones led by a previous incarnation of this instance need no discovery of other candidates, unless a copy of the
--- a/crates/orioleroute-node/src/quota.rs
+++ b/crates/orioleroute-node/src/quota.rs
@@ -182,6 +182,16 @@
     quota::lender_zone(organisation, zones).map(Arc::from)
 }
 
+/// Returns the zones that need a scheduler because it lends: none without quotas, else all.
+pub fn lender_zones(gateway: &Gateway) -> Vec<Arc<str>> {
+    let configuration = gateway.configuration();
+    let mut organisations = configuration.iter().flat_map(|it| it.organisations.iter());
+    if !organisations.any(|organisation| organisation.quota.is_some()) {
+        return Vec::new();
+    }
+    gateway.settings().zones.iter().map(|(zone, _)| zone.as_str().into()).collect()
+}
+
 /// Charges an account. Returns `None` if it does not answer in time.
 async fn ask_account(
     gateway: &Rc<Gateway>,
