Share full engines between organisations

Cause: the queue is ordered by priority and due time, so full engines go to whoever sends most, and an organisation at its usual load is refused together with the one that sends the burst.

Change: start-time fair queueing by weight in the scheduler of each zone (scheduler/share.rs). A request of an organisation inside its share has the rank that it has without organisations. Beyond the share the start tag goes before the due time, the forecast counts what others will send first, and a refusal has the reason over_share (older instances read overloaded) and a later Retry-After. While a request inside its share waits for room at a full engine, none beyond its share is granted there.

--- a/crates/orioleroute/src/scheduler/admission.rs
+++ b/crates/orioleroute/src/scheduler/admission.rs
@@ -8,6 +8,7 @@
 use super::Request;
 use super::message::Reason;
 use super::placement::Step;
+use super::share::Standing;
 use crate::hash;
 use crate::prelude::*;
 
@@ -18,6 +19,10 @@
 /// errors of the estimate.
 const START_SHARE: f64 = 0.9;
 
+/// The same for a request beyond its organisation's share, whose start also depends on how many requests of others arrive
+/// in the meantime.
+const START_SHARE_BEYOND: f64 = 0.75;
+
 /// The refusal of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -27,6 +32,20 @@
     pub retry_after: Duration,
 }
 
+impl Refusal {
+    /// Returns the refusal of a request whose organisation has had its share of the engines.
+    ///
+    /// Load pattern: one organisation sends many times its usual for seconds. A queue that is short for others says nothing
+    /// about when there is room for more of the same burst.
+    pub(super) fn beyond_share(self, request: &Request, now: Instant) -> Self {
+        let reason = match self.reason {
+            Reason::Overloaded => Reason::OverShare,
+            reason => reason,
+        };
+        Self { reason, retry_after: late_retry(request, BURST_JITTER, now) }
+    }
+}
+
 /// Decides whether to admit a request, given the expected time to its first event and the part of
 /// that time that is queueing delay.
 ///
@@ -36,6 +55,7 @@
 /// and no exception applies.
 pub fn admit(
     request: &Request,
+    standing: Standing,
     step: Step,
     expected_start: Duration,
     queue: Duration,
@@ -46,7 +66,11 @@
         let retry_after = retry_after(request, queue, now);
         return Err(Refusal { reason: Reason::TooLate, retry_after });
     }
-    let is_on_time = expected_start <= request.objective.since(now).mul_f64(START_SHARE);
+    let start_share = match standing {
+        Standing::Inside => START_SHARE,
+        Standing::Beyond { .. } | Standing::FarBeyond { .. } => START_SHARE_BEYOND,
+    };
+    let is_on_time = expected_start <= request.objective.since(now).mul_f64(start_share);
     let is_admitted_late = match request.is_return {
         // A late response is better than a second refusal, unless the request would time out while it
         // waits.
@@ -91,8 +115,13 @@
     if soon <= request.objective.since(now).mul_f64(ON_TIME_SHARE) {
         return soon;
     }
+    late_retry(request, RETRY_JITTER, now)
+}
+
+/// Returns the longest time that clients accept, of which a share is randomised.
+fn late_retry(request: &Request, randomised: f64, now: Instant) -> Duration {
     let jitter = hash::digest(&request.attempt) as f64 / u64::MAX as f64;
-    let share = MAX_RETRY_SHARE * (1.0 - RETRY_JITTER * jitter);
+    let share = MAX_RETRY_SHARE * (1.0 - randomised * jitter);
     request.deadline.since(now).mul_f64(share).max(MIN_RETRY_AFTER)
 }
 
@@ -108,3 +137,6 @@
 
 /// Share of that delay that is randomised by jitter.
 const RETRY_JITTER: f64 = 0.5;
+
+/// The same for requests beyond the shares of their organisations, which come back later than others.
+const BURST_JITTER: f64 = 0.25;
--- a/crates/orioleroute/src/scheduler/dispatch.rs
+++ b/crates/orioleroute/src/scheduler/dispatch.rs
@@ -1,13 +1,79 @@
 //! Advances waiting requests: chooses an engine, reserves and awaits loads, and grants.
 
 use super::message::{Grant, Reason, ToInstance};
-use super::placement::{self, Step};
+use super::placement::{self, Obstacle, Step};
 use super::runner::{AdapterSlot, SlotState};
+use super::share::Standing;
 use super::{Output, Request, Scheduler, Waiting, admission, queue};
 use crate::ingress::quarantine;
 use crate::prelude::*;
 
+impl Waiting {
+    /// Returns the request's rank.
+    fn rank(&self, now: Instant) -> queue::Rank {
+        queue::Rank::of(&self.request, self.standing, now)
+    }
+
+    /// Returns the rank that the request would have if there were no shares.
+    fn unshared_rank(&self, now: Instant) -> queue::Rank {
+        queue::Rank::of(&self.request, Standing::Inside, now)
+    }
+
+    /// Returns the engine at which a request inside its organisation's share waits for room.
+    fn wanted_room(&self) -> Option<key::Upstream> {
+        let is_full = self.step == Step::Queue(Obstacle::Full);
+        self.target.filter(|_| is_full && self.standing == Standing::Inside)
+    }
+}
+
 impl Scheduler {
+    /// Returns the standing of a request that has just arrived.
+    pub(super) fn standing(&self, request: &Request, now: Instant) -> Standing {
+        if self.shares.is_empty() {
+            return Standing::Inside;
+        }
+        let rank = queue::Rank::of(request, Standing::Inside, now);
+        let ahead = self.waiting.iter().filter(|waiting| {
+            waiting.request.organisation == request.organisation
+                && waiting.request.service == request.service
+                && waiting.unshared_rank(now) <= rank
+        });
+        self.shares.standing_behind(request, ahead.map(|waiting| &waiting.request))
+    }
+
+    /// Counts the queues that [`Self::count_queues`] has set longer for a request beyond its organisation's share: what the
+    /// organisation has queued takes longer, because requests of others that arrive later go first.
+    pub(super) fn stretch_queues(&mut self, request: &Request, standing: Standing, now: Instant) {
+        let stretch = self.shares.stretch(request);
+        if standing == Standing::Inside || stretch <= 1.0 {
+            return;
+        }
+        let rank = queue::Rank::of(request, standing, now);
+        let mut ahead: Map<key::Upstream, u64> = Map::default();
+        for waiting in &self.waiting {
+            let is_ahead = waiting.request.service == request.service
+                && (waiting.standing == Standing::Inside
+                    || waiting.request.organisation == request.organisation)
+                && waiting.rank(now) <= rank;
+            let target = waiting.target.filter(|_| is_ahead);
+            if let Some((target, runner)) =
+                target.and_then(|key| Some((key, self.runners.get(key)?)))
+            {
+                *ahead.entry(target).or_default() +=
+                    u64::from(runner.uncached_tokens(&waiting.request));
+            }
+        }
+        for (key, tokens) in ahead {
+            let runner = &mut self.runners[key];
+            runner.queued_tokens = runner.queued_tokens.max((tokens as f64 * stretch) as u64);
+        }
+    }
+
+    /// Returns whether a request is beyond its organisation's share, and one inside its own waits for room at the engine.
+    fn is_taken(&self, runner: key::Upstream, item: &Waiting) -> bool {
+        item.standing != Standing::Inside && self.wanted.contains(&runner)
+    }
+
     /// Sets each engine's queued prompt tokens to those of the requests that wait for it and are not
     /// behind `rank`, or of all that wait for it if `rank` is `None`.
     pub(super) fn count_queues(&mut self, rank: Option<queue::Rank>, now: Instant) {
@@ -16,7 +82,7 @@
             runner.queued_requests = 0;
         }
         for waiting in &self.waiting {
-            let is_ahead = rank.is_none_or(|rank| queue::Rank::of(&waiting.request, now) <= rank);
+            let is_ahead = rank.is_none_or(|rank| waiting.rank(now) <= rank);
             let target = waiting.target.and_then(|target| self.runners.get_mut(target));
             if let (true, Some(runner)) = (is_ahead, target) {
                 runner.queued_tokens += u64::from(runner.uncached_tokens(&waiting.request));
@@ -31,7 +97,12 @@
         self.load_missing_model(now);
         let mut waiting = std::mem::take(&mut self.waiting);
         self.count_queues(None, now);
-        waiting.sort_by_key(|waiting| queue::Rank::of(&waiting.request, now));
+        if !self.shares.is_empty() {
+            waiting.sort_by_key(|waiting| waiting.unshared_rank(now));
+            self.shares.rank(&mut waiting, &self.configuration.organisations, now);
+        }
+        waiting.sort_by_key(|waiting| waiting.rank(now));
+        self.wanted.clear();
         for mut item in waiting {
             if self.advance(&mut item, now) {
                 continue;
@@ -40,6 +111,9 @@
                 runner.queued_tokens += u64::from(runner.uncached_tokens(&item.request));
                 runner.queued_requests += 1;
             }
+            if let (false, Some(target)) = (self.shares.is_empty(), item.wanted_room()) {
+                self.wanted.insert(target);
+            }
             self.waiting.push(item);
         }
         for key in self.engines_by_urgency() {
@@ -93,6 +167,7 @@
         item.target = Some(candidate.runner);
         item.step = candidate.step;
         match candidate.step {
+            Step::Use if self.is_taken(candidate.runner, item) => false,
             Step::Use => {
                 self.grant(candidate.runner, item, now);
                 true
@@ -132,7 +207,10 @@
             item.assigned = None;
             return self.advance(item, now);
         }
-        if is_present && runner.backlog() <= placement::MAX_ENGINE_BACKLOG {
+        if is_present
+            && runner.backlog() <= placement::MAX_ENGINE_BACKLOG
+            && !self.is_taken(key, item)
+        {
             self.unassign(item);
             self.grant(key, item, now);
             return true;
@@ -175,6 +253,7 @@
             }
             version = slot.version;
         }
+        self.shares.record_grant(&item.request, now);
         let runner = &mut self.runners[key];
         runner.record_grant(item.key, &item.request, now);
         let grant = Grant {
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -286,6 +286,10 @@
 pub enum Reason {
     /// The request would be late, and the engines are busy with more urgent work.
     Overloaded,
+    /// The request would be late, because its organisation has had its share of the engines. Instances of an older
+    /// release know no such reason.
+    #[serde(rename(serialize = "overloaded"), skip_deserializing)]
+    OverShare,
     /// The request could not start before its deadline, or has waited too long.
     TooLate,
     /// No engine can run the request.
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Instances ask the scheduler for a grant and send the request to the engine themselves. Queueing,
 //! batching and eviction are thus decided in one process, which does not have to relay responses.
-//! The policies are in [`queue`], [`admission`], [`placement`] and [`fetches`]; this module holds the
+//! The policies are in [`queue`], [`share`], [`admission`], [`placement`] and [`fetches`]; this module holds the
 //! state that they share. The instances use [`search`] and [`overflow`] to choose among the zones, and
 //! [`lease`] to decide whether a scheduler may still issue orders. Nothing here reads a clock or a
 //! socket. `docs/PLATFORM.md` compares the alternatives, `docs/OVERLOAD.md` lists the load patterns.
@@ -26,6 +26,7 @@
 mod request;
 pub mod runner;
 pub mod search;
+pub mod share;
 mod succession;
 pub mod suspects;
 mod suspicion;
@@ -43,12 +44,14 @@
 use crate::ingress::quarantine::{self, Quarantine};
 use crate::ingress::upstream::{Announcement, Description};
 use crate::prelude::*;
+use admission::Refusal;
 use copies::EngineCopies;
 use message::{Placement, Reason, ToInstance};
 use order::{Action, Order, Outcome, Report};
 use placement::{Candidate, Obstacle, Step};
 use popularity::Popularity;
 use runner::{BaseModel, Certainty, Runner, SlotState};
+use share::{Shares, Standing};
 use suspects::Suspects;
 
 /// How long after the previous scheduler's last orders a new one requests reports. Reports lag, and the
@@ -79,6 +82,10 @@
     /// The copies that engines had when the previous scheduler recorded them, by engine.
     restored_copies: Map<Arc<str>, EngineCopies>,
     waiting: Vec<Waiting>,
+    /// What the organisations have got of the engines.
+    shares: Shares,
+    /// The engines at which requests inside their organisations' shares wait for room.
+    wanted: Set<key::Upstream>,
     granted: Map<RequestKey, key::Upstream>,
     newest_versions: Map<(Arc<str>, Arc<str>), u64>,
     /// Request counts of adapters that no engine of the zone held.
@@ -94,6 +101,8 @@
 struct Waiting {
     key: RequestKey,
     request: Request,
+    /// Where it stands with regard to its organisation's share.
+    standing: Standing,
     /// The estimate made on admission.
     forecast: Forecast,
     /// The engine that loads the request's adapter, once chosen.
@@ -137,6 +146,8 @@
             runners: SlotMap::with_key(),
             by_id: Map::default(),
             waiting: Vec::new(),
+            shares: Shares::default(),
+            wanted: Set::default(),
             granted: Map::default(),
             newest_versions: Map::default(),
             misses: Map::default(),
@@ -220,7 +231,9 @@
         let Some(engine) = self.engine(&request.service).cloned() else {
             return self.refuse(key, &request, Reason::NoEngine, Duration::ZERO, now);
         };
-        self.count_queues(Some(queue::Rank::of(&request, now)), now);
+        let standing = self.standing(&request, now);
+        self.count_queues(Some(queue::Rank::of(&request, standing, now)), now);
+        self.stretch_queues(&request, standing, now);
         let Some(candidate) = self.choose(&engine, &request, now) else {
             let retry_after = admission::retry_after(&request, Duration::ZERO, now);
             return self.refuse(key, &request, Reason::NoEngine, retry_after, now);
@@ -228,14 +241,16 @@
         if !may_fetch && candidate.step.is_fetch() && !self.is_popular(&request, now) {
             return self.refuse(key, &request, Reason::NotHere, Duration::ZERO, now);
         }
+        self.shares.record_request(&request, &self.configuration.organisations, now);
         let runner = &self.runners[candidate.runner];
         let queue = runner.queueing_delay().max(runner.pace_delay(now));
         let forecast = Forecast { step: candidate.step, start: candidate.start, queue };
-        match admission::admit(&request, forecast.step, forecast.start, queue, now) {
+        match admission::admit(&request, standing, forecast.step, forecast.start, queue, now) {
             Ok(()) => {
                 self.waiting.push(Waiting {
                     key,
                     request,
+                    standing,
                     forecast,
                     assigned: None,
                     target: None,
@@ -250,9 +265,15 @@
             Err(refusal) => {
                 // Another zone may run in time what a limit does not allow here.
                 let is_limited = candidate.step == Step::Queue(Obstacle::Limited);
-                let reason = if is_limited { Reason::Overloaded } else { refusal.reason };
-                self.log_decision(&request, reason.into(), None, forecast, now);
-                self.send_refusal(key, reason, refusal.retry_after);
+                let refusal = match standing {
+                    _ if is_limited => Refusal { reason: Reason::Overloaded, ..refusal },
+                    Standing::Inside => refusal,
+                    Standing::Beyond { .. } | Standing::FarBeyond { .. } => {
+                        refusal.beyond_share(&request, now)
+                    }
+                };
+                self.log_decision(&request, refusal.reason.into(), None, forecast, now);
+                self.send_refusal(key, refusal.reason, refusal.retry_after);
             }
         }
     }
@@ -469,6 +490,7 @@
         self.outputs.push(Output::LogDecision(Decision {
             attempt: request.attempt.clone(),
             organisation: request.organisation.clone(),
+            share: upstream.is_none().then(|| self.shares.share(request, now)).flatten(),
             reason,
             step: forecast.step.name(),
             upstream,
--- a/crates/orioleroute/src/scheduler/orders.rs
+++ b/crates/orioleroute/src/scheduler/orders.rs
@@ -122,7 +122,8 @@
             let waiting = self.waiting.iter().filter(|waiting| {
                 waiting.assigned == Some(key) && waiting.request.adapter.as_ref() == Some(adapter)
             });
-            let ranks = waiting.map(|waiting| queue::Rank::of(&waiting.request, now));
+            let ranks =
+                waiting.map(|waiting| queue::Rank::of(&waiting.request, waiting.standing, now));
             ranks.min().map_or((1, None), |rank| (0, Some(rank)))
         };
         let next = may_load.min_by_key(|(adapter, is_cold)| (*is_cold, urgency(adapter)))?;
--- a/crates/orioleroute/src/scheduler/output.rs
+++ b/crates/orioleroute/src/scheduler/output.rs
@@ -4,6 +4,7 @@
 use super::message::ToInstance;
 use super::order::Order;
 use super::request::Client;
+use super::share::Share;
 use crate::prelude::*;
 
 /// An action for the caller of the scheduler.
@@ -35,6 +36,8 @@
     pub attempt: Option<Arc<str>>,
     /// The organisation whose request it is, if it is known.
     pub organisation: Option<Arc<str>>,
+    /// What its organisation gets of the engines, if the request was refused and organisations share them.
+    pub share: Option<Share>,
     /// What the adapter needed when the request was admitted, or why the request was refused.
     pub reason: &'static str,
     /// What still had to happen before the request could run: as of the admission if it was granted,
--- a/crates/orioleroute/tests/scheduling/mod.rs
+++ b/crates/orioleroute/tests/scheduling/mod.rs
@@ -1,6 +1,7 @@
 //! Fixtures for the scheduler's tests, and a replay of request loads against simulated engines.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod organisations;
 mod zones;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,6 +15,8 @@
 use orioleroute::scheduler::order::{Action, Order, Outcome, Report};
 use orioleroute::scheduler::{Client, Output, RequestKey, Scheduler};
 
+#[allow(unused_imports, reason = "each test file uses a part")]
+pub use organisations::{Tallies, Tally, configuration_with};
 #[allow(unused_imports, reason = "each test file uses a part")]
 pub use zones::{Overflow, replay_zones};
 
@@ -167,6 +170,7 @@
     pub fetches: usize,
     pub on_time_by_priority: BTreeMap<u8, usize>,
     pub requests_by_priority: BTreeMap<u8, usize>,
+    pub by_organisation: Tallies,
 }
 
 impl ReplayResult {
@@ -208,6 +212,7 @@
     /// Only one in this many orders is answered; the others are carried out seconds later if they still
     /// apply. All are answered if it is 1.
     pub answered_interval: usize,
+    pub configuration: Arc<Configuration>,
 }
 
 impl ReplaySetup {
@@ -218,6 +223,7 @@
             unresponsive: 0,
             unresponsive_from: Duration::ZERO,
             answered_interval: 1,
+            configuration: configuration(),
         }
     }
 }
@@ -232,6 +238,7 @@
     let descriptions: Vec<Description> =
         (0..setup.engines).map(|number| description(number, &[])).collect();
     let (mut scheduler, mut now) = scheduler(&descriptions);
+    scheduler.configure(setup.configuration.clone());
     let start = now;
     let mut models: Vec<ModelEngine> = (0..setup.engines).map(|_| ModelEngine::default()).collect();
     let mut result = ReplayResult::default();
@@ -245,6 +252,7 @@
         while let Some(arrival) = arrivals.next_if(|arrival| arrival.at <= elapsed) {
             result.requests += 1;
             *result.requests_by_priority.entry(arrival.placement.priority).or_default() += 1;
+            result.by_organisation.of_mut(&arrival.placement.organisation).requests += 1;
             pending.insert(arrival.placement.ticket, arrival.clone());
             scheduler.place(CLIENT, arrival.placement, now);
         }
@@ -290,9 +298,16 @@
     let Some(arrival) = pending.remove(&ticket) else { return };
     let waited = elapsed.since(arrival.at);
     result.longest_refusal = result.longest_refusal.max(waited);
+    let tally = result.by_organisation.of_mut(&arrival.placement.organisation);
     match waited < Duration::from_millis(5) {
-        true => result.refused_at_once += 1,
-        false => result.refused_later += 1,
+        true => {
+            result.refused_at_once += 1;
+            tally.refused_at_once += 1;
+        }
+        false => {
+            result.refused_later += 1;
+            tally.refused_later += 1;
+        }
     }
 }
 
@@ -361,6 +376,8 @@
                 match now.since(START + arrival.at.since(Instant::ZERO)) <= objective {
                     true => {
                         result.on_time += 1;
+                        let organisation = &arrival.placement.organisation;
+                        result.by_organisation.of_mut(organisation).on_time += 1;
                         *result
                             .on_time_by_priority
                             .entry(arrival.placement.priority)
@@ -417,7 +434,14 @@
                     let tokens = f64::from(pending[&grant.ticket].placement.prompt_tokens);
                     models[engine_index(&grant.upstream)].prompts.push((key, tokens));
                 }
-                Output::Send(_, ToInstance::Refuse { ticket, .. }) => refused.push(ticket),
+                Output::Send(_, ToInstance::Refuse { ticket, retry_after_ms, .. }) => {
+                    if let Some(arrival) = pending.get(&ticket) {
+                        let organisation = &arrival.placement.organisation;
+                        result.by_organisation.of_mut(organisation).retry_after +=
+                            Duration::from_millis(retry_after_ms);
+                    }
+                    refused.push(ticket);
+                }
                 _ => {}
             }
         }
