Count a request once, and wait for lenders that start

A repeat of ours was charged again. Instances that start together refused requests until the lenders had been elected; they wait for that, 0.4 s at most, and an account asks a lender again 50 ms after it did not answer.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -150,7 +150,9 @@
     let (disposition, outcome) = match charged {
         Ok(charge) => {
             let end = relay.run(response).await;
-            charge.settle(gateway, relay.possible_runs());
+            if relay.possible_runs() == 0 {
+                charge.refund(gateway);
+            }
             end
         }
         Err(denied) => relay.refuse_charge(response, &denied).await,
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -309,8 +309,8 @@
         ToScheduler::Charge { ticket, organisation, cost } => {
             quota::handle_charge(gateway, client, ticket, &organisation, cost);
         }
-        ToScheduler::Settle { organisation, amount } => {
-            gateway.quotas.settle(&organisation, amount, gateway.now());
+        ToScheduler::Refund { organisation, amount } => {
+            gateway.quotas.refund(&organisation, amount, gateway.now());
         }
         ToScheduler::Borrow { ticket, zone, account, loans } => {
             let loans = quota::lend(gateway, &zone, &account, &loans);
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -84,6 +84,7 @@
             "version" => self.version, "upstreams" => self.tried_upstreams.borrow().join(", "),
             "outcome" => outcome, "parts" => self.shared_parts(), "content" => format!("{:x}", self.content),
             "organisation" => self.organisation.as_ref().map(|it| &*it.name),
+            "cost" => self.organisation.as_ref().and_then(|it| Some(it.quota?.cost(self.attempt.tokens))),
             "build" => self.build.borrow().as_deref(), "resumes" => self.attempt.resumes.as_deref(),
             "refusal" => self.refusal.map(|reason| reason.to_string()),
             "ms" => time.as_millis() as u64);
--- a/crates/orioleroute-node/src/quota.rs
+++ b/crates/orioleroute-node/src/quota.rs
@@ -38,6 +38,15 @@
 /// The retry-after time of a request for which nobody counts, about that of a take-over.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// The time after its start in which an instance waits for schedulers, which may be starting as well.
+const STARTUP_TIME: Duration = Duration::from_secs(5);
+
+/// The longest such wait of a request.
+const STARTUP_WAIT: Duration = Duration::from_millis(400);
+
+/// The pause before they are asked again.
+const STARTUP_DELAY: Duration = Duration::from_millis(40);
+
 /// The least time after which a client is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -95,9 +104,9 @@
         *self.account.borrow_mut() = Account::default();
     }
 
-    /// Gives back what was charged, or counts what had to be spent.
-    pub fn settle(&self, organisation: &Arc<str>, amount: i64, now: Instant) {
-        self.account.borrow_mut().settle(organisation, amount, now);
+    /// Gives back what was charged.
+    pub fn refund(&self, organisation: &Arc<str>, amount: u64, now: Instant) {
+        self.account.borrow_mut().refund(organisation, amount, now);
     }
 
     /// Spends what this instance may spend alone.
@@ -137,6 +146,28 @@
     let limited = organisation.and_then(|it| Some((&it.name, it.quota?)));
     let Some((organisation, quota)) = limited else { return Ok(Charge(None)) };
     let cost = quota.cost(attempt.tokens);
+    let begun = gateway.now();
+    loop {
+        let denied = match charge_once(gateway, organisation, cost, attempt).await {
+            Ok(charge) => return Ok(charge),
+            Err(denied) => denied,
+        };
+        let now = gateway.now();
+        let is_starting = now.since(Instant::ZERO) < STARTUP_TIME;
+        let may_wait = is_starting && now.since(begun) < STARTUP_WAIT;
+        if denied.reason != Reason::QuotaUnknown || !may_wait {
+            return Err(denied);
+        }
+        monoio::time::sleep(STARTUP_DELAY).await;
+    }
+}
+
+async fn charge_once(
+    gateway: &Rc<Gateway>,
+    organisation: &Arc<str>,
+    cost: u64,
+    attempt: &Attempt,
+) -> Result<Charge, Denied> {
     let charged = |scheduler| {
         let (organisation, at) = (organisation.clone(), gateway.now());
         Charge(Some(Charged { organisation, cost, at, scheduler }))
@@ -146,10 +177,14 @@
         let Some(shortage) = ask_account(gateway, &scheduler, organisation, cost).await else {
             continue;
         };
-        let spent = if shortage.is_none() { cost } else { 0 };
-        gateway.quotas.renew_own(organisation, spent, gateway.now());
-        let Some(shortage) = shortage else { return Ok(charged(Some(scheduler))) };
-        let reason = Reason::OverQuota;
+        let Some(shortage) = shortage else {
+            gateway.quotas.renew_own(organisation, cost, gateway.now());
+            return Ok(charged(Some(scheduler)));
+        };
+        let reason = match shortage.is_alone {
+            true => Reason::QuotaUnknown,
+            false => Reason::OverQuota,
+        };
         let jitter = hash::digest(&attempt.id) as f64 / u64::MAX as f64;
         let retry_after = Duration::from_millis(shortage.retry_after_ms).max(MIN_RETRY_AFTER);
         return Err(Denied {
@@ -236,17 +271,13 @@
 }
 
 impl Charge {
-    /// Gives the tokens back if the request certainly has not run, and counts runs beyond the first.
-    pub fn settle(self, gateway: &Rc<Gateway>, runs: u32) {
+    /// Gives the tokens back of a request that certainly has not run.
+    pub fn refund(self, gateway: &Rc<Gateway>) {
         let Some(charged) = self.0 else { return };
         let is_late = gateway.now().since(charged.at) > REFUND_TTL;
-        let amount = charged.cost as i64 * (1 - i64::from(runs));
-        let Some(scheduler) = charged.scheduler.filter(|_| amount < 0 || (amount > 0 && !is_late))
-        else {
-            return;
-        };
-        let organisation = charged.organisation;
-        scheduler.send(gateway, ToScheduler::Settle { organisation, amount });
+        let Some(scheduler) = charged.scheduler.filter(|_| !is_late) else { return };
+        let (organisation, amount) = (charged.organisation, charged.cost);
+        scheduler.send(gateway, ToScheduler::Refund { organisation, amount });
     }
 }
 
--- a/crates/orioleroute/src/ingress/quota/account.rs
+++ b/crates/orioleroute/src/ingress/quota/account.rs
@@ -26,6 +26,9 @@
 /// keeping small organisations from any.
 const RESERVE_PART: f64 = 0.5;
 
+/// The time before a lender that did not answer is asked again for a request.
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(50);
+
 /// The retry-after time of an account that has no answer, about the time until the next.
 const ALONE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -53,7 +56,7 @@
 /// The state of one organisation.
 #[derive(Debug)]
 struct Entry<K> {
-    /// What is borrowed and not spent. Negative after what had to be counted.
+    /// What is borrowed and not spent.
     balance: f64,
     demand: Average,
     /// The cost of the last request.
@@ -63,6 +66,8 @@
     /// The loan that has no answer yet.
     asked: Option<Asked>,
     is_alone: bool,
+    /// When the lender is asked again that did not answer.
+    ask_again: Instant,
     reserve: Reserve,
     /// What was spent alone before an answer that did not count it.
     overdrawn: f64,
@@ -94,18 +99,18 @@
         if entry.waiting.is_empty() && entry.take(cost, now) {
             return Some(Verdict::Charged);
         }
-        if now < entry.dry_until || entry.is_alone {
+        if now < entry.dry_until || (entry.is_alone && now < entry.ask_again) {
             return Some(Verdict::Refused(entry.shortage(cost, now)));
         }
         entry.waiting.push((key, cost));
         None
     }
 
-    /// Gives tokens back that were charged, or counts some that had to be spent if `amount` is negative.
-    pub fn settle(&mut self, organisation: &Arc<str>, amount: i64, now: Instant) {
+    /// Gives back what was charged.
+    pub fn refund(&mut self, organisation: &Arc<str>, amount: u64, now: Instant) {
         let entry = self.entries.entry(organisation.clone()).or_insert_with(|| Entry::new(now));
         entry.balance += amount as f64;
-        entry.demand.add(-amount as f64, now);
+        entry.demand.add(-(amount as f64), now);
     }
 
     /// Returns what to ask of the lender of an organisation for those that wait, unless an answer is due.
@@ -150,6 +155,7 @@
         let Some(entry) = self.entries.get_mut(organisation) else { return Vec::new() };
         entry.asked = None;
         entry.is_alone = true;
+        entry.ask_again = now + ASK_AGAIN_DELAY;
         entry.answer_waiting(ALONE_RETRY_AFTER, now)
     }
 }
@@ -164,6 +170,7 @@
             waiting: Vec::new(),
             asked: None,
             is_alone: false,
+            ask_again: Instant::ZERO,
             reserve: Reserve::default(),
             overdrawn: 0.0,
             answered: None,
@@ -193,7 +200,6 @@
         let ahead = if ahead < self.cost * MIN_PREFETCH_REQUESTS { 0.0 } else { ahead };
         let waiting: u64 = self.waiting.iter().map(|(_, cost)| cost).sum();
         let needed = self.waiting.first().map_or(0.0, |(_, cost)| *cost as f64 - self.balance);
-        // What had to be counted is borrowed as well.
         let needed = needed.max(0.0).ceil();
         let wanted = (waiting as f64 + ahead - self.balance).max(needed).ceil();
         let surplus = (self.balance - waiting as f64 - ahead).max(0.0).floor();
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -71,12 +71,12 @@
         /// What the request costs, in units of the quota.
         cost: u64,
     },
-    /// Gives back what was charged, or counts what had to be spent if the amount is negative.
-    Settle {
+    /// Gives back what was charged for a request that has not run.
+    Refund {
         /// The organisation.
         organisation: Arc<str>,
         /// The amount, in units of the quota.
-        amount: i64,
+        amount: u64,
     },
     /// Borrows from the quotas of organisations.
     Borrow {
