Refuse beyond shares in admission, and test the room at full engines

Cause: the reason and the retry-after time of a refusal beyond a share were set after admission, so that a request that had waited and was refused as too late got the short time.

Change: admission decides both from the standing. A test replays a full engine that small requests of a hot organisation would take piece by piece.

--- a/crates/orioleroute/src/scheduler/admission.rs
+++ b/crates/orioleroute/src/scheduler/admission.rs
@@ -32,20 +32,6 @@
     pub retry_after: Duration,
 }
 
-impl Refusal {
-    /// Returns the refusal of a request whose organisation has had its share of the engines.
-    ///
-    /// Load pattern: one organisation sends many times its usual for seconds. A queue that is short for others says nothing
-    /// about when there is room for more of the same burst.
-    pub(super) fn beyond_share(self, request: &Request, now: Instant) -> Self {
-        let reason = match self.reason {
-            Reason::Overloaded => Reason::OverShare,
-            reason => reason,
-        };
-        Self { reason, retry_after: late_retry(request, BURST_JITTER, now) }
-    }
-}
-
 /// Decides whether to admit a request, given the expected time to its first event and the part of
 /// that time that is queueing delay.
 ///
@@ -63,7 +49,7 @@
 ) -> Result<(), Refusal> {
     let deadline = request.deadline.since(now);
     if expected_start >= deadline {
-        let retry_after = retry_after(request, queue, now);
+        let retry_after = retry_after(request, standing, queue, now);
         return Err(Refusal { reason: Reason::TooLate, retry_after });
     }
     let start_share = match standing {
@@ -81,8 +67,11 @@
     match is_on_time || is_admitted_late {
         true => Ok(()),
         false => {
-            let retry_after = retry_after(request, queue, now);
-            Err(Refusal { reason: Reason::Overloaded, retry_after })
+            let reason = match standing {
+                Standing::Inside => Reason::Overloaded,
+                Standing::Beyond { .. } | Standing::FarBeyond { .. } => Reason::OverShare,
+            };
+            Err(Refusal { reason, retry_after: retry_after(request, standing, queue, now) })
         }
     }
 }
@@ -110,16 +99,22 @@
 /// Returns how long a refused client should wait before it retries: until the current queue has been
 /// processed, if a retry can then still be on time; otherwise for the longest time that clients
 /// accept, with jitter, because bursts last for seconds and the request is late in any case.
-pub fn retry_after(request: &Request, queue: Duration, now: Instant) -> Duration {
+///
+/// The latter always holds beyond the share of an organisation. How long the queue is says nothing about when its own burst
+/// leaves room.
+pub fn retry_after(
+    request: &Request,
+    standing: Standing,
+    queue: Duration,
+    now: Instant,
+) -> Duration {
     let soon = queue.max(MIN_RETRY_AFTER);
-    if soon <= request.objective.since(now).mul_f64(ON_TIME_SHARE) {
-        return soon;
-    }
-    late_retry(request, RETRY_JITTER, now)
-}
-
-/// Returns the longest time that clients accept, of which a share is randomised.
-fn late_retry(request: &Request, randomised: f64, now: Instant) -> Duration {
+    let is_in_time = soon <= request.objective.since(now).mul_f64(ON_TIME_SHARE);
+    let randomised = match standing {
+        Standing::Inside if is_in_time => return soon,
+        Standing::Inside => RETRY_JITTER,
+        Standing::Beyond { .. } | Standing::FarBeyond { .. } => BURST_JITTER,
+    };
     let jitter = hash::digest(&request.attempt) as f64 / u64::MAX as f64;
     let share = MAX_RETRY_SHARE * (1.0 - randomised * jitter);
     request.deadline.since(now).mul_f64(share).max(MIN_RETRY_AFTER)
--- a/crates/orioleroute/src/scheduler/dispatch.rs
+++ b/crates/orioleroute/src/scheduler/dispatch.rs
@@ -139,7 +139,8 @@
         }
         if !admission::may_wait(&item.request, now) {
             self.unassign(item);
-            let retry_after = admission::retry_after(&item.request, item.forecast.queue, now);
+            let retry_after =
+                admission::retry_after(&item.request, item.standing, item.forecast.queue, now);
             self.refuse_late(item, retry_after, now);
             return true;
         }
@@ -160,7 +161,8 @@
             return true;
         };
         let Some(candidate) = self.choose(&engine, &item.request, now) else {
-            let retry_after = admission::retry_after(&item.request, Duration::ZERO, now);
+            let retry_after =
+                admission::retry_after(&item.request, Standing::Inside, Duration::ZERO, now);
             self.refuse(item.key, &item.request, Reason::NoEngine, retry_after, now);
             return true;
         };
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -44,7 +44,6 @@
 use crate::ingress::quarantine::{self, Quarantine};
 use crate::ingress::upstream::{Announcement, Description};
 use crate::prelude::*;
-use admission::Refusal;
 use copies::EngineCopies;
 use message::{Placement, Reason, ToInstance};
 use order::{Action, Order, Outcome, Report};
@@ -235,7 +234,8 @@
         self.count_queues(Some(queue::Rank::of(&request, standing, now)), now);
         self.stretch_queues(&request, standing, now);
         let Some(candidate) = self.choose(&engine, &request, now) else {
-            let retry_after = admission::retry_after(&request, Duration::ZERO, now);
+            let retry_after =
+                admission::retry_after(&request, Standing::Inside, Duration::ZERO, now);
             return self.refuse(key, &request, Reason::NoEngine, retry_after, now);
         };
         if !may_fetch && candidate.step.is_fetch() && !self.is_popular(&request, now) {
@@ -265,15 +265,9 @@
             Err(refusal) => {
                 // Another zone may run in time what a limit does not allow here.
                 let is_limited = candidate.step == Step::Queue(Obstacle::Limited);
-                let refusal = match standing {
-                    _ if is_limited => Refusal { reason: Reason::Overloaded, ..refusal },
-                    Standing::Inside => refusal,
-                    Standing::Beyond { .. } | Standing::FarBeyond { .. } => {
-                        refusal.beyond_share(&request, now)
-                    }
-                };
-                self.log_decision(&request, refusal.reason.into(), None, forecast, now);
-                self.send_refusal(key, refusal.reason, refusal.retry_after);
+                let reason = if is_limited { Reason::Overloaded } else { refusal.reason };
+                self.log_decision(&request, reason.into(), None, forecast, now);
+                self.send_refusal(key, reason, refusal.retry_after);
             }
         }
     }
--- a/crates/orioleroute/tests/shares.rs
+++ b/crates/orioleroute/tests/shares.rs
@@ -4,13 +4,13 @@
 mod scheduling;
 
 use orioleroute::prelude::*;
-use orioleroute::scheduler::message::{Reason, ToInstance};
+use orioleroute::scheduler::message::{Placement, Reason, ToInstance};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use scheduling::{
-    Arrival, PREFILL_RATE, ReplayResult, ReplaySetup, Tally, configuration, configuration_with,
-    placement, replay_with,
+    Arrival, CLIENT, PREFILL_RATE, ReplayResult, ReplaySetup, Tally, configuration,
+    configuration_with, description, grants, placement, replay_with, scheduler,
 };
 
 const ENGINES: usize = 6;
@@ -192,6 +192,37 @@
     assert!(share(&former) < SERVED_AS_USUAL, "{former:?}");
 }
 
+/// Small requests of a hot organisation would take each piece of cache that comes free, and a large request of another one
+/// would never find enough.
+#[test]
+fn room_at_a_full_engine_is_kept_for_a_large_request_inside_its_share() {
+    let large = |ticket, organisation: &str| sized(ticket, organisation, 22_000);
+    let granted = [configuration_with(&[("hot", None), ("usual", None)]), configuration()].map(
+        |configuration| {
+            let (mut scheduler, now) = scheduler(&[description(0, &["a0"])]);
+            scheduler.configure(configuration);
+            (0..6).for_each(|ticket| scheduler.place(CLIENT, large(ticket, "hot"), now));
+            scheduler.place(CLIENT, large(6, "usual"), now);
+            scheduler.take_outputs();
+
+            scheduler.place(CLIENT, sized(7, "hot", 500), now);
+
+            grants(&scheduler.take_outputs())
+        },
+    );
+
+    assert_eq!(granted, [vec![], vec![7]]);
+}
+
+/// Returns a request with a short prompt that may take this much cache.
+fn sized(ticket: u64, organisation: &str, tokens: u32) -> Placement {
+    let mut placement = placement(ticket, "a0");
+    placement.organisation = Some(organisation.into());
+    placement.prompt_tokens = 100;
+    placement.output_tokens = tokens - 100;
+    placement
+}
+
 /// A refusal for a share must be readable by an instance that knows no such reason.
 #[test]
 fn a_refusal_beyond_a_share_is_sent_as_overload() {
