Let restarted lenders lend what came since their start

The lender of a process whose predecessor led the zone now counts from the start of the process, and what accounts say that they spent alone meanwhile. Refunds count within 1 s of the charge, and an account with nothing to say tells its lenders so every 0.5 s in place of 0.25 s.

--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -193,7 +193,9 @@
 /// Writes this instance into the leader row of a zone, unless the row has changed since it was read.
 pub async fn take_over(gateway: Rc<Gateway>, zone: Arc<str>) {
     let own = gateway.roster().own().clone();
-    let expected = gateway.leadership.leaders.row_version(&zone);
+    let leaders = &gateway.leadership.leaders;
+    let former = leaders.leader(&zone).filter(|_| !leaders.is_unconfirmed(&zone));
+    let expected = leaders.row_version(&zone);
     // A follower may learn of an era from the feed before the store tells it.
     let known = gateway.feed.version(Table::Cluster).unwrap_or_default();
     let era = gateway.store.era().max(Version::from(known).era);
@@ -210,7 +212,13 @@
     match gateway.store.commit(&[write]).await {
         Ok(Commit::Committed(version)) => {
             gateway.leadership.confirm(sent, gateway.now());
-            gateway.leadership.leaders.set_leader(&zone, leader, version, gateway.now());
+            let was_own = |former: &Leader| {
+                former.holder == leader.holder && former.incarnation != leader.incarnation
+            };
+            if former.as_ref().is_some_and(was_own) {
+                gateway.quotas.restart_lender(&zone, version);
+            }
+            leaders.set_leader(&zone, leader, version, gateway.now());
             reconcile(&gateway);
         }
         Ok(Commit::Conflict) => {
--- a/crates/orioleroute-node/src/quota.rs
+++ b/crates/orioleroute-node/src/quota.rs
@@ -33,7 +33,7 @@
 
 /// The time within which a request that has not run gives its tokens back. Those of a later one could be spent in a window that
 /// does not count their charge.
-const REFUND_TTL: Duration = Duration::from_millis(500);
+const REFUND_TTL: Duration = Duration::from_millis(1_000);
 
 /// The retry-after time of a request for which nobody counts, about that of a take-over.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(1_000);
@@ -109,6 +109,12 @@
         self.account.borrow_mut().refund(organisation, amount, now);
     }
 
+    /// Begins to lend for a zone that an earlier process of this instance led until this one was started.
+    pub fn restart_lender(&self, zone: &Arc<str>, term: u64) {
+        let lender = Lender::restarted(term, Instant::ZERO);
+        self.lenders.borrow_mut().entry(zone.clone()).or_insert(lender);
+    }
+
     /// Spends what this instance may spend alone.
     fn take_own(&self, organisation: &str, cost: u64, now: Instant) -> bool {
         let mut own = self.own.borrow_mut();
--- a/crates/orioleroute/src/ingress/quota/account.rs
+++ b/crates/orioleroute/src/ingress/quota/account.rs
@@ -22,6 +22,9 @@
 /// The time without a request after which an organisation is forgotten.
 const IDLE_TIME: Duration = Duration::from_secs(3);
 
+/// The longest time between two questions to a lender that keeps something back for the account.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The part of a request's cost that an account that is alone must have. Half a request too much in each zone is less than
 /// keeping small organisations from any.
 const RESERVE_PART: f64 = 0.5;
@@ -72,6 +75,7 @@
     /// What was spent alone before an answer that did not count it.
     overdrawn: f64,
     answered: Option<Instant>,
+    asked_at: Instant,
     term: u64,
     dry_until: Instant,
 }
@@ -125,7 +129,7 @@
         self.entries.retain(|_, entry| {
             !entry.waiting.is_empty() || entry.asked.is_some() || now.since(entry.used) < IDLE_TIME
         });
-        let due = self.entries.iter_mut().filter(|(_, entry)| entry.asked.is_none());
+        let due = self.entries.iter_mut().filter(|(_, entry)| entry.is_due(now));
         due.map(|(organisation, entry)| entry.loan(organisation.clone(), now)).collect()
     }
 
@@ -174,6 +178,7 @@
             reserve: Reserve::default(),
             overdrawn: 0.0,
             answered: None,
+            asked_at: Instant::ZERO,
             term: 0,
             dry_until: Instant::ZERO,
         }
@@ -195,9 +200,22 @@
         is_there
     }
 
-    fn loan(&mut self, organisation: Arc<str>, now: Instant) -> Loan {
+    /// Returns what is borrowed ahead.
+    fn ahead(&self, now: Instant) -> f64 {
         let ahead = self.demand.rate(now) * PREFETCH.as_secs_f64();
-        let ahead = if ahead < self.cost * MIN_PREFETCH_REQUESTS { 0.0 } else { ahead };
+        if ahead < self.cost * MIN_PREFETCH_REQUESTS { 0.0 } else { ahead }
+    }
+
+    /// Returns whether the lender is to be asked or told something, or to hear that the account is there.
+    fn is_due(&self, now: Instant) -> bool {
+        let is_out_of_step = self.balance >= 1.0 || self.ahead(now) > 0.0;
+        let is_silent = now.since(self.asked_at) >= CONTACT_INTERVAL;
+        self.asked.is_none() && (is_out_of_step || is_silent || !self.waiting.is_empty())
+    }
+
+    fn loan(&mut self, organisation: Arc<str>, now: Instant) -> Loan {
+        self.asked_at = now;
+        let ahead = self.ahead(now);
         let waiting: u64 = self.waiting.iter().map(|(_, cost)| cost).sum();
         let needed = self.waiting.first().map_or(0.0, |(_, cost)| *cost as f64 - self.balance);
         let needed = needed.max(0.0).ceil();
--- a/crates/orioleroute/src/ingress/quota/lender.rs
+++ b/crates/orioleroute/src/ingress/quota/lender.rs
@@ -8,8 +8,8 @@
 use crate::ingress::Quota;
 use crate::prelude::*;
 
-/// The time without a message after which an account counts as silent. Accounts send one every 0.25 s.
-const SILENCE: Duration = Duration::from_millis(600);
+/// The time without a message after which an account counts as silent. Accounts send one every 0.5 s.
+const SILENCE: Duration = Duration::from_millis(1_200);
 
 /// The time without a message after which an account is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(10);
@@ -22,7 +22,10 @@
 pub struct Lender {
     /// Differs between the lenders of a zone.
     term: u64,
+    /// Since when nobody else has lent.
     began: Instant,
+    /// Whether accounts may have spent since then what they do not owe to this lender.
+    counts_former: bool,
     buckets: Map<Arc<str>, Bucket>,
     /// When each account was last heard.
     heard: Map<Arc<str>, Instant>,
@@ -52,7 +55,14 @@
 impl Lender {
     /// Returns a lender that nobody preceded since `began`.
     pub fn new(term: u64, began: Instant) -> Self {
-        Self { term, began, buckets: Map::default(), heard: Map::default() }
+        let counts_former = false;
+        Self { term, began, counts_former, buckets: Map::default(), heard: Map::default() }
+    }
+
+    /// Returns the lender of a process that was started again, whose predecessor has not lent since the start. What accounts
+    /// spent alone meanwhile is counted once they say so.
+    pub fn restarted(term: u64, start: Instant) -> Self {
+        Self { counts_former: true, ..Self::new(term, start) }
     }
 
     /// Returns the term, which a successor does not share.
@@ -72,7 +82,7 @@
         bucket.refill(quota, now);
         let borrower = bucket.borrowers.entry(account.clone()).or_default();
         bucket.level += std::mem::take(&mut borrower.withheld) + loan.returned as f64;
-        if loan.term == self.term {
+        if loan.term == self.term || self.counts_former {
             bucket.level -= loan.overdrawn as f64;
         }
         bucket.withhold(&self.heard, now);
