Let successors count from the end of their predecessor's loans

A successor now counts from the time at which its predecessor cannot have lent any more, and takes off what the accounts say that they spent alone. An instance that has just started waits for room as well, 0.6 s at most. Lending goes on once contact has returned, also while the store is away.

--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -190,6 +190,18 @@
     confirmation + CANDIDATE_DELAY_STEP * rank as u32 + isolation
 }
 
+/// Returns since when the former leader of a zone has not lent for it.
+fn unled_since(former: Option<&Leader>, own: &Leader, silence: Duration, now: Instant) -> Instant {
+    match former {
+        Some(former) if former.holder != own.holder => {
+            now - silence.saturating_sub(quota::UNHEARD_TIME)
+        }
+        // An earlier process of this instance.
+        Some(former) if former.incarnation != own.incarnation => Instant::ZERO,
+        Some(_) | None => now,
+    }
+}
+
 /// Writes this instance into the leader row of a zone, unless the row has changed since it was read.
 pub async fn take_over(gateway: Rc<Gateway>, zone: Arc<str>) {
     let own = gateway.roster().own().clone();
@@ -212,12 +224,8 @@
     match gateway.store.commit(&[write]).await {
         Ok(Commit::Committed(version)) => {
             gateway.leadership.confirm(sent, gateway.now());
-            let was_own = |former: &Leader| {
-                former.holder == leader.holder && former.incarnation != leader.incarnation
-            };
-            if former.as_ref().is_some_and(was_own) {
-                gateway.quotas.restart_lender(&zone, version);
-            }
+            let since = unled_since(former.as_ref(), &leader, silence, gateway.now());
+            gateway.quotas.succeed(&zone, version, since);
             leaders.set_leader(&zone, leader, version, gateway.now());
             reconcile(&gateway);
         }
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -202,6 +202,15 @@
     }
 }
 
+/// Returns the fencing token of a zone for which this instance may lend quotas.
+pub fn lending_token(gateway: &Rc<Gateway>, zone: &str) -> Option<u64> {
+    let now = gateway.now();
+    observe_suspension(gateway, now);
+    let contact = gateway.roster().contact(now);
+    let may_lend = gateway.leadership.lease.borrow().permits_loans(contact, now);
+    gateway.leadership.fencing_token(zone).filter(|_| may_lend)
+}
+
 /// Returns whether a read of the leaders would be evidence for longer than it takes: there is contact with those that could
 /// take over, but it was missing before.
 fn lacks_confirmation(gateway: &Gateway, now: Instant) -> bool {
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -44,7 +44,7 @@
 use slog::info;
 use strum::IntoEnumIterator;
 
-pub use leadership::confirmed_zones;
+pub use leadership::lending_token;
 pub use link::{SchedulerHandle, scheduler_of, send_to_instance};
 pub use settings::Settings;
 pub use state::Gateway;
--- a/crates/orioleroute-node/src/quota.rs
+++ b/crates/orioleroute-node/src/quota.rs
@@ -7,6 +7,7 @@
 
 use local_sync::mpsc;
 use orioleroute::hash;
+pub use orioleroute::ingress::quota::UNHEARD_TIME;
 use orioleroute::ingress::quota::{
     self, Account, Average, Lender, Lent, Loan, Reserve, Shortage, Verdict,
 };
@@ -16,7 +17,7 @@
 use orioleroute::scheduler::message::{Reason, ToInstance, ToScheduler};
 use slog::{info, warn};
 
-use crate::gateway::{Gateway, SchedulerHandle, confirmed_zones, scheduler_of, send_to_instance};
+use crate::gateway::{Gateway, SchedulerHandle, lending_token, scheduler_of, send_to_instance};
 
 /// The longest wait for a lender: a round trip between regions takes 24 ms, and a busy processor adds some tens of
 /// milliseconds.
@@ -38,11 +39,11 @@
 /// The retry-after time of a request for which nobody counts, about that of a take-over.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
-/// The time after its start in which an instance waits for schedulers, which may be starting as well.
-const STARTUP_TIME: Duration = Duration::from_secs(5);
+/// The time after its start in which an instance waits for lenders. They may be starting as well, and have little at first.
+const STARTUP_TIME: Duration = Duration::from_secs(2);
 
 /// The longest such wait of a request.
-const STARTUP_WAIT: Duration = Duration::from_millis(400);
+const STARTUP_WAIT: Duration = Duration::from_millis(600);
 
 /// The pause before they are asked again.
 const STARTUP_DELAY: Duration = Duration::from_millis(40);
@@ -109,10 +110,9 @@
         self.account.borrow_mut().refund(organisation, amount, now);
     }
 
-    /// Begins to lend for a zone that an earlier process of this instance led until this one was started.
-    pub fn restart_lender(&self, zone: &Arc<str>, term: u64) {
-        let lender = Lender::restarted(term, Instant::ZERO);
-        self.lenders.borrow_mut().entry(zone.clone()).or_insert(lender);
+    /// Begins to lend for a zone for which nobody has lent since a time.
+    pub fn succeed(&self, zone: &Arc<str>, term: u64, since: Instant) {
+        self.lenders.borrow_mut().insert(zone.clone(), Lender::succeeding(term, since));
     }
 
     /// Spends what this instance may spend alone.
@@ -160,8 +160,7 @@
         };
         let now = gateway.now();
         let is_starting = now.since(Instant::ZERO) < STARTUP_TIME;
-        let may_wait = is_starting && now.since(begun) < STARTUP_WAIT;
-        if denied.reason != Reason::QuotaUnknown || !may_wait {
+        if !is_starting || now.since(begun) >= STARTUP_WAIT {
             return Err(denied);
         }
         monoio::time::sleep(STARTUP_DELAY).await;
@@ -412,9 +411,8 @@
     loans: &[Loan],
 ) -> Vec<Lent> {
     let now = gateway.now();
-    let is_confirmed = confirmed_zones(gateway).contains(zone);
-    let term = gateway.leadership.fencing_token(zone).filter(|_| is_confirmed);
-    let (Some(term), Some(configuration)) = (term, gateway.configuration()) else {
+    let token = lending_token(gateway, zone);
+    let (Some(term), Some(configuration)) = (token, gateway.configuration()) else {
         return Vec::new();
     };
     let mut lenders = gateway.quotas.lenders.borrow_mut();
--- a/crates/orioleroute/src/ingress/quota/lender.rs
+++ b/crates/orioleroute/src/ingress/quota/lender.rs
@@ -11,6 +11,9 @@
 /// The time without a message after which an account counts as silent. Accounts send one every 0.5 s.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
+/// How long a lender that others no longer hear may have gone on, since it may be in contact with some.
+pub const UNHEARD_TIME: Duration = Duration::from_millis(1_300);
+
 /// The time without a message after which an account is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(10);
 
@@ -59,10 +62,10 @@
         Self { term, began, counts_former, buckets: Map::default(), heard: Map::default() }
     }
 
-    /// Returns the lender of a process that was started again, whose predecessor has not lent since the start. What accounts
-    /// spent alone meanwhile is counted once they say so.
-    pub fn restarted(term: u64, start: Instant) -> Self {
-        Self { counts_former: true, ..Self::new(term, start) }
+    /// Returns the lender that follows one that has not lent since a time. What accounts have spent alone meanwhile is counted
+    /// once they say so.
+    pub fn succeeding(term: u64, since: Instant) -> Self {
+        Self { counts_former: true, ..Self::new(term, since) }
     }
 
     /// Returns the term, which a successor does not share.
--- a/crates/orioleroute/src/ingress/quota/mod.rs
+++ b/crates/orioleroute/src/ingress/quota/mod.rs
@@ -10,7 +10,7 @@
 mod reserve;
 
 pub use account::{Account, Verdict};
-pub use lender::Lender;
+pub use lender::{Lender, UNHEARD_TIME};
 pub use reserve::{Average, RESERVE_TTL, Reserve};
 
 use crate::hash;
--- a/crates/orioleroute/src/scheduler/lease.rs
+++ b/crates/orioleroute/src/scheduler/lease.rs
@@ -82,8 +82,17 @@
         if self.is_suspended {
             return false;
         }
-        let is_confirmed = self.confirmed.is_some_and(|sent| now.since(sent) < CONFIRMATION_TTL);
         let is_in_contact = contact.covers_successors() && self.isolated.is_none();
-        is_fenced || is_confirmed || is_in_contact
+        is_fenced || self.is_confirmed(now) || is_in_contact
+    }
+
+    /// Returns whether quotas may be lent. Contact that has returned is enough: accounts ask the leader that they know, and
+    /// without the store there is no other.
+    pub fn permits_loans(&self, contact: Contact, now: Instant) -> bool {
+        !self.is_suspended && (self.is_confirmed(now) || contact.covers_successors())
+    }
+
+    fn is_confirmed(&self, now: Instant) -> bool {
+        self.confirmed.is_some_and(|sent| now.since(sent) < CONFIRMATION_TTL)
     }
 }
--- a/crates/orioleroute/tests/order_lease.rs
+++ b/crates/orioleroute/tests/order_lease.rs
@@ -150,6 +150,21 @@
     assert!(lease.permits_orders(UNFENCED, IN_TOUCH, at(10_000) + CONFIRMATION_TTL));
 }
 
+/// A former leader that is alone or was frozen lends quotas beside its successor.
+#[test]
+fn loans_need_contact_or_a_read_of_the_leaders() {
+    let mut lease = running_lease(at(5_000));
+    lease.observe_contact(ISOLATED, at(5_000));
+    assert!(!lease.permits_loans(ISOLATED, at(5_000)));
+    assert!(lease.permits_loans(IN_TOUCH, at(5_500)), "contact has returned");
+    lease.confirm(at(5_500), at(5_510));
+    assert!(lease.permits_loans(ISOLATED, at(5_600)));
+
+    lease.observe(Some(Duration::ZERO), at(9_000));
+
+    assert!(!lease.permits_loans(IN_TOUCH, at(9_000)), "frozen");
+}
+
 #[test]
 fn engines_that_check_fencing_tokens_need_no_contact() {
     let lease = running_lease(at(5_000));
--- a/crates/orioleroute/tests/quotas.rs
+++ b/crates/orioleroute/tests/quotas.rs
@@ -8,7 +8,7 @@
 use lending::{
     COST, Policy, REFUND_TTL, SETTLED, World, ZONES, bound, everywhere, large, most, moving, small,
 };
-use orioleroute::ingress::quota::{Account, Lender};
+use orioleroute::ingress::quota::{Account, Lender, UNHEARD_TIME};
 use orioleroute::ingress::{Quota, quota};
 use orioleroute::prelude::*;
 use proptest::prelude::*;
@@ -122,7 +122,7 @@
     world.run(away, quota.rate * 2.0, everywhere);
     let served = world.used_since(lost);
     world.lender = lender.filter(|lender| lender.term() == term);
-    let successor = Lender::new(term, world.now);
+    let successor = Lender::succeeding(term, lost + UNHEARD_TIME);
     world.lender.get_or_insert(successor);
     world.run(Duration::from_secs(10), quota.rate * 2.0, everywhere);
 
@@ -142,7 +142,7 @@
     world.accounts = (0..ZONES).map(|_| Account::default()).collect();
     world.questions.iter_mut().for_each(|question| question.1 = false);
     let start = world.now - Duration::from_millis(1_200);
-    world.lender = Some(Lender::restarted(2, start));
+    world.lender = Some(Lender::succeeding(2, start));
     let (restarted, refused) = (world.now, world.refused.len());
     world.run(Duration::from_secs(2), quota.rate * 1.2, everywhere);
 
@@ -159,7 +159,7 @@
     world.lender = None;
     let start = world.now;
     world.run(Duration::from_secs(1), quota.rate * 2.0, everywhere);
-    world.lender = Some(Lender::restarted(2, start));
+    world.lender = Some(Lender::succeeding(2, start));
     world.run(Duration::from_secs(10), quota.rate * 2.0, everywhere);
 
     world.check_bound();
@@ -243,8 +243,8 @@
                 // A successor comes after the time of a take-over.
                 Step::Succeed if world.now.since(lost) > quota::RESERVE_TTL => {
                     let term = world.now.as_micros();
-                    let now = world.now;
-                    world.lender.get_or_insert_with(|| Lender::new(term, now));
+                    let since = lost + UNHEARD_TIME;
+                    world.lender.get_or_insert_with(|| Lender::succeeding(term, since));
                 }
                 Step::Succeed => {}
                 Step::Cut(zone) => world.is_cut[zone] = true,
