--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -190,10 +190,24 @@
     confirmation + CANDIDATE_DELAY_STEP * rank as u32 + isolation
 }
 
+/// Returns since when the former leader of a zone has not lent for it.
+fn unled_since(former: Option<&Leader>, own: &Leader, silence: Duration, now: Instant) -> Instant {
+    match former {
+        Some(former) if former.holder != own.holder => {
+            now - silence.saturating_sub(quota::UNHEARD_TIME)
+        }
+        // An earlier process of this instance.
+        Some(former) if former.incarnation != own.incarnation => Instant::ZERO,
+        Some(_) | None => now,
+    }
+}
+
 /// Writes this instance into the leader row of a zone, unless the row has changed since it was read.
 pub async fn take_over(gateway: Rc<Gateway>, zone: Arc<str>) {
     let own = gateway.roster().own().clone();
-    let expected = gateway.leadership.leaders.row_version(&zone);
+    let leaders = &gateway.leadership.leaders;
+    let former = leaders.leader(&zone).filter(|_| !leaders.is_unconfirmed(&zone));
+    let expected = leaders.row_version(&zone);
     // A follower may learn of an era from the feed before the store tells it.
     let known = gateway.feed.version(Table::Cluster).unwrap_or_default();
     let era = gateway.store.era().max(Version::from(known).era);
@@ -210,7 +224,9 @@
     match gateway.store.commit(&[write]).await {
         Ok(Commit::Committed(version)) => {
             gateway.leadership.confirm(sent, gateway.now());
-            gateway.leadership.leaders.set_leader(&zone, leader, version, gateway.now());
+            let since = unled_since(former.as_ref(), &leader, silence, gateway.now());
+            gateway.quotas.succeed(&zone, version, since);
+            leaders.set_leader(&zone, leader, version, gateway.now());
             reconcile(&gateway);
         }
         Ok(Commit::Conflict) => {
