Allow each organisation a clump of requests within its share

The virtual time followed the highest finish tag, which one request of such an organisation moves by seconds for all, so that the past of the hot one was forgotten.

Change: each organisation has an allowance of a second of its share and four requests of mean size. The virtual time advances with the tokens granted by weight, and until what waits has used its allowance; when nothing waits, debts beyond the allowance are dropped. Test: clumps of a small organisation beside a hot one.

--- a/crates/orioleroute/src/scheduler/share.rs
+++ b/crates/orioleroute/src/scheduler/share.rs
@@ -14,6 +14,10 @@
 /// Requests come in clumps, so that one that asks for less than its share over a second asks for more at moments.
 const CREDIT: Duration = Duration::from_secs(1);
 
+/// The number of requests of mean size by which any organisation may in addition be ahead, since the second's share of a small one
+/// is less than a request.
+const CLUMP_REQUESTS: f64 = 4.0;
+
 /// Number of steps for each credit in which requests beyond their shares are ordered. Within a step they go by due time.
 const STEPS_PER_CREDIT: f64 = 4.0;
 
@@ -92,9 +96,9 @@
 struct Contest {
     accounts: Map<Option<Arc<str>>, Account>,
     virtual_time: f64,
-    highest_finish: f64,
-    /// [`CREDIT`], as a distance between tags.
-    credit: f64,
+    /// The tokens granted a second, by the sum of the weights.
+    speed: f64,
+    advanced: Instant,
     since: Instant,
     refreshed: Instant,
 }
@@ -106,6 +110,7 @@
     /// Where its next request starts, unless the virtual time is later: the tokens granted, by weight.
     finish: f64,
     asked: DecayingSum,
+    requests: DecayingSum,
     granted: DecayingSum,
     /// The parts of a second's tokens, as of the last refresh.
     asked_rate: f64,
@@ -113,6 +118,8 @@
     due_rate: f64,
     /// How many times longer than the engines alone it takes for what it has queued.
     stretch: f64,
+    /// How far beyond the virtual time a request inside the share may start: [`CREDIT`] and [`CLUMP_REQUESTS`].
+    allowance: f64,
     /// The tokens of its waiting requests that are ahead of the one that is looked at.
     ahead: f64,
     is_waiting: bool,
@@ -143,6 +150,7 @@
             Account::new(weight, virtual_time, now)
         });
         account.asked.add(cost(request), now);
+        account.requests.add(1.0, now);
     }
 
     /// Charges a granted request to its organisation.
@@ -152,7 +160,6 @@
         account.granted.add(cost(request), now);
         let start = account.finish.max(contest.virtual_time);
         account.finish = start + cost(request) / account.weight;
-        contest.highest_finish = contest.highest_finish.max(account.finish);
     }
 
     /// Sets the standing of all waiting requests, which are sorted as if there were no shares.
@@ -175,7 +182,7 @@
         }
         self.contests.retain(|_, contest| {
             contest.refresh(organisations, now);
-            contest.advance();
+            contest.advance(now);
             !contest.accounts.is_empty()
         });
         for item in waiting {
@@ -223,12 +230,13 @@
         let account = contest.and_then(|contest| contest.accounts.get(&request.organisation));
         let (Some(contest), Some(account)) = (contest, account) else { return Standing::Inside };
         let start = account.finish.max(contest.virtual_time) + ahead / account.weight;
-        let excess = start - contest.virtual_time - contest.credit;
+        let excess = start - contest.virtual_time - account.allowance;
         // One that is alone has all engines as its share.
-        if excess <= contest.credit * ROUNDING || contest.accounts.len() == 1 {
+        if excess <= account.allowance * ROUNDING || contest.accounts.len() == 1 {
             return Standing::Inside;
         }
-        let step = 1_u32.saturating_add((excess / contest.credit * STEPS_PER_CREDIT) as u32);
+        let credit = contest.speed * CREDIT.as_secs_f64();
+        let step = 1_u32.saturating_add((excess / credit * STEPS_PER_CREDIT) as u32);
         match account.is_far() {
             true => Standing::FarBeyond { step },
             false => Standing::Beyond { step },
@@ -248,8 +256,8 @@
         Self {
             accounts: Map::default(),
             virtual_time: 0.0,
-            highest_finish: 0.0,
-            credit: 0.0,
+            speed: 0.0,
+            advanced: now,
             since: now,
             refreshed: now - REFRESH_INTERVAL,
         }
@@ -263,12 +271,22 @@
         }
     }
 
-    /// Advances the virtual time to the lowest start that waits, or to the credit behind the highest finish.
-    fn advance(&mut self) {
+    /// Advances the virtual time, by as much as the weights have been granted, and at least until a request that waits has
+    /// no allowance left. When none waits, what was granted beyond the allowances took nothing from anybody.
+    fn advance(&mut self, now: Instant) {
+        let elapsed = now.since(self.advanced).as_secs_f64();
+        self.advanced = now;
+        self.virtual_time += self.speed * elapsed;
         let waiting = self.accounts.values().filter(|account| account.is_waiting);
-        let lowest = waiting.map(|account| account.finish).fold(f64::INFINITY, f64::min);
-        let target = lowest.min(self.highest_finish - self.credit);
-        self.virtual_time = self.virtual_time.max(target);
+        let lowest = waiting.map(|account| account.finish - account.allowance);
+        match lowest.min_by(f64::total_cmp) {
+            Some(lowest) => self.virtual_time = self.virtual_time.max(lowest),
+            None => {
+                for account in self.accounts.values_mut() {
+                    account.finish = account.finish.min(self.virtual_time + account.allowance);
+                }
+            }
+        }
     }
 
     /// Computes the rates, and what each organisation is due by max-min fairness: what it asks for, up to a common level
@@ -303,8 +321,14 @@
             left -= account.due_rate;
             left_weight -= account.weight;
         }
-        if weight > 0.0 {
-            self.credit = CREDIT.as_secs_f64() * granted / weight;
+        let count: f64 = self.accounts.values().map(|account| account.requests.at(now)).sum();
+        let tokens: f64 = self.accounts.values().map(|account| account.asked.at(now)).sum();
+        if weight > 0.0 && count > 0.0 {
+            self.speed = granted / weight;
+            let clump = CLUMP_REQUESTS * tokens / count;
+            for account in self.accounts.values_mut() {
+                account.allowance = self.speed * CREDIT.as_secs_f64() + clump / account.weight;
+            }
         }
     }
 }
@@ -316,11 +340,13 @@
             weight,
             finish: virtual_time,
             asked: none,
+            requests: none,
             granted: none,
             asked_rate: 0.0,
             granted_rate: 0.0,
             due_rate: 0.0,
             stretch: 1.0,
+            allowance: 0.0,
             ahead: 0.0,
             is_waiting: false,
         }
@@ -377,7 +403,7 @@
     f64::from(request.prompt_tokens) + f64::from(request.output_tokens)
 }
 
-/// An exponentially decaying sum of tokens.
+/// An exponentially decaying sum of tokens or requests.
 #[derive(Clone, Copy, Debug)]
 struct DecayingSum {
     sum: f64,
@@ -389,8 +415,8 @@
         self.sum * (-now.since(self.at).as_secs_f64() / RATE_DECAY.as_secs_f64()).exp()
     }
 
-    fn add(&mut self, tokens: f64, now: Instant) {
-        self.sum = self.at(now) + tokens;
+    fn add(&mut self, amount: f64, now: Instant) {
+        self.sum = self.at(now) + amount;
         self.at = now;
     }
 }
--- a/crates/orioleroute/tests/shares.rs
+++ b/crates/orioleroute/tests/shares.rs
@@ -234,6 +234,31 @@
     assert!(serde_json::from_str::<ToInstance>(&text).is_ok());
 }
 
+/// A second's share of a small organisation is less than a request, and its requests come in clumps like those of others.
+#[test]
+fn clumps_of_a_small_organisation_are_inside_its_share() {
+    let mut arrivals =
+        arrivals(&[load("hot", 2.4, 0, 10_000), load("other", 0.4, 0, 10_000)], SEED);
+    for second in 1..10 {
+        for number in 0..4 {
+            let adapter = format!("a{number}");
+            let mut placement = placement(1_000_000 + second * 10 + number, &adapter);
+            placement.organisation = Some("small".into());
+            arrivals.push(Arrival { at: Instant::from_millis(second * 1_000), placement });
+        }
+    }
+    let quotas = [("hot", Some(50_000.0)), ("other", Some(60_000.0)), ("small", Some(9_000.0))];
+
+    let [shared, former] = [configuration_with(&quotas), configuration()].map(|configuration| {
+        let setup = ReplaySetup { configuration, ..ReplaySetup::new(ENGINES) };
+        replay_with(&setup, &arrivals)
+    });
+
+    let share = |result: &ReplayResult| result.by_organisation.of("small").on_time_share();
+    assert!(share(&shared) >= SERVED_AS_USUAL, "{shared:?}");
+    assert!(share(&former) < SERVED_AS_USUAL, "{former:?}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 12, ..ProptestConfig::default() })]
 
