Hold for clients only what the machine has room for

Bodies had a limit of their own, twice the size of a small machine's memory with their copies; answers (8 MB each, copied once) and connections to the probe, the directory, the metrics and other instances had none.

Change: one budget of memory for clients and one for control, and limits of open connections for each listener, from the settings memory-mb and descriptors (the template fills them in; empty or 0 is the default). A holder, an address, may have twice as much as is free (crates/orioleroute/src/budget.rs, without I/O). Heads and bodies without room are refused with 503, not run, before they are passed on; answers wait, and with them the upstream; requests ahead are not read; connections are closed. Long answers are no longer copied. A first line between instances has 15 s. The documents backend: callers share memory, a GET with a body needs the token too, and a lack of descriptors no longer ends a listener.

--- a/crates/orioleroute-node/src/callers.rs
+++ b/crates/orioleroute-node/src/callers.rs
@@ -8,11 +8,13 @@
 use orioleroute::prelude::*;
 use orioleroute::request::{Kind, Ran, Refusal, Spec, Target};
 use orioleroute_wire::Error;
+use orioleroute_wire::admission::Admission;
 use orioleroute_wire::server::{Connection, Fault, Limits, Request, Response, serve};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
 use crate::relay::{self, Job};
+use crate::room;
 use crate::settings::Settings;
 use crate::shell::Shell;
 
@@ -50,6 +52,7 @@
         head_timeout: settings.head_time,
         body_timeout: settings.body_time,
         write_timeout: settings.write_time,
+        admission: Some(Admission::new(&room::caller_memory(settings.memory_mib), usize::MAX)),
         token: None,
     };
     let connections = settings.connections;
@@ -175,12 +178,14 @@
 /// Returns the response to a faulty request, in the error format of the API.
 fn fault_response(fault: &Fault) -> Response {
     let kind = match fault {
-        Fault::TooManyConnections => "overloaded",
+        Fault::TooManyConnections | Fault::NoMemory => "overloaded",
         _ => "invalid_request_error",
     };
     let response = error_response(fault.status(), kind, &fault.to_string(), Ran::NotRun);
     match fault {
-        Fault::TooManyConnections => response.with_header("retry-after", BUSY_RETRY_S),
+        Fault::TooManyConnections | Fault::NoMemory => {
+            response.with_header("retry-after", BUSY_RETRY_S)
+        }
         _ => response,
     }
 }
--- a/crates/orioleroute-node/src/gateway/endpoints.rs
+++ b/crates/orioleroute-node/src/gateway/endpoints.rs
@@ -7,12 +7,14 @@
 use monoio::net::TcpListener;
 use orioleroute::prelude::*;
 use orioleroute_platform::ingress;
+use orioleroute_wire::admission::{Part, Reservation};
 use orioleroute_wire::http1::body::Framing;
 use orioleroute_wire::http1::head::{self, Request};
 use orioleroute_wire::http1::socket::Socket;
 use slog::warn;
 
 use super::state::Gateway;
+use super::turned_away::{self, Listener};
 
 /// The largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 8 << 10;
@@ -36,7 +38,7 @@
         ingress::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
         _ => (StatusCode::NOT_FOUND, Vec::new()),
     };
-    serve(gateway, listener, answer, "text/plain").await;
+    serve(gateway, Listener::Ready, listener, answer, "text/plain").await;
 }
 
 /// Serves the addresses that clients should use, forever.
@@ -53,37 +55,46 @@
         let life = gateway.settings().resolution_life;
         (StatusCode::OK, ingress::resolution_body(&addresses, life))
     };
-    serve(gateway, listener, answer, "application/json").await;
+    serve(gateway, Listener::Directory, listener, answer, "application/json").await;
 }
 
 /// Serves the metrics, forever.
 pub async fn serve_metrics(gateway: Rc<Gateway>, listener: TcpListener, metrics: PrometheusHandle) {
     let answer =
         move |_: &Rc<Gateway>, _: &Request| (StatusCode::OK, metrics.render().into_bytes());
-    serve(gateway, listener, answer, "text/plain; version=0.0.4").await;
+    serve(gateway, Listener::Metrics, listener, answer, "text/plain; version=0.0.4").await;
 }
 
 async fn serve(
     gateway: Rc<Gateway>,
+    name: Listener,
     listener: TcpListener,
     answer: impl Fn(&Rc<Gateway>, &Request) -> (StatusCode, Vec<u8>) + 'static,
     content_type: &'static str,
 ) {
     let answer = Rc::new(answer);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 warn!(gateway.log, "accepting a connection failed"; "error" => error.to_string());
                 monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
+        let mut reservation = match name.admission(&gateway.room).admit(peer) {
+            Ok(reservation) => reservation,
+            Err(refusal) => {
+                turned_away::report(&gateway, name, refusal);
+                continue;
+            }
+        };
         let Ok(socket) = Socket::accepted(stream) else { continue };
         let (gateway, answer) = (gateway.clone(), answer.clone());
         monoio::spawn(async move {
+            let room = &mut reservation;
             // The error is dropped: a client that has disconnected needs no response.
-            let _ = serve_connection(&gateway, socket, &*answer, content_type).await;
+            let _ = serve_connection(&gateway, socket, room, &*answer, content_type).await;
         });
     }
 }
@@ -91,11 +102,15 @@
 async fn serve_connection(
     gateway: &Rc<Gateway>,
     mut socket: Socket,
+    reservation: &mut Reservation,
     answer: &impl Fn(&Rc<Gateway>, &Request) -> (StatusCode, Vec<u8>),
     content_type: &str,
 ) -> std::io::Result<()> {
     while let Some(request) = read_request(&mut socket).await {
         let (status, body) = answer(gateway, &request);
+        // Without room for it, the client gets none and asks again.
+        let held = reservation.hold(Part::Answer, 2 * body.len());
+        held.map_err(|_| std::io::ErrorKind::OutOfMemory)?;
         let mut output = Vec::with_capacity(256 + body.len());
         head::write_response(&mut output, status, &http::HeaderMap::new());
         head::write_field(&mut output, "content-type", content_type);
@@ -104,6 +119,7 @@
         output.extend_from_slice(&body);
         let written = monoio::time::timeout(WRITE_TIMEOUT, socket.write(&output)).await;
         written.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
+        reservation.end_request();
         if !request.keeps_alive {
             return socket.shutdown().await;
         }
--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -202,15 +202,6 @@
         self.response.next().await
     }
 
-    /// Returns the whole body.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the body is truncated, malformed or longer than `limit` bytes.
-    pub async fn collect(&mut self, limit: usize) -> Result<Bytes, Cut> {
-        self.response.collect(limit).await
-    }
-
     /// Returns the connection to the pool if it can be reused.
     pub fn release(self, connections: &Connections, now: Instant) {
         let max_idle = max_idle_from(&self.response.head.headers);
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -15,7 +15,6 @@
 use orioleroute_platform::ingress;
 use orioleroute_wire::http1::body::Framing;
 use orioleroute_wire::http1::head::Request;
-use orioleroute_wire::http1::socket::Socket;
 use orioleroute_wire::sse;
 use slog::info;
 
@@ -27,6 +26,7 @@
 use super::relaying::RelayOutcome;
 use super::reporting::report_unidentified;
 use super::response::Response;
+use super::server::Client;
 use super::startup;
 use super::state::Gateway;
 use super::takeover;
@@ -71,7 +71,7 @@
 }
 
 /// Forwards one request and writes its response.
-pub async fn handle(gateway: &Rc<Gateway>, client: &mut Socket, inbound: Inbound) -> Disposition {
+pub async fn handle(gateway: &Rc<Gateway>, client: &mut Client, inbound: Inbound) -> Disposition {
     let mut response = Response::new(client);
     let response = &mut response;
     let attempt = ingress::attempt(&inbound.head.headers);
--- a/crates/orioleroute-node/src/gateway/link.rs
+++ b/crates/orioleroute-node/src/gateway/link.rs
@@ -11,6 +11,7 @@
 use orioleroute::prelude::*;
 use orioleroute::scheduler::Client;
 use orioleroute::scheduler::message::{Reason, ToInstance, ToScheduler};
+use orioleroute_wire::admission::{Exhausted, Part, Reservation};
 use orioleroute_wire::http1::socket::Socket;
 use orioleroute_wire::lines::Lines;
 use serde::Serialize;
@@ -18,7 +19,7 @@
 use slog::{debug, info, warn};
 
 use super::state::Gateway;
-use super::{feed, leadership, quarantine};
+use super::{feed, leadership, quarantine, turned_away};
 
 /// The longest wait for a connection to a scheduler; a round trip between regions takes 24 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -33,6 +34,9 @@
 /// connection for all requests.
 const MAX_SENT_BYTES: usize = 64 << 10;
 
+/// The longest wait for the first line of a connection. Instances send it at once.
+const FIRST_LINE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// The time before another connection to a scheduler after a failed one, and the pause after a failed
 /// accept.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -249,13 +253,27 @@
                 continue;
             }
         };
+        let reservation = match gateway.room.peers.admit(peer) {
+            Ok(reservation) => reservation,
+            Err(refusal) => {
+                turned_away::report(&gateway, turned_away::Listener::Peers, refusal);
+                continue;
+            }
+        };
         let Ok(socket) = Socket::accepted(stream) else { continue };
-        monoio::spawn(run_incoming(gateway.clone(), socket, peer));
+        monoio::spawn(run_incoming(gateway.clone(), socket, peer, reservation));
     }
 }
 
-async fn run_incoming(gateway: Rc<Gateway>, mut socket: Socket, peer: SocketAddr) {
-    match take_subscription(&mut socket).await {
+async fn run_incoming(
+    gateway: Rc<Gateway>,
+    mut socket: Socket,
+    peer: SocketAddr,
+    mut reservation: Reservation,
+) {
+    let first = take_subscription(&mut socket, &mut reservation);
+    let first = monoio::time::timeout(FIRST_LINE_TIMEOUT, first).await;
+    match first.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
         Ok(Some(subscription)) => return feed::serve(gateway, socket, subscription).await,
         Ok(None) => {}
         Err(error) => {
@@ -269,7 +287,8 @@
     gateway.links.incoming.borrow_mut().insert(client, queue);
     let receive = |message| leadership::handle_message(&gateway, client, message);
     let reject = |_| report_oversized(&gateway, peer);
-    let reason = run_connection(socket, messages, receive, reject).await;
+    let reservation = Some(&mut reservation);
+    let reason = run_connection(socket, reservation, messages, receive, reject).await;
     debug!(gateway.log, "instance disconnected"; "peer" => peer.to_string(), "error" => reason);
     gateway.links.incoming.borrow_mut().remove(&client);
     quarantine::remove_follower(&gateway, client);
@@ -299,7 +318,7 @@
                     link.pending.deliver(ToInstance::Refuse { ticket, retry_after_ms: 0, reason });
                 }
             };
-            run_connection(socket, messages, receive, reject).await
+            run_connection(socket, None, messages, receive, reject).await
         }
         Err(error) => error.to_string(),
     };
@@ -319,6 +338,7 @@
 /// are passed to `reject` instead.
 async fn run_connection<S: Serialize, R: DeserializeOwned>(
     mut socket: Socket,
+    mut reservation: Option<&mut Reservation>,
     mut messages: mpsc::unbounded::Rx<S>,
     mut receive: impl FnMut(R),
     mut reject: impl FnMut(S),
@@ -336,6 +356,10 @@
                 Err(error) => return error.to_string(),
             }
         }
+        let held = reservation.as_mut().map(|it| hold_input(it, &socket));
+        if let Some(Err(exhausted)) = held {
+            return exhausted.to_string();
+        }
         let outgoing = monoio::select! {
             read = socket.fill() => match read {
                 Ok(0) => return "closed".into(),
@@ -367,7 +391,10 @@
 
 /// Waits for the first line of a connection and, if it is the subscription of a follower, removes and
 /// returns it. Any other line remains in the input.
-async fn take_subscription(socket: &mut Socket) -> std::io::Result<Option<Subscription>> {
+async fn take_subscription(
+    socket: &mut Socket,
+    reservation: &mut Reservation,
+) -> std::io::Result<Option<Subscription>> {
     loop {
         if let Some(end) = socket.input.iter().position(|byte| *byte == b'\n') {
             let Ok(ToReader::Subscribe(subscription)) =
@@ -378,12 +405,18 @@
             let _ = socket.input.split_to(end + 1);
             return Ok(Some(subscription));
         }
+        hold_input(reservation, socket).map_err(|_| std::io::ErrorKind::OutOfMemory)?;
         if socket.input.len() > MAX_LINE_BYTES || socket.fill().await? == 0 {
             return Err(std::io::ErrorKind::UnexpectedEof.into());
         }
     }
 }
 
+/// Holds memory for an unfinished line. Its buffer may be twice as large.
+fn hold_input(reservation: &mut Reservation, socket: &Socket) -> Result<(), Exhausted> {
+    reservation.hold(Part::Input, 2 * socket.input.len())
+}
+
 /// Appends a message, unless it is too long, and returns whether it did.
 fn write_line(lines: &mut Vec<u8>, message: &impl Serialize) -> bool {
     let start = lines.len();
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod sync;
 mod takeover;
 mod tries;
+mod turned_away;
 mod unscheduled;
 
 use std::process::ExitCode;
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -3,7 +3,9 @@
 use std::pin::pin;
 
 use bytes::Bytes;
+use orioleroute_wire::http1::body::Framing;
 use orioleroute_wire::http1::head;
+use orioleroute_wire::http1::incoming::Cut;
 use orioleroute_wire::sse::{Broken, Splitter};
 
 use super::exchange::{Incoming, Loss};
@@ -16,6 +18,9 @@
 /// The largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// How many times the events that have arrived are held: as they arrived, the whole ones, and those that are written.
+const EVENT_COPIES: usize = 3;
+
 /// The outcome of relaying a response.
 pub enum RelayOutcome {
     /// The response was written to the client.
@@ -51,28 +56,77 @@
         response: &mut Response<'_>,
         incoming: &mut Incoming,
     ) -> RelayOutcome {
-        let remaining = self.deadline.since(self.gateway.now());
-        let collected = monoio::select! {
-            collected = incoming.collect(MAX_RESPONSE_BYTES) => collected,
-            () = response.closed() => return RelayOutcome::ClientClosed,
-            () = monoio::time::sleep(remaining) => return RelayOutcome::TimedOut,
-        };
-        let body = match collected {
+        let body = match self.collect(response, incoming).await {
             Ok(body) => body,
-            Err(cut) => return RelayOutcome::Lost(cut.into()),
+            Err(outcome) => return outcome,
         };
         let mut output = self.response_head(incoming);
         head::write_field(&mut output, "content-length", body.len().to_string());
         output.extend_from_slice(b"\r\n");
-        output.extend_from_slice(&body);
         match response.state() {
-            State::Unstarted(unstarted) => unstarted.send(&output).await.into(),
+            State::Unstarted(unstarted) => unstarted.send_parts(output, &body).await.into(),
             State::Started(_) => {
                 RelayOutcome::Lost(Loss::NotResumed(incoming.head().status.as_u16()))
             }
         }
     }
 
+    /// Reads the body of a response that is not a stream, as far as there is room for it. The upstream waits meanwhile.
+    async fn collect(
+        &self,
+        response: &mut Response<'_>,
+        incoming: &mut Incoming,
+    ) -> Result<Vec<u8>, RelayOutcome> {
+        let longest = match incoming.head().framing {
+            Framing::Length(length) => length.min(MAX_RESPONSE_BYTES as u64) as usize,
+            Framing::Chunked | Framing::UntilClose => MAX_RESPONSE_BYTES,
+        };
+        let mut body = Vec::new();
+        loop {
+            let remaining = self.deadline.since(self.gateway.now());
+            let part = monoio::select! {
+                part = incoming.next() => part,
+                () = response.closed() => return Err(RelayOutcome::ClientClosed),
+                () = monoio::time::sleep(remaining) => return Err(RelayOutcome::TimedOut),
+            };
+            let part = match part {
+                Ok(Some(part)) => part,
+                Ok(None) => return Ok(body),
+                Err(cut) => return Err(RelayOutcome::Lost(cut.into())),
+            };
+            if incoming.body_bytes() > MAX_RESPONSE_BYTES {
+                return Err(RelayOutcome::Lost(Cut::TooLong(MAX_RESPONSE_BYTES).into()));
+            }
+            let length = body.len() + part.len();
+            if length > body.capacity() {
+                // The whole at once if its length is known: many of which each has a part would all wait for the rest.
+                let capacity = match incoming.head().framing {
+                    Framing::Length(_) => longest.max(length),
+                    _ => length.max(2 * body.capacity()).min(longest.max(length)),
+                };
+                self.make_room(response, capacity).await?;
+                body.reserve_exact(capacity - body.len());
+            }
+            body.extend_from_slice(&part);
+        }
+    }
+
+    /// Waits until there is room for this part of a response.
+    async fn make_room(
+        &self,
+        response: &mut Response<'_>,
+        bytes: usize,
+    ) -> Result<(), RelayOutcome> {
+        if response.hold(bytes).is_ok() {
+            return Ok(());
+        }
+        let remaining = self.deadline.since(self.gateway.now());
+        monoio::select! {
+            () = response.held(bytes) => Ok(()),
+            () = monoio::time::sleep(remaining) => Err(RelayOutcome::TimedOut),
+        }
+    }
+
     /// Relays a stream in whole events, so that another upstream can resume it after the last one.
     pub(super) async fn relay_stream(
         &self,
@@ -146,7 +200,13 @@
     ) -> Passed {
         let is_end = chunk.is_none();
         match chunk {
-            Some(data) => splitter.push(&data),
+            Some(data) => {
+                let bytes = EVENT_COPIES * (splitter.buffered() + data.len());
+                if let Err(outcome) = self.make_room(response, bytes).await {
+                    return Passed::Ended(outcome);
+                }
+                splitter.push(&data);
+            }
             None => splitter.close(incoming.head().framing),
         }
         let (events, broken) = self.take_events(splitter);
--- a/crates/orioleroute-node/src/gateway/server.rs
+++ b/crates/orioleroute-node/src/gateway/server.rs
@@ -1,14 +1,14 @@
 //! The HTTP server for clients.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
 use monoio::net::TcpListener;
 use orioleroute::ingress::configuration::Limits;
 use orioleroute::prelude::*;
 use orioleroute_platform::ingress;
+use orioleroute_wire::admission::{Exhausted, Part, Reservation};
 use orioleroute_wire::http1::Malformed;
 use orioleroute_wire::http1::body::{Decoder, Framing};
 use orioleroute_wire::http1::head::{self, Request};
@@ -17,6 +17,7 @@
 
 use super::forward::{self, Disposition, Inbound};
 use super::state::Gateway;
+use super::turned_away;
 
 /// The longest wait for a whole body: the longest deadline that clients currently use.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -35,37 +36,80 @@
 /// other instances have capacity.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// How many times the length of its head a request takes: the head, its fields and what is decoded from them.
+const HEAD_COPIES: usize = 8;
+
+/// The memory that a request takes besides its parts, in bytes.
+const REQUEST_BYTES: usize = 8 << 10;
+
+/// How many times the memory of a body is taken: the body and the copy that is sent to an upstream.
+const BODY_COPIES: usize = 2;
+
+/// The input that a connection may have buffered without holding memory for it, in bytes. [`Part::Connection`] covers it.
+const COVERED_INPUT_BYTES: usize = 4 << 10;
+
 /// Accepts connections from clients, forever.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
-    let open_connections = Rc::new(Cell::new(0_usize));
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 warn!(gateway.log, "accepting a client failed"; "error" => error.to_string());
                 monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
-        let Ok(mut socket) = Socket::accepted(stream) else { continue };
+        let reservation = match gateway.room.clients.admit(peer) {
+            Ok(reservation) => reservation,
+            Err(refusal) => {
+                turned_away::report(&gateway, turned_away::Listener::Clients, refusal);
+                continue;
+            }
+        };
+        let Ok(socket) = Socket::accepted(stream) else { continue };
         let gateway = gateway.clone();
-        if open_connections.get() >= gateway.settings().connections {
-            metrics::counter!("orioleroute_connections_rejected_total").increment(1);
-            continue;
-        }
-        open_connections.set(open_connections.get() + 1);
-        let open_connections = open_connections.clone();
         monoio::spawn(async move {
-            serve_connection(&gateway, &mut socket).await;
-            open_connections.set(open_connections.get() - 1);
+            serve_connection(&gateway, &mut Client { socket, reservation }).await;
         });
     }
 }
 
+/// The connection of a client, and what is held for it.
+pub struct Client {
+    /// The connection.
+    pub socket: Socket,
+    /// What is held for it.
+    pub reservation: Reservation,
+}
+
+impl Client {
+    /// Holds memory for the input that has been received and not handled.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room for it.
+    pub fn hold_input(&mut self) -> Result<(), Exhausted> {
+        let covered = self.socket.input.len() <= COVERED_INPUT_BYTES;
+        // A buffer that has grown may be twice as large as what is in it.
+        let bytes = if covered { 0 } else { 2 * self.socket.input.len() };
+        self.reservation.hold(Part::Input, bytes)
+    }
+
+    /// Returns what was held for a request that has been answered.
+    fn end_request(&mut self) {
+        self.reservation.end_request();
+        if self.socket.input.is_empty() {
+            self.socket.input = BytesMut::new();
+        }
+        // There is no more input than before.
+        let _ = self.hold_input();
+    }
+}
+
 /// Serves the requests of one connection sequentially.
-async fn serve_connection(gateway: &Rc<Gateway>, client: &mut Socket) {
+async fn serve_connection(gateway: &Rc<Gateway>, client: &mut Client) {
     loop {
-        if !await_request(gateway, client).await {
+        if !await_request(gateway, &mut client.socket).await {
             return;
         }
         let limits = limits(gateway);
@@ -89,9 +133,10 @@
         let keeps_alive = head.keeps_alive;
         let disposition = forward::handle(gateway, client, Inbound { head, body, arrived }).await;
         gateway.release_body(bytes);
+        client.end_request();
         if disposition == Disposition::Close || !keeps_alive || gateway.is_stopping() {
             // The client may have disconnected already, and there is nothing left to send.
-            let _ = client.shutdown().await;
+            let _ = client.socket.shutdown().await;
             return;
         }
     }
@@ -107,6 +152,12 @@
     Disconnected,
 }
 
+impl From<Exhausted> for Rejection {
+    fn from(_: Exhausted) -> Self {
+        Self::NoMemory
+    }
+}
+
 impl Rejection {
     fn status(self) -> StatusCode {
         match self {
@@ -146,16 +197,22 @@
 }
 
 /// Reads a request head, or returns `None` if the client closes the connection.
-async fn read_head(client: &mut Socket, limits: &Limits) -> Result<Option<Request>, Rejection> {
+async fn read_head(client: &mut Client, limits: &Limits) -> Result<Option<Request>, Rejection> {
     let read = async {
         loop {
-            match Request::parse(&mut client.input, limits.max_head_bytes) {
-                Ok(Some(head)) => return Ok(Some(head)),
+            let received = client.socket.input.len();
+            match Request::parse(&mut client.socket.input, limits.max_head_bytes) {
+                Ok(Some(head)) => {
+                    let length = received - client.socket.input.len();
+                    let bytes = HEAD_COPIES * length + REQUEST_BYTES;
+                    client.reservation.hold(Part::Head, bytes)?;
+                    return Ok(Some(head));
+                }
                 Ok(None) => {}
                 Err(error) => return Err(Rejection::Malformed(error)),
             }
-            match client.fill().await {
-                Ok(read) if read > 0 => {}
+            match client.socket.fill().await {
+                Ok(read) if read > 0 => client.hold_input()?,
                 _ => return Ok(None),
             }
         }
@@ -165,37 +222,47 @@
 
 async fn read_body(
     gateway: &Rc<Gateway>,
-    client: &mut Socket,
+    client: &mut Client,
     head: &Request,
     limits: &Limits,
 ) -> Result<Bytes, Rejection> {
-    if head.framing == Framing::Length(0) {
-        return Ok(Bytes::new());
-    }
-    if matches!(head.framing, Framing::Length(length) if length > limits.max_body_bytes as u64) {
-        return Err(Rejection::TooLarge);
-    }
-    if head.expects_continue() && client.input.is_empty() {
-        let interim = client.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+    let longest = match head.framing {
+        Framing::Length(0) => return Ok(Bytes::new()),
+        Framing::Length(length) if length > limits.max_body_bytes as u64 => {
+            return Err(Rejection::TooLarge);
+        }
+        Framing::Length(length) => length as usize,
+        Framing::Chunked | Framing::UntilClose => limits.max_body_bytes,
+    };
+    if head.expects_continue() && client.socket.input.is_empty() {
+        let interim = client.socket.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         interim.map_err(|_| Rejection::Disconnected)?;
     }
     let mut whole = Vec::new();
+    let mut reserved = 0;
     let mut decoder = Decoder::new(head.framing);
     let read = async {
         loop {
-            match decoder.decode(&mut client.input) {
+            match decoder.decode(&mut client.socket.input) {
                 Ok(Some(chunk)) => {
-                    if whole.len() + chunk.len() > limits.max_body_bytes {
+                    let length = whole.len() + chunk.len();
+                    if length > limits.max_body_bytes {
                         return Err(Rejection::TooLarge);
                     }
                     if !gateway.reserve_body(chunk.len()) {
                         return Err(Rejection::NoMemory);
                     }
+                    reserved = length;
+                    if length > whole.capacity() {
+                        let capacity = length.max(2 * whole.capacity()).min(longest);
+                        client.reservation.hold(Part::Body, BODY_COPIES * capacity)?;
+                        whole.reserve_exact(capacity - whole.len());
+                    }
                     whole.extend_from_slice(&chunk);
                 }
                 Ok(None) if decoder.is_done() => return Ok(()),
-                Ok(None) => match client.fill().await {
-                    Ok(read) if read > 0 => {}
+                Ok(None) => match client.socket.fill().await {
+                    Ok(read) if read > 0 => client.hold_input()?,
                     _ => return Err(Rejection::Disconnected),
                 },
                 Err(error) => return Err(Rejection::Malformed(error)),
@@ -204,16 +271,19 @@
     };
     let read = monoio::time::timeout(BODY_TIMEOUT, read).await.unwrap_or(Err(Rejection::TimedOut));
     if read.is_err() {
-        gateway.release_body(whole.len());
+        gateway.release_body(reserved);
+        drop(std::mem::take(&mut whole));
+        client.reservation.end_request();
     }
     read.map(|()| whole.into())
 }
 
 /// Responds to a rejected request, and closes the connection so that the response arrives.
-async fn reject(client: &mut Socket, id: Option<&str>, rejection: Rejection) {
+async fn reject(client: &mut Client, id: Option<&str>, rejection: Rejection) {
     if rejection == Rejection::Disconnected {
         return;
     }
+    let client = &mut client.socket;
     metrics::counter!("orioleroute_rejected_total", "status" => rejection.status().as_str().to_owned())
         .increment(1);
     let retry_after = (rejection == Rejection::NoMemory).then_some(NO_MEMORY_RETRY_AFTER);
--- a/crates/orioleroute-node/src/gateway/settings.rs
+++ b/crates/orioleroute-node/src/gateway/settings.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::settings::{Setting, Source, setting};
+use crate::room::Machine;
+use crate::settings::{DEFAULT_MEMORY_MIB, Setting, Source, setting};
 
 pub use crate::settings::LogFormat;
 
@@ -56,6 +57,10 @@
     pub connections: usize,
     /// The maximum memory for request bodies, in bytes.
     pub body_memory: usize,
+    /// The memory of the machine for this process, in MiB.
+    pub memory_mib: usize,
+    /// The descriptors of the machine for this process.
+    pub descriptors: usize,
     /// The format of log lines.
     pub log_format: LogFormat,
     /// The least severe level that is logged.
@@ -104,12 +109,20 @@
     ),
     setting("connections", "COUNT", "maximum number of open connections of clients", Some("2000")),
     setting("body-memory", "BYTES", "maximum memory for request bodies", Some("67108864")),
+    setting("memory-mb", "MIB", "memory of the machine for this process", Some(DEFAULT_MEMORY_MIB)),
+    setting("descriptors", "COUNT", "descriptors of the machine for this process", Some("4096")),
     setting("log-format", "json|text", "format of log lines", Some("json")),
     setting("log-level", "LEVEL", "least severe level that is logged", Some("info")),
     setting("log-lines", "COUNT", "maximum number of log lines per second", Some("400")),
 ];
 
 impl Settings {
+    /// Returns what the settings say of the machine.
+    pub fn machine(&self) -> Machine {
+        let Self { memory_mib, descriptors, connections, .. } = *self;
+        Machine { memory_mib, descriptors, connections }
+    }
+
     /// Reads the settings of this process.
     pub fn from_environment() -> Outcome {
         let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -146,6 +159,8 @@
         let retry_allowance = source.value("retry-allowance");
         let connections = source.value("connections");
         let body_memory = source.value("body-memory");
+        let memory_mib = source.machine_limit("memory-mb");
+        let descriptors = source.machine_limit("descriptors");
         let log_format = source.value("log-format");
         let log_level = source.value("log-level");
         let log_lines = source.value("log-lines");
@@ -167,6 +182,8 @@
             retry_allowance: retry_allowance?,
             connections: connections?,
             body_memory: body_memory?,
+            memory_mib: memory_mib?,
+            descriptors: descriptors?,
             log_format: log_format?,
             log_level: log_level?,
             log_lines: log_lines?,
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -29,8 +29,9 @@
 use super::link::Links;
 use super::pauses::Pauses;
 use super::settings::{Outcome, Settings};
-use super::{builds, origins, quarantine};
+use super::{builds, origins, quarantine, turned_away};
 use crate::log;
+use crate::room::Room;
 
 /// The fraction of the grace period during which a stopping instance still accepts new requests.
 /// Clients may cache its address, so this covers the cache lifetime as far as the grace period allows.
@@ -55,6 +56,10 @@
     pub pool: Pool,
     /// Connections to upstreams, for requests.
     pub connections: Connections,
+    /// What is held for clients and other peers.
+    pub room: Room,
+    /// The connections for which there was no room.
+    pub turned_away: turned_away::Logged,
     /// The limits that upstreams have named.
     pub limits: Limits,
     /// The pauses that upstreams have asked for.
@@ -108,6 +113,8 @@
             store: Store::new(settings.store_address),
             pool: Pool::resetting(),
             connections: Connections::default(),
+            room: Room::new(settings.machine()),
+            turned_away: turned_away::Logged::default(),
             limits: Limits::default(),
             pauses: Pauses::default(),
             links: Links::default(),
@@ -343,6 +350,7 @@
             }
             Outcome::Run(settings) => {
                 info!(self.log, "settings reloaded");
+                self.room.adapt(settings.machine());
                 *self.settings.borrow_mut() = *settings;
             }
             Outcome::Print(_) => {}
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod platform;
 mod relay;
+mod room;
 mod settings;
 mod shell;
 mod signals;
--- a/crates/orioleroute-node/src/settings.rs
+++ b/crates/orioleroute-node/src/settings.rs
@@ -67,6 +67,8 @@
     pub write_time: Duration,
     /// The maximum number of open connections of callers.
     pub connections: usize,
+    /// The memory of the machine for this process, in MiB.
+    pub memory_mib: usize,
     /// How long a caller may cache the result of a route lookup.
     pub route_life: Duration,
     /// How log lines are written.
@@ -93,6 +95,9 @@
     Setting { flag, hint, help, default }
 }
 
+/// The memory of a machine that does not state it, in MiB.
+pub const DEFAULT_MEMORY_MIB: &str = "256";
+
 const SETTINGS: &[Setting] = &[
     setting("backend", "documents|platform", "where configurations come from", Some("documents")),
     setting("name", "NAME", "unique name of this instance", None),
@@ -114,6 +119,7 @@
     setting("body-ms", "MILLISECONDS", "longest wait for a request body", Some("10000")),
     setting("write-ms", "MILLISECONDS", "longest wait for a caller to read a chunk", Some("30000")),
     setting("connections", "COUNT", "maximum number of open connections of callers", Some("10000")),
+    setting("memory-mb", "MIB", "memory of the machine for this process", Some(DEFAULT_MEMORY_MIB)),
     setting("route-life-ms", "MILLISECONDS", "how long callers may cache a route", Some("5000")),
     setting("log-format", "json|text", "format of log lines", Some("json")),
     setting("log-level", "LEVEL", "least severe level that is logged", Some("info")),
@@ -258,6 +264,7 @@
         let body_time = self.millis("body-ms");
         let write_time = self.millis("write-ms");
         let connections = self.value("connections");
+        let memory_mib = self.machine_limit("memory-mb");
         let route_life = self.millis("route-life-ms");
         let log_format = self.value("log-format");
         let log_level = self.value("log-level");
@@ -281,6 +288,7 @@
             body_time: body_time?,
             write_time: write_time?,
             connections: connections?,
+            memory_mib: memory_mib?,
             route_life: route_life?,
             log_format: log_format?,
             log_level: log_level?,
@@ -319,6 +327,26 @@
         value
     }
 
+    /// Returns the value of a limit of the machine. It may be empty or 0 where the machine states none, and may have
+    /// decimals; the default applies then, or they are cut off.
+    pub fn machine_limit(&mut self, flag: &str) -> Option<usize> {
+        let setting = self.settings.iter().find(|setting| setting.flag == flag)?;
+        let text = self.text(setting).unwrap_or_default();
+        let text = text.trim();
+        let stated = if text.is_empty() { Ok(0.0) } else { text.parse::<f64>() };
+        match (stated, setting.default.and_then(|default| default.parse().ok())) {
+            (Ok(0.0), Some(default)) => Some(default),
+            (Ok(stated), _) if stated >= 1.0 && stated.is_finite() => Some(stated as usize),
+            _ => {
+                let (variable, hint) = (variable_name(flag), setting.hint);
+                self.errors.push(format!(
+                    "orioleroute-node: --{flag} or {variable} is {text:?}, expected {hint}"
+                ));
+                None
+            }
+        }
+    }
+
     /// Returns the value of a setting that is given in milliseconds.
     pub fn millis(&mut self, flag: &str) -> Option<Duration> {
         self.value(flag).map(Duration::from_millis)
--- a/crates/orioleroute-wire/src/lib.rs
+++ b/crates/orioleroute-wire/src/lib.rs
@@ -16,6 +16,7 @@
 //! # }
 //! ```
 
+pub mod admission;
 pub mod client;
 pub mod connect;
 mod error;
--- a/crates/orioleroute-wire/src/server.rs
+++ b/crates/orioleroute-wire/src/server.rs
@@ -14,6 +14,7 @@
 pub use connection::Connection;
 
 use crate::Error;
+use crate::admission::{Admission, Exhausted};
 
 /// The size and time limits of a connection, and the token that it requires.
 #[derive(Clone, Debug)]
@@ -30,8 +31,9 @@
     pub body_timeout: Duration,
     /// The time limit for writing one part of a response to the peer.
     pub write_timeout: Duration,
-    /// The bearer token that every request but GET requires, or `None` if no token is required. GET
-    /// requests are exempt because they usually have no body.
+    /// The memory of the listener's connections, or `None` if the peers are trusted.
+    pub admission: Option<Admission>,
+    /// The bearer token that every request but a GET without a body requires, or `None` if no token is required.
     ///
     /// It is checked before the body is read, so that an unauthenticated peer cannot make the process
     /// buffer large bodies.
@@ -47,6 +49,7 @@
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
             write_timeout: Duration::from_secs(30),
+            admission: None,
             token: None,
         }
     }
@@ -154,6 +157,15 @@
     /// The limit of open connections is reached.
     #[error("too many connections are open")]
     TooManyConnections,
+    /// There is no memory for the request.
+    #[error("too much is held for other requests")]
+    NoMemory,
+}
+
+impl From<Exhausted> for Fault {
+    fn from(_: Exhausted) -> Self {
+        Self::NoMemory
+    }
 }
 
 impl Fault {
@@ -165,7 +177,7 @@
             Self::HeadTooLarge(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::TimedOut => StatusCode::REQUEST_TIMEOUT,
-            Self::TooManyConnections => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TooManyConnections | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -178,7 +190,8 @@
 ///
 /// # Errors
 ///
-/// Fails if accepting a connection fails.
+/// Fails if accepting a connection fails for another reason than a lack of descriptors or memory, or a peer that has
+/// disconnected already.
 pub async fn serve<H>(
     listener: TcpListener,
     limits: Limits,
@@ -193,10 +206,17 @@
     let open = Rc::new(Cell::new(0_usize));
     let rejecting = Rc::new(Cell::new(0_usize));
     loop {
-        let (stream, peer) = listener.accept().await?;
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) if error.raw_os_error().is_some_and(|code| PASSING.contains(&code)) => {
+                monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
         // Fails if the peer has already reset the connection.
         let Ok(mut connection) = Connection::new(stream, peer, limits.clone()) else { continue };
-        if open.get() >= max_connections {
+        if open.get() >= max_connections || connection.reserve().is_err() {
             if rejecting.get() < MAX_CONCURRENT_REJECTIONS {
                 rejecting.set(rejecting.get() + 1);
                 let rejecting = rejecting.clone();
@@ -216,6 +236,12 @@
     }
 }
 
+/// The numbers of errors that pass: ENOMEM, ENFILE, EMFILE, ECONNABORTED and ENOBUFS.
+const PASSING: [i32; 5] = [12, 23, 24, 103, 105];
+
+/// The pause after such an error.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 async fn serve_connection<H>(
     connection: &mut Connection,
     fault_response: fn(&Fault) -> Response,
--- a/crates/orioleroute-wire/src/server/connection.rs
+++ b/crates/orioleroute-wire/src/server/connection.rs
@@ -8,6 +8,7 @@
 use monoio::net::TcpStream;
 
 use super::{Fault, Limits, Request, Response, has_bearer_token};
+use crate::admission::{Exhausted, Part, Refusal, Reservation};
 use crate::http1::Malformed;
 use crate::http1::body::{self, Decoder, Framing};
 use crate::http1::head;
@@ -30,6 +31,8 @@
     limits: Limits,
     socket: Socket,
     frame: Vec<u8>,
+    /// What is held for the connection, if its peer is not trusted.
+    reservation: Option<Reservation>,
     /// Whether the connection is closed after the response.
     pub(super) closing: bool,
 }
@@ -42,7 +45,18 @@
     /// Fails if the socket cannot be configured.
     pub fn new(stream: TcpStream, peer: SocketAddr, limits: Limits) -> std::io::Result<Self> {
         let socket = Socket::accepted(stream)?;
-        Ok(Self { peer, limits, socket, frame: Vec::new(), closing: false })
+        Ok(Self { peer, limits, socket, frame: Vec::new(), reservation: None, closing: false })
+    }
+
+    /// Holds memory for the connection itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room for it.
+    pub(super) fn reserve(&mut self) -> Result<(), Refusal> {
+        let admission = self.limits.admission.as_ref();
+        self.reservation = admission.map(|it| it.admit(self.peer)).transpose()?;
+        Ok(())
     }
 
     /// Returns the address of the peer.
@@ -58,6 +72,9 @@
     /// Fails if the request is malformed, exceeds a limit, or lacks the required token. After a fault,
     /// only its response can be written; the connection cannot be read any more.
     pub async fn next(&mut self) -> Option<Result<Request, Fault>> {
+        if let Some(reservation) = &mut self.reservation {
+            reservation.end_request();
+        }
         match self.read_head().await? {
             Ok(head) => Some(self.read_body(head).await),
             Err(fault) => Some(Err(fault)),
@@ -67,6 +84,7 @@
     async fn read_head(&mut self) -> Option<Result<head::Request, Fault>> {
         let limits = &self.limits;
         let socket = &mut self.socket;
+        let reservation = &mut self.reservation;
         if socket.input.is_empty() {
             match monoio::time::timeout(limits.idle_timeout, socket.fill()).await {
                 Ok(Ok(read)) if read > 0 => {}
@@ -87,6 +105,9 @@
                     Ok(read) if read > 0 => {}
                     _ => return None,
                 }
+                if hold(reservation, Part::Input, 2 * socket.input.len()).is_err() {
+                    return Some(Err(Fault::NoMemory));
+                }
             }
         };
         match monoio::time::timeout(limits.head_timeout, read).await {
@@ -99,7 +120,7 @@
         let limit = self.limits.max_body_bytes;
         self.closing = !head.keeps_alive;
         if let Some(token) = &self.limits.token
-            && head.method != Method::GET
+            && (head.method != Method::GET || head.framing != Framing::Length(0))
             && !has_bearer_token(&head.headers, token)
         {
             return Err(Fault::Unauthorized);
@@ -114,7 +135,8 @@
         }
         let body = match expects_body {
             true => {
-                let read = read_payload(&mut self.socket, Decoder::new(head.framing), limit);
+                let reservation = &mut self.reservation;
+                let read = read_payload(&mut self.socket, reservation, head.framing, limit);
                 match monoio::time::timeout(self.limits.body_timeout, read).await {
                     Ok(body) => body?,
                     Err(_) => return Err(Fault::TimedOut),
@@ -199,7 +221,9 @@
     /// Input received in the meantime is kept for [`Connection::next`], up to about the size limit of a
     /// head. Beyond that, the future never completes.
     pub async fn closed(&mut self) {
-        while self.socket.input.len() <= self.limits.max_head_bytes {
+        while self.socket.input.len() <= self.limits.max_head_bytes
+            && hold(&mut self.reservation, Part::Input, 2 * self.socket.input.len()).is_ok()
+        {
             match self.socket.fill().await {
                 Ok(read) if read > 0 => {}
                 _ => return,
@@ -227,13 +251,27 @@
     }
 }
 
+/// How many times the memory of a body is taken: the body, the copy with the model's name, and the one that is sent on.
+const BODY_COPIES: usize = 3;
+
+/// Holds memory for a part, if the peer is not trusted.
+fn hold(reservation: &mut Option<Reservation>, part: Part, bytes: usize) -> Result<(), Exhausted> {
+    reservation.as_mut().map_or(Ok(()), |reservation| reservation.hold(part, bytes))
+}
+
 /// Reads a body of up to `limit` bytes. The framing of a chunked body is limited too, because chunk
 /// extensions and trailers can be much longer than the data.
 async fn read_payload(
     socket: &mut Socket,
-    mut decoder: Decoder,
+    reservation: &mut Option<Reservation>,
+    framing: Framing,
     limit: usize,
 ) -> Result<Bytes, Fault> {
+    let longest = match framing {
+        Framing::Length(length) => limit.min(length as usize),
+        Framing::Chunked | Framing::UntilClose => limit,
+    };
+    let mut decoder = Decoder::new(framing);
     let mut body = Vec::new();
     let mut received = socket.input.len();
     loop {
@@ -241,7 +279,15 @@
             Ok(Some(part)) if body.len() + part.len() > limit => {
                 return Err(Fault::BodyTooLarge(limit));
             }
-            Ok(Some(part)) => body.extend_from_slice(&part),
+            Ok(Some(part)) => {
+                let length = body.len() + part.len();
+                if length > body.capacity() {
+                    let capacity = length.max(2 * body.capacity()).min(longest);
+                    hold(reservation, Part::Body, BODY_COPIES * capacity)?;
+                    body.reserve_exact(capacity - body.len());
+                }
+                body.extend_from_slice(&part);
+            }
             Ok(None) if decoder.is_done() => return Ok(body.into()),
             Ok(None) if received > limit.saturating_mul(2).saturating_add(CHUNK_FRAMING_BYTES) => {
                 return Err(Fault::BodyTooLarge(limit));
--- a/crates/orioleroute-wire/src/sse.rs
+++ b/crates/orioleroute-wire/src/sse.rs
@@ -122,6 +122,11 @@
         self.bytes_since_event += data.len();
     }
 
+    /// Returns how many bytes have been added and not passed on.
+    pub fn buffered(&self) -> usize {
+        self.input.len()
+    }
+
     /// Notes that the body of the response has ended, as its framing determines it.
     pub fn close(&mut self, framing: Framing) {
         self.end = Some(framing);
--- a/crates/orioleroute/src/lib.rs
+++ b/crates/orioleroute/src/lib.rs
@@ -43,6 +43,7 @@
 //! }
 //! ```
 
+pub mod budget;
 pub mod catalog;
 pub mod claim;
 pub mod config;
