--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod quota;
 mod relay;
+mod room;
 mod settings;
 mod shell;
 mod signals;
