--- a/crates/orioleroute-node/src/quota.rs
+++ b/crates/orioleroute-node/src/quota.rs
@@ -32,8 +32,8 @@
 /// How often a new connection is waited for.
 const CONNECTION_ROUNDS: u32 = 4;
 
-/// The time within which a request that has not run gives its tokens back. Those of a later one could be spent in a window that
-/// does not count their charge.
+/// The time within which a request that has not run gives its tokens back. Those of a later one could be spent in a window
+/// that does not count their charge.
 const REFUND_TTL: Duration = Duration::from_millis(1_000);
 
 /// The retry-after time of a request for which nobody counts, about that of a take-over.
--- a/crates/orioleroute/src/ingress/quota/account.rs
+++ b/crates/orioleroute/src/ingress/quota/account.rs
@@ -7,7 +7,8 @@
 use super::{Average, Lent, Loan, Reserve, Shortage};
 use crate::prelude::*;
 
-/// The time whose use is borrowed ahead for large organisations: the interval between two loans and a trip to another region.
+/// The time whose use is borrowed ahead for large organisations: the interval between two loans, and a trip to another
+/// region.
 const PREFETCH: Duration = Duration::from_millis(300);
 
 /// The number of requests below which nothing is borrowed ahead.
@@ -25,8 +26,8 @@
 /// The longest time between two questions to a lender that keeps something back for the account.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The part of a request's cost that an account that is alone must have. Half a request too much in each zone is less than
-/// keeping small organisations from any.
+/// The part of a request's cost that an account that is alone must have. Half a request too much in each zone does less
+/// harm than keeping small organisations from any.
 const RESERVE_PART: f64 = 0.5;
 
 /// The time before a lender that did not answer is asked again for a request.
