Grant late requests inside shares before what is far beyond

Change: a request far beyond its organisation's share goes behind late ones of others. What an organisation has queued is stretched by what it could have, not by what it asks for, so that one that asks for little is not taken to be slow. Test: the order of the ranks.

--- a/crates/orioleroute/src/scheduler/share.rs
+++ b/crates/orioleroute/src/scheduler/share.rs
@@ -314,8 +314,8 @@
         for account in accounts {
             let part = left * account.weight / left_weight;
             account.due_rate = account.asked_rate.min(part);
-            account.stretch = match account.due_rate > 0.0 {
-                true => (granted / account.due_rate).clamp(1.0, MAX_STRETCH),
+            account.stretch = match part > 0.0 {
+                true => (granted / part).clamp(1.0, MAX_STRETCH),
                 false => 1.0,
             };
             left -= account.due_rate;
--- a/crates/orioleroute/tests/shares.rs
+++ b/crates/orioleroute/tests/shares.rs
@@ -4,7 +4,10 @@
 mod scheduling;
 
 use orioleroute::prelude::*;
+use orioleroute::scheduler::Request;
 use orioleroute::scheduler::message::{Placement, Reason, ToInstance};
+use orioleroute::scheduler::queue::Rank;
+use orioleroute::scheduler::share::Standing;
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -259,6 +262,48 @@
     assert!(share(&former) < SERVED_AS_USUAL, "{former:?}");
 }
 
+/// A request that something else has delayed is late for the rest of its wait. If all that is on time went first, it would wait for
+/// the whole burst of another organisation.
+#[test]
+fn late_requests_inside_shares_go_before_what_is_far_beyond() {
+    let now = Instant::from_millis(1_000);
+    let rank = |objective, standing| Rank::of(&request(objective), standing, now);
+    let (late, on_time) = (Instant::from_millis(900), Instant::from_millis(1_500));
+
+    let ranks = [
+        rank(on_time, Standing::Inside),
+        rank(on_time, Standing::Beyond { step: 3 }),
+        rank(late, Standing::Inside),
+        rank(on_time, Standing::FarBeyond { step: 1 }),
+        rank(late, Standing::FarBeyond { step: 1 }),
+    ];
+
+    assert!(ranks.is_sorted(), "{ranks:?}");
+}
+
+fn request(objective: Instant) -> Request {
+    Request {
+        organisation: None,
+        service: "notices".into(),
+        model: "m".into(),
+        adapter: None,
+        version: None,
+        prompt_tokens: 2_000,
+        output_tokens: 24,
+        parts: Vec::new(),
+        part_ids: [].into(),
+        content: None,
+        build: None,
+        priority: 1,
+        deadline: Instant::from_millis(5_000),
+        objective,
+        excluded: Vec::new(),
+        is_return: false,
+        attempt: None,
+        arrived: Instant::ZERO,
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 12, ..ProptestConfig::default() })]
 
