Keep a part of each budget for holders of little

Cause: nothing is taken back from a holder, so that greedy ones that come one after another leave a third each of what they find: ten addresses leave nothing. Change: the last sixth is only for holders with at most an eighth of what is free. Tried before in the tests of the budget: a last eighth with a 64th of the whole (ten addresses fill it, by calculation), a last eighth and a last quarter with an eighth of what is free (each failed one case on what four ordinary holders still get).

Settings: the template may leave the machine's limits empty, 0 or with decimals, with tests.

--- a/crates/orioleroute-node/tests/platform_settings.rs
+++ b/crates/orioleroute-node/tests/platform_settings.rs
@@ -79,6 +79,33 @@
     assert!(message.contains(location), "{message}");
 }
 
+/// The limits of the machine come from a template, which leaves a value empty if it is not stated.
+#[rstest]
+#[case::empty("memory-mb =\ndescriptors = \n")]
+#[case::not_stated("memory-mb = 0\ndescriptors = 0\n")]
+#[case::decimals("memory-mb = 160.5\ndescriptors = 3075.0\n")]
+fn limits_of_the_machine_are_taken_as_they_are_stated(#[case] more: &str) {
+    let file = SettingsFile::write(&settings(more));
+
+    let output = run(&file, &[]);
+
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+}
+
+#[rstest]
+#[case::text("memory-mb = much\n", "--memory-mb")]
+#[case::negative("descriptors = -1\n", "--descriptors")]
+#[case::unending("memory-mb = inf\n", "--memory-mb")]
+fn limits_of_the_machine_that_are_no_numbers_are_errors(#[case] more: &str, #[case] name: &str) {
+    let file = SettingsFile::write(&settings(more));
+
+    let output = run(&file, &[]);
+
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{message}");
+    assert!(message.contains(name), "{message}");
+}
+
 #[test]
 fn all_missing_settings_are_named_at_once() {
     let file = SettingsFile::write("name = n1\n");
--- a/crates/orioleroute/src/budget.rs
+++ b/crates/orioleroute/src/budget.rs
@@ -4,7 +4,8 @@
 //! time. A fixed share for each peer would be too small for a single large request, or too large for a crowd. Here each
 //! holder may grow up to [`GROWTH`] times of what is still free. One holder gets two thirds at most, *n* greedy ones that
 //! grow together leave 1 / (1 + 2*n*) to the others, and an only holder is not limited by the number of those who might
-//! come. Nothing is taken back: those that come one after another leave a third each of what they find.
+//! come. Nothing is taken back, so that holders that come one after another would leave a third each of what they find.
+//! The last part of the budget is therefore kept for holders of little, and holders of it leave eight ninths each.
 //!
 //! ```
 //! use std::net::{IpAddr, Ipv4Addr};
@@ -14,7 +15,7 @@
 //! let mut budget = Budget::new(300);
 //! assert!(budget.resize(crowd, 0, 200).is_ok());
 //! assert!(budget.resize(crowd, 200, 201).is_err());
-//! assert!(budget.resize(other, 0, 60).is_ok());
+//! assert!(budget.resize(other, 0, 50).is_ok());
 //! ```
 
 use std::net::IpAddr;
@@ -24,6 +25,12 @@
 /// How many times of what is free a holder may have.
 const GROWTH: usize = 2;
 
+/// The fraction of the budget that only holders of little may use.
+const KEPT_FRACTION: usize = 6;
+
+/// The fraction of what is free that a holder of little has at most.
+const LITTLE_FRACTION: usize = 8;
+
 /// A holder asked for more than the budget has left for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -71,7 +78,11 @@
         let (held, used) = (held.saturating_add(to), used.saturating_add(to));
         if to > from {
             let free = self.capacity.checked_sub(used).ok_or(Exhausted::Total)?;
-            if held > free.saturating_mul(GROWTH) {
+            let is_little = held <= (free / LITTLE_FRACTION).max(1);
+            if !is_little && free < self.capacity / KEPT_FRACTION {
+                return Err(Exhausted::Total);
+            }
+            if !is_little && held > free.saturating_mul(GROWTH) {
                 return Err(Exhausted::Share);
             }
         }
