--- a/crates/orioleroute/src/budget.rs
+++ b/crates/orioleroute/src/budget.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: a crowd of peers takes as much as it is given and keeps it, while ordinary peers need little for a short
 //! time. A fixed share for each peer would be too small for a single large request, or too large for a crowd. Here each
-//! holder may grow up to [`GROWTH`] times of what is still free. One holder gets two thirds at most, *n* greedy ones that
+//! holder may grow up to twice of what is still free. One holder gets two thirds at most, *n* greedy ones that
 //! grow together leave 1 / (1 + 2*n*) to the others, and an only holder is not limited by the number of those who might
 //! come. Nothing is taken back, so that holders that come one after another would leave a third each of what they find.
 //! The last part of the budget is therefore kept for holders of little, and holders of it leave eight ninths each.
