--- a/crates/orioleroute-node/src/quota.rs
+++ b/crates/orioleroute-node/src/quota.rs
@@ -39,7 +39,7 @@
 /// The retry-after time of a request for which nobody counts, about that of a take-over.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
-/// The time after its start in which an instance waits for lenders. They may be starting as well, and have little at first.
+/// The time after its start in which an instance waits for lenders, which may be starting as well and have little at first.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
 
 /// The longest such wait of a request.
--- a/crates/orioleroute/src/ingress/quota/mod.rs
+++ b/crates/orioleroute/src/ingress/quota/mod.rs
@@ -1,9 +1,9 @@
 //! Keeps organisations to their quotas over all instances.
 //!
-//! Load pattern: organisations of very different sizes, of which the smallest may run one or two requests a second in all, send
-//! requests to any instance, and their clients move. One of them sends many times its quota. Machines and links fail. The
-//! [`Lender`] of an organisation holds its token bucket, an [`Account`] of each scheduler
-//! borrows from it, and a [`Reserve`] is what remains when nobody answers. `docs/design/quotas.md` compares the alternatives.
+//! Load pattern: organisations of very different sizes, of which the smallest may run one or two requests a second in all,
+//! send requests to any instance, and their clients move. One of them sends many times its quota. Machines and links fail.
+//! The [`Lender`] of an organisation holds its token bucket, an [`Account`] of each scheduler borrows from it, and a
+//! [`Reserve`] is what remains when nobody answers. `docs/design/quotas.md` compares the alternatives.
 
 pub mod account;
 pub mod lender;
