Log the course of streams, and count the bytes between instances

Cause: why a stream was late could not be read from logs, and what instances send each other was not counted.

Change: the line request has the time to the first event, the longest pause and the number of events; bytes of the feeds and of heartbeats are counted by kind and reach.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 
 use local_sync::mpsc;
-use orioleroute::ingress::Version;
 use orioleroute::ingress::access::{Access, Span};
 use orioleroute::ingress::feed::{
     self, Message, Projection, Replica, Row, SOURCES, Sources, Subscription, Table, ToReader,
     Update,
 };
 use orioleroute::ingress::roster::Member;
+use orioleroute::ingress::{Reach, Version};
 use orioleroute::prelude::*;
 use orioleroute_wire::http1::socket::Socket;
 use orioleroute_wire::lines::Lines;
@@ -36,6 +36,9 @@
 /// The pause after a lost connection.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// What is in force here and not in the operator's table, as a kind of message in metrics.
+const IN_FORCE: &str = "in_force";
+
 /// The longest message, in bytes: a whole table of 20,000 upstreams.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
@@ -85,7 +88,7 @@
 /// An instance that follows this one.
 struct Follower {
     zone: Arc<str>,
-    queue: mpsc::unbounded::Tx<Rc<str>>,
+    queue: mpsc::unbounded::Tx<(&'static str, Rc<str>)>,
 }
 
 impl Feed {
@@ -173,7 +176,7 @@
     /// Notifies the followers that the data of this instance is no longer current.
     fn notify_loss(&self) {
         let message: Rc<str> = line(&Message::Lost).into();
-        self.followers.borrow().values().for_each(|follower| send(follower, &message));
+        self.followers.borrow().values().for_each(|follower| send(follower, "lost", &message));
     }
 
     /// Applies an update that was read from the store, passes it on, and returns what it changed.
@@ -226,14 +229,14 @@
                     .or_insert_with(|| Projection::new(follower.zone.clone()));
                 line(&Message::Update(projection.apply(update))).into()
             });
-            send(follower, message);
+            send(follower, update.table.into(), message);
         }
     }
 
     /// Sends the followers what is in force here and is not in the operator's table.
     pub fn publish_in_force(&self, gateway: &Gateway) {
         if let Some(message) = self.in_force(gateway) {
-            self.followers.borrow().values().for_each(|follower| send(follower, &message));
+            self.followers.borrow().values().for_each(|it| send(it, IN_FORCE, &message));
         }
     }
 
@@ -251,14 +254,15 @@
     /// Sends a new follower what it lacks.
     fn send_initial(&self, follower: &Follower, subscription: &Subscription) {
         if !self.is_reader.get() || !self.failing.borrow().is_empty() {
-            return send(follower, &line(&Message::Lost).into());
+            return send(follower, "lost", &line(&Message::Lost).into());
         }
         let projection = Projection::new(follower.zone.clone());
         for (table, replica) in self.replicas.borrow().iter() {
             let known = subscription.versions.iter().find(|(known, _)| known == table);
             let update = replica.since(*table, known.map(|(_, version)| *version));
             if let Some(update) = update {
-                send(follower, &line(&Message::Update(projection.project(&update))).into());
+                let message = line(&Message::Update(projection.project(&update))).into();
+                send(follower, (*table).into(), &message);
             }
         }
     }
@@ -400,13 +404,21 @@
     "no longer followed".into()
 }
 
+/// Returns how far it is to an instance of a zone.
+pub fn reach(gateway: &Gateway, zone: &str) -> Reach {
+    let settings = gateway.settings();
+    let own = (settings.zone.as_str(), settings.region.as_str());
+    Reach::between(own, (zone, gateway.region_of(zone).as_deref()))
+}
+
 /// Serves a follower until its connection ends.
 pub async fn serve(gateway: Rc<Gateway>, mut socket: Socket, subscription: Subscription) {
     let feed = &gateway.feed;
+    let reach = reach(&gateway, &subscription.zone);
     let (queue, mut messages) = mpsc::unbounded::channel();
     let follower = Follower { zone: subscription.zone.clone(), queue };
     if let Some(message) = feed.in_force(&gateway) {
-        send(&follower, &message);
+        send(&follower, IN_FORCE, &message);
     }
     feed.send_initial(&follower, &subscription);
     let id = feed.next_follower.get();
@@ -418,8 +430,9 @@
             // A follower sends nothing after its subscription, so this is the end of the connection.
             _ = socket.fill() => None,
         };
-        let Some(message) = message else { break };
+        let Some((kind, message)) = message else { break };
         metrics::counter!("orioleroute_feed_updates_sent_total").increment(1);
+        count_bytes(kind, reach, message.len());
         let written = monoio::time::timeout(WRITE_TIMEOUT, socket.write(message.as_bytes())).await;
         if !matches!(written, Ok(Ok(()))) {
             break;
@@ -428,9 +441,15 @@
     feed.followers.borrow_mut().remove(&id);
 }
 
-fn send(follower: &Follower, message: &Rc<str>) {
+fn send(follower: &Follower, kind: &'static str, message: &Rc<str>) {
     // Fails if the follower's task has ended, which removes the follower.
-    let _ = follower.queue.send(message.clone());
+    let _ = follower.queue.send((kind, message.clone()));
+}
+
+/// Counts the bytes of a message to another instance, without the headers of the transport.
+pub fn count_bytes(kind: &'static str, reach: Reach, bytes: usize) {
+    metrics::counter!("orioleroute_feed_bytes_total", "kind" => kind, "reach" => <&str>::from(reach))
+        .increment(bytes as u64);
 }
 
 fn line(message: &impl serde::Serialize) -> String {
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use http::{StatusCode, header};
-use orioleroute::ingress::Organisation;
 use orioleroute::ingress::attempt::{Attempt, Content};
 use orioleroute::ingress::configuration::Route;
 use orioleroute::ingress::origins::Finding;
 use orioleroute::ingress::quarantine::Key;
+use orioleroute::ingress::{Organisation, Progress};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Reason, RunResult};
 use orioleroute_platform::ingress;
@@ -143,6 +143,7 @@
         excluded: RefCell::default(),
         tried_upstreams: RefCell::default(),
         received_at: Cell::default(),
+        progress: RefCell::default(),
         refusal: None,
     };
     relay.losses_before = gateway.suspects.losses_under(&relay.service, relay.content);
@@ -201,6 +202,8 @@
     pub(super) tried_upstreams: RefCell<Vec<String>>,
     /// When the last data of an upstream arrived, for the log.
     pub(super) received_at: Cell<Option<Instant>>,
+    /// The events passed on, for the log.
+    pub(super) progress: RefCell<Progress>,
     /// Why the last permit that was not granted was refused, for the log.
     pub(super) refusal: Option<Reason>,
 }
--- a/crates/orioleroute-node/src/gateway/heartbeat.rs
+++ b/crates/orioleroute-node/src/gateway/heartbeat.rs
@@ -4,9 +4,11 @@
 use std::rc::Rc;
 
 use monoio::net::udp::UdpSocket;
+use orioleroute::ingress::Reach;
 use orioleroute::ingress::roster::{HEARTBEAT_INTERVAL, Heartbeat};
 use slog::debug;
 
+use super::feed;
 use super::state::Gateway;
 
 /// The largest heartbeat datagram, in bytes.
@@ -37,7 +39,8 @@
         gateway.roster().record_loads(&loads, gateway.now());
         let heartbeat = gateway.roster().heartbeat(loads, gateway.now());
         let bytes = serde_json::to_vec(&heartbeat).unwrap_or_default();
-        for address in due_addresses(&gateway, round) {
+        for (address, reach) in due_addresses(&gateway, round) {
+            feed::count_bytes("heartbeat", reach, bytes.len());
             // A failed send is treated like a lost datagram: the next heartbeat follows.
             let _ = socket.send_to(bytes.clone(), address).await;
         }
@@ -45,9 +48,9 @@
     }
 }
 
-/// Returns the addresses of the peers that get a heartbeat in this round. Instances of other regions get
+/// Returns the addresses of the peers that get a heartbeat in this round, and how far they are. Instances of other regions get
 /// them only from the readers of this region, which stand for it, and from schedulers.
-fn due_addresses(gateway: &Gateway, round: u32) -> Vec<SocketAddr> {
+fn due_addresses(gateway: &Gateway, round: u32) -> Vec<(SocketAddr, Reach)> {
     let stands_for_region =
         gateway.feed.is_reader() || !gateway.leadership.scheduled_zones().is_empty();
     // The load of a zone whose scheduler has just begun is needed at once.
@@ -58,5 +61,5 @@
         let is_due = has_begun || round.is_multiple_of(roster.heartbeat_stride(peer));
         is_due && (stands_for_region || peer.region == roster.own().region)
     });
-    due_peers.map(|peer| peer.peer_address).collect()
+    due_peers.map(|peer| (peer.peer_address, feed::reach(gateway, &peer.zone))).collect()
 }
--- a/crates/orioleroute-node/src/gateway/relaying.rs
+++ b/crates/orioleroute-node/src/gateway/relaying.rs
@@ -231,16 +231,20 @@
     /// broken.
     fn take_events(&self, splitter: &mut Splitter) -> (Vec<u8>, Option<Broken>) {
         let mut events = Vec::new();
-        loop {
+        let mut count = 0;
+        let broken = loop {
             match splitter.next() {
                 Ok(Some(event)) => {
                     self.last_event.set(event.id.or(self.last_event.get()));
                     events.extend_from_slice(&event.bytes);
+                    count += 1;
                 }
-                Ok(None) => return (events, None),
-                Err(broken) => return (events, Some(broken)),
+                Ok(None) => break None,
+                Err(broken) => break Some(broken),
             }
-        }
+        };
+        self.progress.borrow_mut().record(count, self.gateway.now());
+        (events, broken)
     }
 
     /// Writes events to the client, after the head of the response if nothing has been written.
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -77,6 +77,8 @@
     /// Reports the outcome of the request.
     pub(super) fn report_end(&self, outcome: &'static str) {
         let time = self.gateway.now().since(self.inbound.arrived);
+        let progress = self.progress.borrow();
+        let first_event = progress.first_event().map(|at| at.since(self.inbound.arrived));
         metrics::counter!("orioleroute_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("orioleroute_request_duration_seconds").record(time.as_secs_f64());
         info!(self.gateway.log, "request"; "request" => self.attempt.id.as_deref(),
@@ -87,6 +89,9 @@
             "cost" => self.organisation.as_ref().and_then(|it| Some(it.quota?.cost(self.attempt.tokens))),
             "build" => self.build.borrow().as_deref(), "resumes" => self.attempt.resumes.as_deref(),
             "refusal" => self.refusal.map(|reason| reason.to_string()),
+            "first_event_ms" => first_event.map(|time| time.as_millis() as u64),
+            "longest_pause_ms" => progress.longest_pause().as_millis() as u64,
+            "events" => progress.events(),
             "ms" => time.as_millis() as u64);
     }
 
