--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -91,6 +91,7 @@
             "refusal" => self.refusal.map(|reason| reason.to_string()),
             "first_event_ms" => first_event.map(|time| time.as_millis() as u64),
             "longest_pause_ms" => progress.longest_pause().as_millis() as u64,
+            "pause_objective_ms" => self.route.pause_objective.map(|pause| pause.as_millis() as u64),
             "events" => progress.events(),
             "ms" => time.as_millis() as u64);
     }
