Count organisations and bytes in one place each

Change: the labels of quotas count for refusals beyond a share as well; the report of a scheduler's decision is with the other reports, and the counter of bytes between instances beside the gateway. Names in the field's terms.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 
 use local_sync::mpsc;
+use orioleroute::ingress::Version;
 use orioleroute::ingress::access::{Access, Span};
 use orioleroute::ingress::feed::{
     self, Message, Projection, Replica, Row, SOURCES, Sources, Subscription, Table, ToReader,
     Update,
 };
 use orioleroute::ingress::roster::Member;
-use orioleroute::ingress::{Reach, Version};
 use orioleroute::prelude::*;
 use orioleroute_wire::http1::socket::Socket;
 use orioleroute_wire::lines::Lines;
@@ -20,6 +20,7 @@
 
 use super::state::Gateway;
 use super::sync;
+use crate::traffic;
 
 /// How often an instance checks whether it is a reader and whom it follows.
 const ROLE_INTERVAL: Duration = Duration::from_millis(200);
@@ -404,17 +405,10 @@
     "no longer followed".into()
 }
 
-/// Returns how far it is to an instance of a zone.
-pub fn reach(gateway: &Gateway, zone: &str) -> Reach {
-    let settings = gateway.settings();
-    let own = (settings.zone.as_str(), settings.region.as_str());
-    Reach::between(own, (zone, gateway.region_of(zone).as_deref()))
-}
-
 /// Serves a follower until its connection ends.
 pub async fn serve(gateway: Rc<Gateway>, mut socket: Socket, subscription: Subscription) {
     let feed = &gateway.feed;
-    let reach = reach(&gateway, &subscription.zone);
+    let reach = traffic::reach(&gateway, &subscription.zone);
     let (queue, mut messages) = mpsc::unbounded::channel();
     let follower = Follower { zone: subscription.zone.clone(), queue };
     if let Some(message) = feed.in_force(&gateway) {
@@ -432,7 +426,7 @@
         };
         let Some((kind, message)) = message else { break };
         metrics::counter!("orioleroute_feed_updates_sent_total").increment(1);
-        count_bytes(kind, reach, message.len());
+        traffic::count_bytes(kind, reach, message.len());
         let written = monoio::time::timeout(WRITE_TIMEOUT, socket.write(message.as_bytes())).await;
         if !matches!(written, Ok(Ok(()))) {
             break;
@@ -446,12 +440,6 @@
     let _ = follower.queue.send((kind, message.clone()));
 }
 
-/// Counts the bytes of a message to another instance, without the headers of the transport.
-pub fn count_bytes(kind: &'static str, reach: Reach, bytes: usize) {
-    metrics::counter!("orioleroute_feed_bytes_total", "kind" => kind, "reach" => <&str>::from(reach))
-        .increment(bytes as u64);
-}
-
 fn line(message: &impl serde::Serialize) -> String {
     // Serializing to a string fails only for maps with non-string keys, which no message contains.
     let mut line = serde_json::to_string(message).unwrap_or_default();
--- a/crates/orioleroute-node/src/gateway/heartbeat.rs
+++ b/crates/orioleroute-node/src/gateway/heartbeat.rs
@@ -8,8 +8,8 @@
 use orioleroute::ingress::roster::{HEARTBEAT_INTERVAL, Heartbeat};
 use slog::debug;
 
-use super::feed;
 use super::state::Gateway;
+use crate::traffic;
 
 /// The largest heartbeat datagram, in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 1_400;
@@ -40,7 +40,7 @@
         let heartbeat = gateway.roster().heartbeat(loads, gateway.now());
         let bytes = serde_json::to_vec(&heartbeat).unwrap_or_default();
         for (address, reach) in due_addresses(&gateway, round) {
-            feed::count_bytes("heartbeat", reach, bytes.len());
+            traffic::count_bytes("heartbeat", reach, bytes.len());
             // A failed send is treated like a lost datagram: the next heartbeat follows.
             let _ = socket.send_to(bytes.clone(), address).await;
         }
@@ -61,5 +61,5 @@
         let is_due = has_begun || round.is_multiple_of(roster.heartbeat_stride(peer));
         is_due && (stands_for_region || peer.region == roster.own().region)
     });
-    due_peers.map(|peer| (peer.peer_address, feed::reach(gateway, &peer.zone))).collect()
+    due_peers.map(|peer| (peer.peer_address, traffic::reach(gateway, &peer.zone))).collect()
 }
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -18,13 +18,11 @@
 use orioleroute::scheduler::message::{Placement, Reason, ToInstance, ToScheduler};
 use orioleroute::scheduler::order::{Order, Outcome, Report};
 use orioleroute::scheduler::overflow::Load;
-use orioleroute::scheduler::{
-    Client, Decision, EngineCheck, Finding, Output, RequestKey, Scheduler,
-};
+use orioleroute::scheduler::{Client, EngineCheck, Finding, Output, RequestKey, Scheduler};
 use slog::{info, warn};
 
 use super::state::Gateway;
-use super::{builds, copies, election, link, orders, origins, quarantine, sync};
+use super::{builds, copies, election, link, orders, origins, quarantine, reporting, sync};
 use crate::quota;
 
 /// How often elections are run.
@@ -39,9 +37,6 @@
 /// The time between two reads of the leaders that confirm this instance as a scheduler after a loss of contact.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// The number of organisations that metrics name; the rest are counted as `other`.
-const MAX_NAMED_ORGANISATIONS: usize = 64;
-
 /// The client id of this instance at its own schedulers.
 pub const LOCAL_CLIENT: Client = Client(0);
 
@@ -57,21 +52,9 @@
     lease: RefCell<Lease>,
     /// When this instance last began to schedule a zone.
     scheduling_since: Cell<Instant>,
-    /// The organisations that metrics name.
-    named_organisations: RefCell<Set<Arc<str>>>,
 }
 
 impl Leadership {
-    /// Returns the name under which metrics count an organisation: its own for the first ones that are counted.
-    fn organisation_label(&self, organisation: Option<&Arc<str>>) -> Arc<str> {
-        let Some(organisation) = organisation else { return "none".into() };
-        let mut named = self.named_organisations.borrow_mut();
-        if named.len() < MAX_NAMED_ORGANISATIONS {
-            named.insert(organisation.clone());
-        }
-        named.get(organisation).cloned().unwrap_or_else(|| "other".into())
-    }
-
     /// Passes a new configuration to the schedulers.
     pub fn configure(&self, configuration: &Arc<Configuration>) {
         for scheduler in self.schedulers.borrow_mut().values_mut() {
@@ -405,7 +388,9 @@
     for output in outputs {
         match (output, zone) {
             (Output::Send(client, message), _) => link::send_to_instance(gateway, client, message),
-            (Output::LogDecision(decision), _) => log_decision(gateway, zone, &decision),
+            (Output::LogDecision(decision), _) => {
+                reporting::report_decision(gateway, zone, &decision);
+            }
             (Output::IssueOrder(address, order), Some(zone)) => {
                 monoio::spawn(orders::issue(gateway.clone(), zone.clone(), address, order));
             }
@@ -443,29 +428,6 @@
     }
 }
 
-fn log_decision(gateway: &Rc<Gateway>, zone: Option<&Arc<str>>, decision: &Decision) {
-    let upstream = decision.upstream.as_deref();
-    let outcome = if upstream.is_some() { "granted" } else { "not granted" };
-    metrics::counter!("orioleroute_placements_total", "reason" => decision.reason).increment(1);
-    if decision.reason == <&str>::from(Reason::OverShare) {
-        let label = gateway.leadership.organisation_label(decision.organisation.as_ref());
-        metrics::counter!("orioleroute_over_share_refusals_total", "organisation" => label.to_string())
-            .increment(1);
-    }
-    let share = decision.share;
-    info!(gateway.log, "placement"; "request" => decision.attempt.as_deref(), "outcome" => outcome,
-        "reason" => decision.reason, "step" => decision.step, "upstream" => upstream,
-        "organisation" => decision.organisation.as_deref(),
-        "due_tokens_s" => share.map(|share| share.due as u64),
-        "granted_tokens_s" => share.map(|share| share.granted as u64),
-        "asked_tokens_s" => share.map(|share| share.asked as u64),
-        "share_age_ms" => share.map(|share| share.age.as_millis() as u64),
-        "zone" => zone.map(|zone| &**zone),
-        "waited_ms" => decision.waited.as_millis() as u64,
-        "expected_ms" => decision.expected.as_millis() as u64,
-        "queue_ms" => decision.queue.as_millis() as u64);
-}
-
 /// Passes the outcome of an order to the scheduler that issued it.
 pub fn handle_order_outcome(
     gateway: &Rc<Gateway>,
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -5,6 +5,8 @@
 use orioleroute::ingress::organisation::Unidentified;
 use orioleroute::ingress::origins::Finding;
 use orioleroute::prelude::*;
+use orioleroute::scheduler::Decision;
+use orioleroute::scheduler::message::Reason;
 use slog::info;
 
 use super::exchange::{Incoming, Loss};
@@ -123,6 +125,31 @@
         "route" => &*route.name, "reason" => reason.to_string(), "version" => version);
 }
 
+/// Reports the decision of a scheduler on a request, with the estimates behind it.
+pub(super) fn report_decision(gateway: &Gateway, zone: Option<&Arc<str>>, decision: &Decision) {
+    let upstream = decision.upstream.as_deref();
+    let outcome = if upstream.is_some() { "granted" } else { "not granted" };
+    metrics::counter!("orioleroute_placements_total", "reason" => decision.reason).increment(1);
+    if decision.reason == <&str>::from(Reason::OverShare) {
+        let label = decision.organisation.as_ref().map(|it| gateway.quotas.label(it));
+        let label = label.as_deref().unwrap_or("none").to_owned();
+        metrics::counter!("orioleroute_over_share_refusals_total", "organisation" => label)
+            .increment(1);
+    }
+    let share = decision.share;
+    info!(gateway.log, "placement"; "request" => decision.attempt.as_deref(), "outcome" => outcome,
+        "reason" => decision.reason, "step" => decision.step, "upstream" => upstream,
+        "organisation" => decision.organisation.as_deref(),
+        "due_tokens_s" => share.map(|share| share.due as u64),
+        "granted_tokens_s" => share.map(|share| share.granted as u64),
+        "asked_tokens_s" => share.map(|share| share.asked as u64),
+        "share_age_ms" => share.map(|share| share.age.as_millis() as u64),
+        "zone" => zone.map(|zone| &**zone),
+        "waited_ms" => decision.waited.as_millis() as u64,
+        "expected_ms" => decision.expected.as_millis() as u64,
+        "queue_ms" => decision.queue.as_millis() as u64);
+}
+
 /// How far a response had come when it was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod shell;
 mod signals;
+mod traffic;
 
 use std::process::ExitCode;
 use std::rc::Rc;
--- a/crates/orioleroute-node/src/quota.rs
+++ b/crates/orioleroute-node/src/quota.rs
@@ -130,7 +130,7 @@
     }
 
     /// Returns the label of an organisation in metrics, of which there are not too many.
-    fn label(&self, organisation: &Arc<str>) -> Arc<str> {
+    pub fn label(&self, organisation: &Arc<str>) -> Arc<str> {
         let mut counted = self.counted.borrow_mut();
         if counted.len() < MAX_COUNTED {
             counted.insert(organisation.clone());
--- a/crates/orioleroute/src/ingress/quota/account.rs
+++ b/crates/orioleroute/src/ingress/quota/account.rs
@@ -207,7 +207,7 @@
         if ahead < self.cost * MIN_PREFETCH_REQUESTS { 0.0 } else { ahead }
     }
 
-    /// Returns whether the lender is to be asked or told something, or to hear that the account is there.
+    /// Returns whether the account has something to ask or tell the lender, or is due to show that it is there.
     fn is_due(&self, now: Instant) -> bool {
         let is_out_of_step = self.balance >= 1.0 || self.ahead(now) > 0.0;
         let is_silent = now.since(self.asked_at) >= CONTACT_INTERVAL;
--- a/crates/orioleroute/src/ingress/quota/lender.rs
+++ b/crates/orioleroute/src/ingress/quota/lender.rs
@@ -11,7 +11,7 @@
 /// The time without a message after which an account counts as silent. Accounts send one every 0.5 s.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
-/// How long a lender that others no longer hear may have gone on, since it may be in contact with some.
+/// How long a lender without contact to most others may have gone on, since it may be in contact with some.
 pub const UNHEARD_TIME: Duration = Duration::from_millis(1_300);
 
 /// The time without a message after which an account is forgotten.
@@ -30,8 +30,8 @@
     /// Whether accounts may have spent since then what they do not owe to this lender.
     counts_former: bool,
     buckets: Map<Arc<str>, Bucket>,
-    /// When each account was last heard.
-    heard: Map<Arc<str>, Instant>,
+    /// When each account last asked.
+    last_contacts: Map<Arc<str>, Instant>,
 }
 
 /// The token bucket of an organisation.
@@ -59,7 +59,7 @@
     /// Returns a lender that nobody preceded since `began`.
     pub fn new(term: u64, began: Instant) -> Self {
         let counts_former = false;
-        Self { term, began, counts_former, buckets: Map::default(), heard: Map::default() }
+        Self { term, began, counts_former, buckets: Map::default(), last_contacts: Map::default() }
     }
 
     /// Returns the lender that follows one that has not lent since a time. What accounts have spent alone meanwhile is counted
@@ -75,8 +75,8 @@
 
     /// Lends to an account what it asks for, as far as the quota allows.
     pub fn lend(&mut self, account: &Arc<str>, loan: &Loan, quota: &Quota, now: Instant) -> Lent {
-        self.heard.insert(account.clone(), now);
-        self.heard.retain(|_, heard| now.since(*heard) < FORGET_TIME);
+        self.last_contacts.insert(account.clone(), now);
+        self.last_contacts.retain(|_, at| now.since(*at) < FORGET_TIME);
         let began = self.began;
         let bucket = self
             .buckets
@@ -88,7 +88,7 @@
         if loan.term == self.term || self.counts_former {
             bucket.level -= loan.overdrawn as f64;
         }
-        bucket.withhold(&self.heard, now);
+        bucket.withhold(&self.last_contacts, now);
         // What was spent alone came from what the bucket got meanwhile, also beyond the burst.
         bucket.level = bucket.level.min(bucket.burst);
         let amount = bucket.amount(loan);
@@ -124,10 +124,10 @@
     }
 
     /// Keeps back what silent accounts may be spending alone.
-    fn withhold(&mut self, heard: &Map<Arc<str>, Instant>, now: Instant) {
-        self.borrowers.retain(|account, _| heard.contains_key(account));
+    fn withhold(&mut self, last_contacts: &Map<Arc<str>, Instant>, now: Instant) {
+        self.borrowers.retain(|account, _| last_contacts.contains_key(account));
         for (account, borrower) in &mut self.borrowers {
-            let silence = heard.get(account).map_or(Duration::ZERO, |heard| now.since(*heard));
+            let silence = last_contacts.get(account).map_or(Duration::ZERO, |at| now.since(*at));
             if silence >= SILENCE {
                 let due = borrower.rate * silence.min(RESERVE_TTL).as_secs_f64();
                 self.level -= due - borrower.withheld;
