--- a/crates/orioleroute/tests/lending/mod.rs
+++ b/crates/orioleroute/tests/lending/mod.rs
@@ -66,7 +66,7 @@
     /// The lenders of zones that decide for themselves.
     own_lenders: Vec<Lender>,
     pub accounts: Vec<Account<Instant>>,
-    /// The accounts that the lender does not hear.
+    /// The accounts whose messages do not reach the lender.
     pub is_cut: [bool; ZONES],
     /// The questions of each account, the last of which may wait for its answer.
     pub questions: [(u64, bool); ZONES],
