--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -49,12 +49,14 @@
         metrics::counter!("orioleroute_responses_lost_total", "cause" => loss.cause()).increment(1);
         metrics::counter!("orioleroute_responses_lost_by_phase_total", "phase" => <&str>::from(phase))
             .increment(1);
+        let usage = self.gateway.retry_usage(&self.service);
         info!(self.gateway.log, "response lost"; "request" => self.attempt.id.as_deref(),
             "upstream" => upstream, "cause" => loss.to_string(), "next" => next,
             "framing" => incoming.map(framing),
             "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event.get(),
             "silent_ms" => self.silence().map(|silence| silence.as_millis() as u64),
             "phase" => <&str>::from(phase), "ran_ms" => ran.as_millis() as u64,
+            "retries" => usage.retries, "retry_limit" => usage.limit as u64,
             "parts" => self.shared_parts(), "content" => format!("{:x}", self.content));
     }
 
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -250,12 +250,23 @@
 
     /// Withdraws one retry of a service, and returns whether one was available.
     pub fn withdraw_retry(&self, service: &Arc<str>) -> bool {
-        let now = self.now();
-        let uptime = now.since(Instant::ZERO);
-        let fixed = self.predecessor.get().usable(self.settings().retry_allowance, uptime);
-        let instances = 1 + self.roster.borrow().peers().count() as u32;
+        let (fixed, instances) = self.shared_retries();
+        let mut retries = self.retries.borrow_mut();
+        retries.entry(service.clone()).or_default().withdraw(fixed, instances, self.now())
+    }
+
+    /// Returns how much of its retries of a service this instance has used.
+    pub fn retry_usage(&self, service: &Arc<str>) -> retry::Usage {
+        let (fixed, instances) = self.shared_retries();
         let mut retries = self.retries.borrow_mut();
-        retries.entry(service.clone()).or_default().withdraw(fixed, instances, now)
+        retries.entry(service.clone()).or_default().usage(fixed, instances, self.now())
+    }
+
+    /// Returns the fixed number of retries that this instance may have a part of, and among how many it is divided.
+    fn shared_retries(&self) -> (u32, u32) {
+        let uptime = self.now().since(Instant::ZERO);
+        let fixed = self.predecessor.get().usable(self.settings().retry_allowance, uptime);
+        (fixed, 1 + self.roster.borrow().peers().count() as u32)
     }
 
     /// Returns what is known of an earlier process of this instance.
--- a/crates/orioleroute/src/retry.rs
+++ b/crates/orioleroute/src/retry.rs
@@ -130,6 +130,15 @@
     spans: VecDeque<Span>,
 }
 
+/// How much of its [`Allowance`] an instance has used.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// The retries in the window.
+    pub retries: u32,
+    /// The most retries that the window may have.
+    pub limit: f64,
+}
+
 /// What an instance counted in one span.
 #[derive(Clone, Copy, Debug, Default)]
 struct Span {
@@ -147,18 +156,23 @@
     /// Withdraws one retry, and returns whether one was available to one of `instances` that together
     /// may make `fixed` retries in the window beyond those that requests earn.
     pub fn withdraw(&mut self, fixed: u32, instances: u32, now: Instant) -> bool {
-        self.current(now);
-        let requests: u32 = self.spans.iter().map(|span| span.requests).sum();
-        let retries: u32 = self.spans.iter().map(|span| span.retries).sum();
-        let part = f64::from(fixed) / f64::from(instances.max(1));
-        let available = f64::from(requests) / ALLOWANCE_REQUESTS_PER_RETRY + part;
-        let has_retry = f64::from(retries) + 1.0 <= available;
+        let Usage { retries, limit } = self.usage(fixed, instances, now);
+        let has_retry = f64::from(retries) + 1.0 <= limit;
         if has_retry {
             self.current(now).retries += 1;
         }
         has_retry
     }
 
+    /// Returns what is used of the window, and what may be, by one of `instances` that share `fixed` retries.
+    pub fn usage(&mut self, fixed: u32, instances: u32, now: Instant) -> Usage {
+        self.current(now);
+        let requests: u32 = self.spans.iter().map(|span| span.requests).sum();
+        let retries = self.spans.iter().map(|span| span.retries).sum();
+        let part = f64::from(fixed) / f64::from(instances.max(1));
+        Usage { retries, limit: f64::from(requests) / ALLOWANCE_REQUESTS_PER_RETRY + part }
+    }
+
     /// Returns a withdrawn retry that was not made.
     pub fn restore(&mut self, now: Instant) {
         let last = self.current(now);
--- a/crates/orioleroute/tests/retry_budget.rs
+++ b/crates/orioleroute/tests/retry_budget.rs
@@ -103,9 +103,8 @@
         let length = ALLOWANCE_WINDOW.as_millis() as usize / STEP_MS as usize;
         let sum = |back: usize| {
             let window = self.steps.iter().rev().skip(back).take(length);
-            window.fold((0, 0), |(all, again), (requests, repeats)| {
-                (all + requests, again + repeats)
-            })
+            window
+                .fold((0, 0), |(all, again), (requests, repeats)| (all + requests, again + repeats))
         };
         let requests = [0, length / 2, length].map(|back| sum(back).0).into_iter().max();
         let allowed = f64::from(requests.unwrap_or_default()) * BUDGET_FRACTION;
