Keep retries within the budget while processes end and clients move

Cause: each instance counted over its own last eleven seconds and could save what a sixth of these requests earned. A window of the budget could so hold what 21 s earn, once a process that had used its savings was started again or others got its clients: 21/60 of the requests, where a fifth is allowed.

Evidence: crates/orioleroute/tests/retry_budget.rs failed in 11 of 12 cases (216 of 212.8 repeats in the first).

Change: 10.5 requests a retry in place of 6, in spans of 250 ms. Two windows together then earn less than the fifth, whatever ends or moves, and no process has to know of another.

--- a/crates/orioleroute/src/retry.rs
+++ b/crates/orioleroute/src/retry.rs
@@ -110,12 +110,14 @@
     }
 }
 
-/// The number of requests that earn one retry in an [`Allowance`]. All instances together may retry a
-/// fifth of the requests; the rest is a margin for requests that are counted in another window.
-pub const ALLOWANCE_REQUESTS_PER_RETRY: f64 = 6.0;
+/// The number of requests that earn one retry in an [`Allowance`]. All instances together may retry a fifth of the requests of
+/// a window. A window can hold the retries that two windows have earned: those that a process saved before it ended, and
+/// those that its clients' requests earn elsewhere. Ten requests a retry keep the two within the fifth, and the rest is for
+/// the last span, of which a part lies beyond the windows.
+pub const ALLOWANCE_REQUESTS_PER_RETRY: f64 = 10.5;
 
 /// The length of the spans in which an [`Allowance`] counts.
-const SPAN: Duration = Duration::from_secs(1);
+const SPAN: Duration = Duration::from_millis(250);
 
 /// The retries of one of several instances that share a budget.
 ///
