Log lost readers, and who loses the store

The log did not say which reader an instance had lost and why, but at the level debug, nor whether an instance that lost the store was a reader and for how many.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -15,7 +15,7 @@
 use orioleroute::prelude::*;
 use orioleroute_wire::http1::socket::Socket;
 use orioleroute_wire::lines::Lines;
-use slog::{debug, info};
+use slog::info;
 use strum::IntoEnumIterator;
 
 use super::state::Gateway;
@@ -116,6 +116,11 @@
         self.is_reader.get() || sources.require_watch(table, jitter, gateway.now())
     }
 
+    /// Returns the number of instances that follow this one.
+    pub fn follower_count(&self) -> usize {
+        self.followers.borrow().len()
+    }
+
     /// Returns whether no reader that is followed has current data.
     pub fn has_no_source(&self) -> bool {
         self.sources.borrow().is_empty()
@@ -331,7 +336,7 @@
             Err(error) => error.to_string(),
         };
         if is_wanted.get() {
-            debug!(gateway.log, "feed lost"; "reader" => &*reader.name, "error" => error);
+            info!(gateway.log, "feed lost"; "reader" => &*reader.name, "error" => error);
             gateway.feed.sources.borrow_mut().record_loss(&reader.name, gateway.now());
             monoio::time::sleep(RETRY_DELAY).await;
         }
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -112,6 +112,7 @@
                 failures += 1;
                 if failures == 1 {
                     warn!(gateway.log, "store lost"; "table" => table.to_string(),
+                        "reader" => feed.is_reader(), "followers" => feed.follower_count(),
                         "error" => error.to_string());
                 }
                 feed.record_failure(table);
