Let a reader that cannot read one table pass on the others

Cause: a reader counted as good by its calls about the upstreams alone, and passed on nothing while its calls about any table failed. Readers whose calls about the operator's table failed kept their role and were offered to followers first; followers that the store serves read for themselves, the others had nobody.

Change: what is current is kept for each table, at the reader, in its messages (table_lost) and at the follower. Heartbeats name the tables that an instance has lately failed to read; such a reader is replaced, also by an instance of which nothing is known, and followers prefer readers that are answered.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -40,6 +40,9 @@
 /// What is in force here and not in the operator's table, as a kind of message in metrics.
 const IN_FORCE: &str = "in_force";
 
+/// That data is not current, as a kind of message in metrics.
+const LOST: &str = "lost";
+
 /// The longest message, in bytes: a whole table of 20,000 upstreams.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
@@ -56,8 +59,10 @@
     is_reader: Cell<bool>,
     /// Whether this instance is to be a reader as soon as the store serves it.
     is_candidate: Cell<bool>,
-    /// The tables whose last call to the store failed.
-    failing: RefCell<Set<Table>>,
+    /// The tables that this instance reads from the store, and how the last call ended.
+    reads: RefCell<Map<Table, Read>>,
+    /// When a call about a table failed last, until one is answered.
+    failed: RefCell<Map<Table, Instant>>,
     /// The number of failed calls to the store.
     failures: Cell<u64>,
     /// The outcomes of the calls about the upstreams.
@@ -66,6 +71,13 @@
     served: Cell<Option<Span>>,
 }
 
+/// How a call to the store ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Read {
+    Answered,
+    Failed,
+}
+
 /// What an update changed.
 pub struct Changes {
     /// The changed rows.
@@ -103,10 +115,10 @@
         self.is_reader.get()
     }
 
-    /// Returns whether this instance has been replaced as a reader because the store does not serve it, and
-    /// has to find out when it does again.
-    pub fn probes_store(&self) -> bool {
-        self.is_candidate.get() && self.access.get() == Access::Failed
+    /// Returns whether this instance has been replaced as a reader because its calls about a table fail, and
+    /// has to find out when they are answered again.
+    pub fn probes_store(&self, table: Table) -> bool {
+        self.is_candidate.get() && self.is_failing(table)
     }
 
     /// Returns whether this instance has to watch a table itself.
@@ -121,9 +133,9 @@
         self.followers.borrow().len()
     }
 
-    /// Returns whether no reader that is followed has current data.
+    /// Returns whether no reader that is followed has current data of the upstreams.
     pub fn has_no_source(&self) -> bool {
-        self.sources.borrow().is_empty()
+        self.sources.borrow().lacks(Table::Upstreams)
     }
 
     /// Returns this instance's access to the store.
@@ -131,9 +143,9 @@
         self.access.get()
     }
 
-    /// Forgets a failed call, because this instance no longer reads the table from the store.
-    pub fn clear_failure(&self, table: Table) {
-        self.failing.borrow_mut().remove(&table);
+    /// Records that this instance does not read the table from the store.
+    pub fn end_reads(&self, table: Table) {
+        self.reads.borrow_mut().remove(&table);
         if table == Table::Upstreams {
             self.access.set(Access::Unused);
         }
@@ -159,7 +171,27 @@
 
     /// Returns whether the last call to the store about a table failed.
     pub fn is_failing(&self, table: Table) -> bool {
-        self.failing.borrow().contains(&table)
+        self.reads.borrow().get(&table) == Some(&Read::Failed)
+    }
+
+    /// Returns whether the last call to the store about a table was answered, and this instance goes on reading it.
+    fn is_current(&self, table: Table) -> bool {
+        self.reads.borrow().get(&table) == Some(&Read::Answered)
+    }
+
+    /// Returns whether a call to the store about any table failed last.
+    fn is_any_failing(&self) -> bool {
+        self.reads.borrow().values().any(|read| *read == Read::Failed)
+    }
+
+    /// Returns the tables about which calls have lately failed.
+    fn unread(&self, now: Instant) -> Vec<Table> {
+        let failed = self.failed.borrow();
+        let has_failed = |table: &Table| {
+            let is_recent = |at: &Instant| now.since(*at) < feed::UNREAD_TIME;
+            self.is_failing(*table) || failed.get(table).is_some_and(is_recent)
+        };
+        Table::iter().filter(has_failed).collect()
     }
 
     /// Returns the number of failed calls to the store. A change shows the tasks that watch other tables
@@ -169,30 +201,32 @@
     }
 
     /// Records a failed call to the store, and notifies the followers.
-    pub fn record_failure(&self, table: Table) {
+    pub fn record_failure(&self, table: Table, now: Instant) {
         if table == Table::Upstreams {
             self.access.set(Access::Failed);
         }
         self.failures.set(self.failures.get() + 1);
-        if self.failing.borrow_mut().insert(table) {
-            self.notify_loss();
+        self.failed.borrow_mut().insert(table, now);
+        if self.reads.borrow_mut().insert(table, Read::Failed) != Some(Read::Failed) {
+            self.notify(&Message::TableLost(table));
         }
     }
 
     /// Notifies the followers that the data of this instance is no longer current.
-    fn notify_loss(&self) {
-        let message: Rc<str> = line(&Message::Lost).into();
-        self.followers.borrow().values().for_each(|follower| send(follower, "lost", &message));
+    fn notify(&self, loss: &Message) {
+        let message: Rc<str> = line(loss).into();
+        self.followers.borrow().values().for_each(|follower| send(follower, LOST, &message));
     }
 
     /// Applies an update that was read from the store, passes it on, and returns what it changed.
     pub fn apply_read(&self, update: &Update, now: Instant) -> Changes {
-        self.failing.borrow_mut().remove(&update.table);
+        self.reads.borrow_mut().insert(update.table, Read::Answered);
+        self.failed.borrow_mut().remove(&update.table);
         if update.table == Table::Upstreams {
             self.access.set(Access::Answered(self.record_served(now)));
         }
         let changes = self.apply(update);
-        if self.is_reader.get() && self.failing.borrow().is_empty() {
+        if self.is_reader.get() {
             self.publish(update);
         }
         // A read follows on what is known, so there is no gap.
@@ -257,10 +291,10 @@
         (!records.is_empty()).then(|| line(&Message::InForce(records)).into())
     }
 
-    /// Sends a new follower what it lacks.
+    /// Sends a new follower what it lacks, and which tables are not current here.
     fn send_initial(&self, follower: &Follower, subscription: &Subscription) {
-        if !self.is_reader.get() || !self.failing.borrow().is_empty() {
-            return send(follower, "lost", &line(&Message::Lost).into());
+        if !self.is_reader.get() {
+            return send(follower, LOST, &line(&Message::Lost).into());
         }
         let projection = Projection::new(follower.zone.clone());
         for (table, replica) in self.replicas.borrow().iter() {
@@ -271,6 +305,9 @@
                 send(follower, (*table).into(), &message);
             }
         }
+        for table in Table::iter().filter(|table| !self.is_current(*table)) {
+            send(follower, LOST, &line(&Message::TableLost(table)).into());
+        }
     }
 }
 
@@ -280,6 +317,7 @@
         let now = gateway.now();
         let feed = &gateway.feed;
         gateway.roster().set_store(feed.access());
+        gateway.roster().set_unread(feed.unread(now));
         let own = gateway.roster().own().name.clone();
         let readers = gateway.roster().readers(now);
         feed.is_candidate.set(gateway.roster().is_reader_candidate(now));
@@ -287,12 +325,12 @@
         if feed.is_reader.replace(is_reader) != is_reader {
             info!(gateway.log, "feed role changed"; "reader" => is_reader);
             if !is_reader {
-                feed.notify_loss();
+                feed.notify(&Message::Lost);
             }
             metrics::gauge!("orioleroute_feed_reader").set(f64::from(u8::from(is_reader)));
         }
         let has_caught_up = now >= Instant::ZERO + feed::CATCH_UP_TIME;
-        let follows = !is_reader || !has_caught_up || !feed.failing.borrow().is_empty();
+        let follows = !is_reader || !has_caught_up || feed.is_any_failing();
         let wanted = match follows {
             true => gateway.roster().sources(SOURCES, now),
             false => Vec::new(),
@@ -387,7 +425,9 @@
                         Ok(changes) => changes,
                         Err(gap) => return gap.to_string(),
                     };
-                    gateway.feed.sources.borrow_mut().record_update(&reader.name, gateway.now());
+                    let mut sources = gateway.feed.sources.borrow_mut();
+                    sources.record_update(&reader.name, update.table, gateway.now());
+                    drop(sources);
                     sync::apply(gateway, update.table, changes);
                 }
                 Ok(Message::InForce(records)) => {
@@ -397,6 +437,14 @@
                     gateway.feed.sources.borrow_mut().record_loss(&reader.name, gateway.now());
                     sync::observe_loss(gateway);
                 }
+                Ok(Message::TableLost(table)) => {
+                    let mut sources = gateway.feed.sources.borrow_mut();
+                    sources.record_table_loss(&reader.name, table, gateway.now());
+                    drop(sources);
+                    if table == Table::Upstreams {
+                        sync::observe_loss(gateway);
+                    }
+                }
                 Err(error) => return error.to_string(),
             }
         }
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -60,11 +60,11 @@
     let mut has_summaries = false;
     loop {
         let feed = &gateway.feed;
-        let probes = table == Table::Upstreams && feed.probes_store();
+        let probes = feed.probes_store(table);
         if feed.version(table).is_some() && !feed.reads_store(&gateway, table) && !probes {
             has_summaries = table == Table::Upstreams;
             failures = 0;
-            feed.clear_failure(table);
+            feed.end_reads(table);
             monoio::time::sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
@@ -115,7 +115,7 @@
                         "reader" => feed.is_reader(), "followers" => feed.follower_count(),
                         "error" => error.to_string());
                 }
-                feed.record_failure(table);
+                feed.record_failure(table, gateway.now());
                 if table == Table::Upstreams {
                     // Meanwhile a reader follows others, which send it summaries.
                     has_summaries = true;
--- a/crates/orioleroute/src/ingress/feed.rs
+++ b/crates/orioleroute/src/ingress/feed.rs
@@ -11,6 +11,7 @@
 //! "Feeds", compares the alternatives.
 
 use serde::{Deserialize, Serialize};
+use strum::IntoEnumIterator;
 
 use super::upstream::Description;
 use crate::hash;
@@ -54,6 +55,10 @@
 /// The longest delay of [`retry_delay`].
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(2_000);
 
+/// How long an instance counts as one that cannot read a table after a call about it has failed, so that it is not made a
+/// reader again at once.
+pub const UNREAD_TIME: Duration = Duration::from_secs(5);
+
 /// The number of removed rows that a replica remembers.
 const MAX_TOMBSTONES: usize = 4_096;
 
@@ -119,8 +124,10 @@
     /// Rows of the operator's table that are in force at the sender although its table has older ones: another
     /// writer or a copy of the store brought those back.
     InForce(Vec<Record>),
-    /// The reader has lost the store, so its data is no longer current.
+    /// The sender has lost the store or is no reader, so its data is not current.
     Lost,
+    /// The sender does not read this table at present, so its data of it is not current.
+    TableLost(Table),
 }
 
 /// A row of the operator's table without its version in the store; its content has one of its own.
@@ -319,42 +326,70 @@
 /// The readers that an instance follows, and when each was last known to be current.
 #[derive(Clone, Debug, Default)]
 pub struct Sources {
-    current: Map<Arc<str>, Instant>,
-    /// When the last source was lost, or `None` if there has been none yet.
-    lost: Option<Instant>,
+    current: Map<Arc<str>, Source>,
+    /// When the last source of each table was lost.
+    lost: Map<Table, Instant>,
+}
+
+/// A reader that an instance follows.
+#[derive(Clone, Debug)]
+struct Source {
+    updated: Instant,
+    /// The tables that it does not read at present.
+    unread: Set<Table>,
 }
 
 impl Sources {
-    /// Records an update from a reader.
-    pub fn record_update(&mut self, reader: &Arc<str>, now: Instant) {
-        self.current.insert(reader.clone(), now);
+    /// Records an update of a table from a reader.
+    pub fn record_update(&mut self, reader: &Arc<str>, table: Table, now: Instant) {
+        let new = || Source { updated: now, unread: Set::default() };
+        let source = self.current.entry(reader.clone()).or_insert_with(new);
+        source.updated = now;
+        source.unread.remove(&table);
     }
 
     /// Records that a reader has lost the store or is no longer followed.
     pub fn record_loss(&mut self, reader: &str, now: Instant) {
-        if self.current.remove(reader).is_some() && self.current.is_empty() {
-            self.lost = Some(now);
+        let Some(source) = self.current.remove(reader) else { return };
+        for table in Table::iter().filter(|table| !source.unread.contains(table)) {
+            self.record_end(table, now);
+        }
+    }
+
+    /// Records that a reader does not read one of the tables.
+    pub fn record_table_loss(&mut self, reader: &str, table: Table, now: Instant) {
+        let source = self.current.get_mut(reader);
+        if source.is_some_and(|source| source.unread.insert(table)) {
+            self.record_end(table, now);
+        }
+    }
+
+    fn record_end(&mut self, table: Table, now: Instant) {
+        if self.lacks(table) {
+            self.lost.insert(table, now);
         }
     }
 
-    /// Returns whether no followed reader has current data.
-    pub fn is_empty(&self) -> bool {
-        self.current.is_empty()
+    /// Returns whether no followed reader has current data of a table.
+    pub fn lacks(&self, table: Table) -> bool {
+        self.current.values().all(|source| source.unread.contains(&table))
     }
 
-    /// Returns the time since the newest update, or `None` if no reader is followed.
+    /// Returns the time since the newest update of any table, or `None` if no reader is followed.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        self.current.values().map(|updated| now.since(*updated)).min()
+        self.current.values().map(|source| now.since(source.updated)).min()
     }
 
     /// Returns whether an instance that is no reader has to watch a table itself, given its own jitter. It
-    /// does so soon after all readers said that they lost the store, and [`SOURCE_TIMEOUT`] after all
+    /// does so soon after all readers said that they lost the table, and [`SOURCE_TIMEOUT`] after all
     /// fell silent. From its start until it has found a reader it watches all tables but the upstreams,
     /// which change with every heartbeat, and these too after [`ELECTION_TIME`].
     pub fn require_watch(&self, table: Table, jitter: Duration, now: Instant) -> bool {
-        match (self.age(now), self.lost) {
+        let readers = self.current.values().filter(|source| !source.unread.contains(&table));
+        let age = readers.map(|source| now.since(source.updated)).min();
+        match (age, self.lost.get(&table)) {
             (Some(age), _) => age >= SOURCE_TIMEOUT + jitter,
-            (None, Some(lost)) => now.since(lost) >= jitter,
+            (None, Some(lost)) => now.since(*lost) >= jitter,
             (None, None) => {
                 table != Table::Upstreams || now >= Instant::ZERO + ELECTION_TIME + jitter
             }
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::access::{Access, Report};
-use super::feed::READERS_PER_REGION;
+use super::feed::{READERS_PER_REGION, Table};
 use crate::hash;
 use crate::prelude::*;
 use crate::scheduler::overflow::{LOAD_TTL, Load};
@@ -59,6 +59,9 @@
     /// The sender's access to the store.
     #[serde(default, skip_serializing_if = "Report::is_unused")]
     pub store: Report,
+    /// The tables that the sender has lately failed to read from the store.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unread: Vec<Table>,
     /// The loads of the availability zones that the sender schedules.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<Load>,
@@ -98,6 +101,8 @@
     is_serving: bool,
     /// The access of this instance to the store.
     store: Access,
+    /// The tables that this instance has lately failed to read.
+    unread: Vec<Table>,
     peers: Map<Arc<str>, Peer>,
     loads: Map<Arc<str>, (Load, Instant)>,
 }
@@ -110,6 +115,7 @@
     incarnations: Incarnations,
     is_serving: bool,
     store: Access,
+    unread: Vec<Table>,
     /// The availability zones that the instance schedules, by its last heartbeat.
     scheduled: Vec<Arc<str>>,
 }
@@ -137,6 +143,34 @@
     }
 }
 
+/// How the store serves an instance, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Service {
+    /// It answers all calls.
+    Whole,
+    /// The instance makes no calls.
+    Unknown,
+    /// Calls about some tables fail.
+    Partial,
+    /// It turns the instance away.
+    Refused,
+}
+
+impl Service {
+    fn of(store: Access, unread: &[Table]) -> Self {
+        match store {
+            Access::Failed => Self::Refused,
+            _ if !unread.is_empty() => Self::Partial,
+            Access::Answered(_) => Self::Whole,
+            Access::Unused => Self::Unknown,
+        }
+    }
+
+    fn is_failing(self) -> bool {
+        matches!(self, Self::Partial | Self::Refused)
+    }
+}
+
 impl Roster {
     /// Returns a roster that contains only the instance `own`.
     pub fn new(own: Member) -> Self {
@@ -144,6 +178,7 @@
             own,
             is_serving: false,
             store: Access::Unused,
+            unread: Vec::new(),
             peers: Map::default(),
             loads: Map::default(),
         }
@@ -164,6 +199,11 @@
         self.store = store;
     }
 
+    /// Sets the tables that this instance has lately failed to read.
+    pub fn set_unread(&mut self, unread: Vec<Table>) {
+        self.unread = unread;
+    }
+
     /// Adds or updates another instance from its entry in the table.
     pub fn upsert(&mut self, member: Member, now: Instant) {
         if member.name == self.own.name {
@@ -179,6 +219,7 @@
                     incarnations: Incarnations::default(),
                     is_serving: true,
                     store: Access::Unused,
+                    unread: Vec::new(),
                     scheduled: Vec::new(),
                 };
                 self.peers.insert(member.name, peer);
@@ -201,6 +242,7 @@
             peer.last_heartbeat = Some(now);
             peer.is_serving = heartbeat.is_serving;
             peer.store = Access::from_report(heartbeat.store, now);
+            peer.unread.clone_from(&heartbeat.unread);
             peer.scheduled = heartbeat.loads.iter().map(|load| load.zone.clone()).collect();
             self.record_loads(&heartbeat.loads, now);
         }
@@ -231,6 +273,7 @@
             incarnation: self.own.incarnation,
             is_serving: self.is_serving,
             store: self.store.report(now),
+            unread: self.unread.clone(),
             loads,
         }
     }
@@ -274,14 +317,21 @@
     /// Returns the instances of this region that are to read the store for the others, the first choice
     /// first: the [candidates](Self::is_reader_candidate), but in place of one whose calls to the store
     /// fail the next instance that the store serves. If it serves none, the candidates remain, so that in an
-    /// outage no others begin to call it.
+    /// outage no others begin to call it. In place of one that cannot read a single table, the next instance
+    /// of which that is not known.
     pub fn readers(&self, now: Instant) -> Vec<Arc<str>> {
         let mut candidates = self.ranked(now);
         let rest = candidates.split_off(READERS_PER_REGION.min(candidates.len()));
         let (failing, mut readers): (Vec<_>, Vec<_>) =
-            candidates.into_iter().partition(|(_, store)| *store == Access::Failed);
-        let served = rest.into_iter().filter(|(_, store)| store.is_answered());
-        readers.extend(served.take(failing.len()));
+            candidates.into_iter().partition(|(_, service)| service.is_failing());
+        let partly = failing.iter().filter(|(_, service)| *service == Service::Partial).count();
+        let (served, unknown): (Vec<_>, Vec<_>) = rest
+            .into_iter()
+            .filter(|(_, service)| !service.is_failing())
+            .partition(|(_, service)| *service == Service::Whole);
+        let missing = failing.len().saturating_sub(served.len()).min(partly);
+        readers.extend(served.into_iter().take(failing.len()));
+        readers.extend(unknown.into_iter().take(missing));
         readers.extend(failing);
         readers.truncate(READERS_PER_REGION);
         readers.into_iter().map(|(member, _)| member.name.clone()).collect()
@@ -294,23 +344,24 @@
     }
 
     /// Returns the instances, at most `count`, from which this one is to get the tables: the readers of its
-    /// region. If the store serves none of them, instances of other regions that it serves come first,
-    /// different ones for each instance.
+    /// region, first those that the store is known to serve. If it serves none of them, instances of other
+    /// regions that it serves come first, different ones for each instance.
     pub fn sources(&self, count: usize, now: Instant) -> Vec<Arc<str>> {
-        let readers = self.readers(now);
-        let own = &self.own.name;
-        let is_failing = |name: &Arc<str>| {
-            let peer = self.peers.get(name);
-            peer.map_or(self.store, |peer| peer.store) == Access::Failed
+        let service = |name: &Arc<str>| match self.peers.get(name) {
+            Some(peer) => Service::of(peer.store, &peer.unread),
+            None => Service::of(self.store, &self.unread),
         };
+        let mut readers = self.readers(now);
+        let own = &self.own.name;
         let is_cut_off = match readers.is_empty() {
-            true => self.store == Access::Failed,
-            false => readers.iter().all(is_failing),
+            true => Service::of(self.store, &self.unread).is_failing(),
+            false => readers.iter().all(|name| service(name).is_failing()),
         };
         let remote = match is_cut_off {
             true => self.served_elsewhere(now),
             false => Vec::new(),
         };
+        readers.sort_by_key(service);
         let near = readers.into_iter().filter(|reader| reader != own);
         remote.into_iter().chain(near).take(count).collect()
     }
@@ -321,7 +372,7 @@
         let served = self.peers.values().filter(|peer| {
             peer.member.region != self.own.region
                 && peer.is_serving
-                && peer.store.is_answered()
+                && Service::of(peer.store, &peer.unread) == Service::Whole
                 && self.has_recent_heartbeat(peer, SUSPECT_INTERVALS, now)
         });
         let mut ranked: Vec<(f64, &Member)> = served
@@ -331,21 +382,23 @@
         ranked.into_iter().map(|(_, member)| member.name.clone()).collect()
     }
 
-    /// Returns the serving instances of this region with their access to the store, ranked by rendezvous
+    /// Returns the serving instances of this region with how the store serves them, ranked by rendezvous
     /// hashing weighted by capacity, so that all instances agree and few change places when one fails.
-    fn ranked(&self, now: Instant) -> Vec<(&Member, Access)> {
+    fn ranked(&self, now: Instant) -> Vec<(&Member, Service)> {
         let peers = self.peers.values().filter(|peer| {
             peer.member.region == self.own.region
                 && peer.is_serving
                 && self.has_recent_heartbeat(peer, SUSPECT_INTERVALS, now)
         });
-        let own = self.is_serving.then_some((&self.own, self.store));
+        let own = self.is_serving.then(|| (&self.own, Service::of(self.store, &self.unread)));
         let item = hash::digest(&*self.own.region);
-        let members = own.into_iter().chain(peers.map(|peer| (&peer.member, peer.store)));
-        let mut ranked: Vec<(f64, (&Member, Access))> = members
-            .map(|(member, store)| {
+        let peers = peers.map(|peer| (&peer.member, Service::of(peer.store, &peer.unread)));
+        let mut ranked: Vec<(f64, (&Member, Service))> = own
+            .into_iter()
+            .chain(peers)
+            .map(|(member, service)| {
                 let node = hash::digest(&*member.name);
-                (hash::score(item, node, member.capacity.max(1)), (member, store))
+                (hash::score(item, node, member.capacity.max(1)), (member, service))
             })
             .collect();
         ranked.sort_by(|(score, _), (other, _)| other.total_cmp(score));
--- a/crates/orioleroute/tests/feed.rs
+++ b/crates/orioleroute/tests/feed.rs
@@ -319,8 +319,8 @@
 #[test]
 fn one_silent_source_of_two_costs_nothing() {
     let mut sources = Sources::default();
-    sources.record_update(&"r1".into(), at(10_000));
-    sources.record_update(&"r2".into(), at(12_000));
+    sources.record_update(&"r1".into(), Table::Upstreams, at(10_000));
+    sources.record_update(&"r2".into(), Table::Upstreams, at(12_000));
 
     assert!(!sources.require_watch(Table::Upstreams, Duration::ZERO, at(13_000)));
     assert!(sources.require_watch(Table::Upstreams, Duration::ZERO, at(12_000) + SOURCE_TIMEOUT));
@@ -329,7 +329,7 @@
 #[test]
 fn sources_that_have_lost_the_store_are_replaced_at_once_but_not_by_all_at_once() {
     let mut sources = Sources::default();
-    sources.record_update(&"r1".into(), at(10_000));
+    sources.record_update(&"r1".into(), Table::Upstreams, at(10_000));
     sources.record_loss("r1", at(10_100));
 
     assert!(sources.require_watch(Table::Upstreams, Duration::ZERO, at(10_100)));
@@ -409,6 +409,7 @@
                 incarnation: 1,
                 is_serving: true,
                 store: report.map(|(_, report)| *report).unwrap_or_default(),
+                unread: Vec::new(),
                 loads: Vec::new(),
             };
             roster.record_heartbeat(&heartbeat, now);
@@ -462,6 +463,46 @@
     assert_eq!(in_outage.readers(now), before, "the store serves nobody");
 }
 
+/// The readers are answered about the upstreams, and their calls about the operator's table fail: they cannot pass on a
+/// configuration, and nobody is known to read that table.
+#[test]
+fn readers_that_cannot_read_one_table_are_replaced_by_instances_that_may() {
+    let now = at(60_000);
+    let mut roster = roster(64, 65, &[], now);
+    let before = roster.readers(now);
+    for reader in &before {
+        let heartbeat = Heartbeat {
+            name: reader.clone(),
+            incarnation: 1,
+            is_serving: true,
+            store: SERVED,
+            unread: vec![Table::Operator],
+            loads: Vec::new(),
+        };
+        roster.record_heartbeat(&heartbeat, now);
+    }
+
+    let after = roster.readers(now);
+
+    assert_eq!(after.len(), READERS_PER_REGION);
+    assert!(after.iter().all(|reader| !before.contains(reader)), "{after:?}");
+}
+
+/// A reader that reads only some tables is a source of these.
+#[test]
+fn a_source_that_does_not_read_a_table_is_replaced_for_that_table_alone() {
+    let mut sources = Sources::default();
+    sources.record_update(&"r1".into(), Table::Upstreams, at(10_000));
+    sources.record_table_loss("r1", Table::Operator, at(10_100));
+
+    assert!(sources.require_watch(Table::Operator, Duration::ZERO, at(10_100)));
+    assert!(!sources.require_watch(Table::Upstreams, Duration::ZERO, at(10_100)));
+
+    sources.record_update(&"r1".into(), Table::Operator, at(10_200));
+
+    assert!(!sources.require_watch(Table::Operator, Duration::ZERO, at(10_300)));
+}
+
 /// The store serves no instance of the region.
 #[test]
 fn a_region_that_is_cut_off_gets_the_tables_from_another_one() {
@@ -490,6 +531,7 @@
         incarnation: 1,
         is_serving: true,
         store: SERVED,
+        unread: Vec::new(),
         loads: Vec::new(),
     };
     roster.record_heartbeat(&heartbeat, now);
--- a/crates/orioleroute/tests/ingress.rs
+++ b/crates/orioleroute/tests/ingress.rs
@@ -48,6 +48,7 @@
         incarnation: 1,
         is_serving,
         store: Report::Unused,
+        unread: Vec::new(),
         loads: Vec::new(),
     }
 }
--- a/crates/orioleroute/tests/order_lease.rs
+++ b/crates/orioleroute/tests/order_lease.rs
@@ -86,6 +86,7 @@
             incarnation: 1,
             is_serving: true,
             store: Report::Unused,
+            unread: Vec::new(),
             loads: Vec::new(),
         };
         roster.record_heartbeat(&heartbeat, last_heard);
