Do not cut calls to the store while their answers arrive

Cause: a call to the store had 1.5 s, and a watch after a failure 0.7 s, for the whole answer.

A store that falls silent is noticed as soon as before.

--- a/crates/orioleroute-wire/src/client.rs
+++ b/crates/orioleroute-wire/src/client.rs
@@ -48,6 +48,18 @@
     }
 }
 
+/// The time limits of a call whose response may be large. A transfer that makes progress is not cut short, because the next
+/// one would take as long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The longest time to the head of the response.
+    pub head: Duration,
+    /// The longest time between two parts of its body.
+    pub part: Duration,
+    /// The longest time for the whole body.
+    pub body: Duration,
+}
+
 /// A request to send, with builder methods for its parts.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -148,6 +160,37 @@
         }
     }
 
+    /// Sends a request and reads the complete response within these limits.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Pool::call`] does, and at [`Step::Head`] or [`Step::Body`] when a limit expires.
+    pub async fn call_limited(
+        &self,
+        peer: SocketAddr,
+        call: Call,
+        limits: Limits,
+    ) -> Result<Answer, Error> {
+        let expired = |step| Error::new(step, peer, "timed out");
+        let opened = monoio::time::timeout(limits.head, self.open(peer, call)).await;
+        let mut incoming = opened.unwrap_or_else(|_| Err(expired(Step::Head)))?;
+        let collected = monoio::time::timeout(limits.body, async {
+            let mut body = Vec::new();
+            while let Some(part) = monoio::time::timeout(limits.part, incoming.next())
+                .await
+                .map_err(|_| expired(Step::Body))?
+            {
+                body.extend_from_slice(&part?);
+                if body.len() > MAX_ANSWER_BYTES {
+                    return Err(incoming.fail(Cut::TooLong(MAX_ANSWER_BYTES)));
+                }
+            }
+            Ok(body)
+        });
+        let body = collected.await.unwrap_or_else(|_| Err(expired(Step::Body)))?;
+        Ok(Answer { status: incoming.status, headers: incoming.headers, body: body.into() })
+    }
+
     /// Sends a request and reads the complete response within `limit`, unless `check` returns false once
     /// the connection is open, right before the request is written.
     ///
