Pass large configurations on in packed form, and merge updates

Cause: a reader sent each version whole to each follower, 737 KB for 1,450 routes. On a link of 10 Mbit/s that is 0.6 s a follower; connections timed out (TCP_USER_TIMEOUT, 1 s a message), and the transfer began anew. What waited for a follower was never merged.

--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -8,8 +8,8 @@
 use orioleroute::ingress::Version;
 use orioleroute::ingress::access::{Access, Span};
 use orioleroute::ingress::feed::{
-    self, Message, Projection, Replica, Row, SOURCES, Sources, Subscription, Table, ToReader,
-    Update,
+    self, Message, Outbox, Outgoing, Projection, Replica, Row, SOURCES, Sources, Subscription,
+    Table, ToReader, Update,
 };
 use orioleroute::ingress::roster::Member;
 use orioleroute::prelude::*;
@@ -20,6 +20,7 @@
 
 use super::state::Gateway;
 use super::sync;
+use crate::line::{self, Line};
 use crate::traffic;
 
 /// How often an instance checks whether it is a reader and whom it follows.
@@ -31,9 +32,12 @@
 /// How long a connection to a reader may be silent before it is replaced.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
-/// The longest wait for a follower to read a message.
+/// The longest wait for a follower to read a part of a message.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// The size of such a part, in bytes.
+const PART_BYTES: usize = 16 << 10;
+
 /// The pause after a lost connection.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -101,7 +105,39 @@
 /// An instance that follows this one.
 struct Follower {
     zone: Arc<str>,
-    queue: mpsc::unbounded::Tx<(&'static str, Rc<str>)>,
+    outbox: Rc<RefCell<Outbox<Addressed>>>,
+    /// Wakes the task that sends what is in the outbox.
+    wake: mpsc::unbounded::Tx<()>,
+}
+
+/// A message and its kind in metrics.
+#[derive(Clone)]
+struct Addressed {
+    kind: &'static str,
+    line: Rc<Line>,
+}
+
+impl Addressed {
+    fn new(kind: &'static str, message: &Message) -> Self {
+        Self { kind, line: Rc::new(Line::of(message)) }
+    }
+}
+
+impl Follower {
+    fn send(&self, message: Addressed) {
+        self.outbox.borrow_mut().push(message);
+        self.wake();
+    }
+
+    fn send_update(&self, table: Table, after: Option<u64>, message: Addressed) {
+        self.outbox.borrow_mut().push_update(table, after, message);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        // Fails if the follower's task has ended, which removes the follower.
+        let _ = self.wake.send(());
+    }
 }
 
 impl Feed {
@@ -214,8 +250,8 @@
 
     /// Notifies the followers that the data of this instance is no longer current.
     fn notify(&self, loss: &Message) {
-        let message: Rc<str> = line(loss).into();
-        self.followers.borrow().values().for_each(|follower| send(follower, LOST, &message));
+        let message = Addressed::new(LOST, loss);
+        self.followers.borrow().values().for_each(|follower| follower.send(message.clone()));
     }
 
     /// Applies an update that was read from the store, passes it on, and returns what it changed.
@@ -260,55 +296,62 @@
 
     fn publish(&self, update: &Update) {
         let followers = self.followers.borrow();
-        let mut messages: Map<Arc<str>, Rc<str>> = Map::default();
+        let mut messages: Map<Arc<str>, Addressed> = Map::default();
         for follower in followers.values() {
             let message = messages.entry(follower.zone.clone()).or_insert_with(|| {
                 let mut projections = self.projections.borrow_mut();
                 let projection = projections
                     .entry(follower.zone.clone())
                     .or_insert_with(|| Projection::new(follower.zone.clone()));
-                line(&Message::Update(projection.apply(update))).into()
+                let message = Message::Update(projection.apply(update));
+                Addressed::new(update.table.into(), &message)
             });
-            send(follower, update.table.into(), message);
+            follower.send_update(update.table, update.after, message.clone());
         }
     }
 
     /// Sends the followers what is in force here and is not in the operator's table.
     pub fn publish_in_force(&self, gateway: &Gateway) {
         if let Some(message) = self.in_force(gateway) {
-            self.followers.borrow().values().for_each(|it| send(it, IN_FORCE, &message));
+            self.followers.borrow().values().for_each(|it| it.send(message.clone()));
         }
     }
 
     /// Returns the message about what is in force here and is not in the operator's table, if there is such.
-    fn in_force(&self, gateway: &Gateway) -> Option<Rc<str>> {
+    fn in_force(&self, gateway: &Gateway) -> Option<Addressed> {
         let replicas = self.replicas.borrow();
         let table = replicas.get(&Table::Operator);
         let records = gateway.in_force(|record| {
             let row = table.and_then(|table| table.row(&record.key));
             row.is_none_or(|row| row.value.as_ref() != Some(&record.value))
         });
-        (!records.is_empty()).then(|| line(&Message::InForce(records)).into())
+        (!records.is_empty()).then(|| Addressed::new(IN_FORCE, &Message::InForce(records)))
     }
 
     /// Sends a new follower what it lacks, and which tables are not current here.
     fn send_initial(&self, follower: &Follower, subscription: &Subscription) {
         if !self.is_reader.get() {
-            return send(follower, LOST, &line(&Message::Lost).into());
+            return follower.send(Addressed::new(LOST, &Message::Lost));
         }
-        let projection = Projection::new(follower.zone.clone());
-        for (table, replica) in self.replicas.borrow().iter() {
-            let known = subscription.versions.iter().find(|(known, _)| known == table);
-            let update = replica.since(*table, known.map(|(_, version)| *version));
-            if let Some(update) = update {
-                let message = line(&Message::Update(projection.project(&update))).into();
-                send(follower, (*table).into(), &message);
+        for table in Table::iter() {
+            let known = subscription.versions.iter().find(|(known, _)| *known == table);
+            let after = known.map(|(_, version)| *version);
+            if let Some(message) = self.changes(table, after, &follower.zone) {
+                follower.send_update(table, after, message);
             }
         }
         for table in Table::iter().filter(|table| !self.is_current(*table)) {
-            send(follower, LOST, &line(&Message::TableLost(table)).into());
+            follower.send(Addressed::new(LOST, &Message::TableLost(table)));
         }
     }
+
+    /// Returns all changes to a table after a version for the followers of a zone, or the whole table.
+    fn changes(&self, table: Table, after: Option<u64>, zone: &Arc<str>) -> Option<Addressed> {
+        let replicas = self.replicas.borrow();
+        let update = replicas.get(&table)?.since(table, after)?;
+        let update = Projection::new(zone.clone()).project(&update);
+        Some(Addressed::new(table.into(), &Message::Update(update)))
+    }
 }
 
 /// Decides repeatedly whether this instance is a reader and whom it follows, forever.
@@ -392,8 +435,9 @@
     let subscription = Subscription {
         zone: gateway.roster().own().zone.clone(),
         versions: Table::iter().filter_map(known).collect(),
+        unpacks: true,
     };
-    let message = line(&ToReader::Subscribe(subscription));
+    let message = Line::of(&ToReader::Subscribe(subscription)).text(false);
     if let Err(error) = socket.write(message.as_bytes()).await {
         return error.to_string();
     }
@@ -403,7 +447,7 @@
     while is_wanted.get() {
         loop {
             let message = match lines.take(&mut socket.input) {
-                Ok(Some(line)) => serde_json::from_slice(&line),
+                Ok(Some(line)) => decode(&line),
                 Ok(None) => break,
                 Err(error) => return error.to_string(),
             };
@@ -445,7 +489,8 @@
                         sync::observe_loss(gateway);
                     }
                 }
-                Err(error) => return error.to_string(),
+                Ok(Message::Packed(_)) => return "a packed message within another".into(),
+                Err(error) => return error,
             }
         }
         match monoio::time::timeout(IDLE_TIMEOUT, socket.fill()).await {
@@ -458,44 +503,62 @@
     "no longer followed".into()
 }
 
+/// Decodes a message, and unpacks it if it is packed.
+fn decode(line: &[u8]) -> Result<Message, String> {
+    let message = serde_json::from_slice(line).map_err(|error| error.to_string())?;
+    let Message::Packed(packed) = message else { return Ok(message) };
+    let text = line::unpack(&packed, MAX_MESSAGE_BYTES).map_err(|error| error.to_string())?;
+    serde_json::from_slice(&text).map_err(|error| error.to_string())
+}
+
 /// Serves a follower until its connection ends.
 pub async fn serve(gateway: Rc<Gateway>, mut socket: Socket, subscription: Subscription) {
     let feed = &gateway.feed;
     let reach = traffic::reach(&gateway, &subscription.zone);
-    let (queue, mut messages) = mpsc::unbounded::channel();
-    let follower = Follower { zone: subscription.zone.clone(), queue };
+    let (wake, mut woken) = mpsc::unbounded::channel();
+    let (zone, unpacks) = (subscription.zone.clone(), subscription.unpacks);
+    let outbox: Rc<RefCell<Outbox<Addressed>>> = Rc::default();
+    let follower = Follower { zone: zone.clone(), outbox: outbox.clone(), wake };
     if let Some(message) = feed.in_force(&gateway) {
-        send(&follower, IN_FORCE, &message);
+        follower.send(message);
     }
     feed.send_initial(&follower, &subscription);
     let id = feed.next_follower.get();
     feed.next_follower.set(id + 1);
     feed.followers.borrow_mut().insert(id, follower);
     loop {
-        let message = monoio::select! {
-            message = messages.recv() => message,
+        let is_awake = monoio::select! {
+            woken = woken.recv() => woken.is_some(),
             // A follower sends nothing after its subscription, so this is the end of the connection.
-            _ = socket.fill() => None,
+            _ = socket.fill() => false,
+        };
+        if !is_awake {
+            break;
+        }
+        // Merged updates leave more wakes than messages.
+        let Some(outgoing) = outbox.borrow_mut().pop() else { continue };
+        let message = match outgoing {
+            Outgoing::Other(message) | Outgoing::Update { message, .. } => Some(message),
+            Outgoing::Changes { table, after } => feed.changes(table, after, &zone),
         };
-        let Some((kind, message)) = message else { break };
+        let Some(Addressed { kind, line }) = message else { continue };
+        let text = line.text(unpacks);
         metrics::counter!("orioleroute_feed_updates_sent_total").increment(1);
-        traffic::count_bytes(kind, reach, message.len());
-        let written = monoio::time::timeout(WRITE_TIMEOUT, socket.write(message.as_bytes())).await;
-        if !matches!(written, Ok(Ok(()))) {
+        traffic::count_bytes(kind, reach, text.len());
+        if !write_in_parts(&mut socket, text.as_bytes()).await {
             break;
         }
     }
     feed.followers.borrow_mut().remove(&id);
 }
 
-fn send(follower: &Follower, kind: &'static str, message: &Rc<str>) {
-    // Fails if the follower's task has ended, which removes the follower.
-    let _ = follower.queue.send((kind, message.clone()));
-}
-
-fn line(message: &impl serde::Serialize) -> String {
-    // Serializing to a string fails only for maps with non-string keys, which no message contains.
-    let mut line = serde_json::to_string(message).unwrap_or_default();
-    line.push('\n');
-    line
+/// Writes a message that may be large, and returns whether the follower has read on all the while.
+async fn write_in_parts(socket: &mut Socket, message: &[u8]) -> bool {
+    for part in message.chunks(PART_BYTES) {
+        let written = monoio::time::timeout(WRITE_TIMEOUT, socket.write(part)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            return false;
+        }
+    }
+    true
 }
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -7,6 +7,7 @@
 mod engines;
 mod events;
 mod gateway;
+mod line;
 mod log;
 mod meter;
 mod operators;
--- a/crates/orioleroute/tests/feed.rs
+++ b/crates/orioleroute/tests/feed.rs
@@ -8,8 +8,8 @@
 
 use orioleroute::ingress::access::{Access, Report};
 use orioleroute::ingress::feed::{
-    MAX_JITTER, Projection, READERS_PER_REGION, Replica, Row, SOURCE_TIMEOUT, SOURCES, Sources,
-    Table, Update, jitter, retry_delay,
+    MAX_JITTER, Outbox, Outgoing, Projection, READERS_PER_REGION, Replica, Row, SOURCE_TIMEOUT,
+    SOURCES, Sources, Table, Update, jitter, retry_delay,
 };
 use orioleroute::ingress::roster::{Heartbeat, Member, Roster};
 use orioleroute::ingress::upstream::{Description, Model, Revision, State};
@@ -542,3 +542,25 @@
     assert_eq!(before, Vec::<Arc<str>>::new());
     assert_eq!(roster.sources(SOURCES, now), [remote.name]);
 }
+
+/// A reader's link carries less than its followers need: each later version would arrive later than the one before.
+#[test]
+fn updates_for_a_follower_that_lags_are_merged() {
+    let mut outbox = Outbox::default();
+    outbox.push_update(Table::Operator, Some(3), "3 to 4");
+    outbox.push_update(Table::Upstreams, Some(3), "upstreams");
+    outbox.push("lost");
+
+    outbox.push_update(Table::Operator, Some(4), "4 to 5");
+    outbox.push_update(Table::Operator, Some(5), "5 to 6");
+
+    let sent: Vec<_> = std::iter::from_fn(|| outbox.pop()).collect();
+    assert_eq!(
+        sent,
+        [
+            Outgoing::Update { table: Table::Upstreams, after: Some(3), message: "upstreams" },
+            Outgoing::Other("lost"),
+            Outgoing::Changes { table: Table::Operator, after: Some(3) },
+        ]
+    );
+}
