Reach upstreams by way of another instance when the path is lost

Cause: elections, look-ups and heartbeats asked whether an instance is alive, and nothing whether it reaches upstreams. A cut instance tried one upstream after the other and refused, while look-ups went on naming it; the schedulers of all three zones were cut off and kept their office, so that no order arrived for twelve seconds.

Change: an instance that cannot connect to three upstreams of a service, and to none in between, sends its requests by way of a sibling, which passes on the bytes of the connection. If an upstream answers that way, the path is lost and not the upstream: heartbeats say so, look-ups name others, schedulers hand over, and checks blame no engine.

--- /dev/null
+++ b/crates/orioleroute-node/src/detour.rs
@@ -0,0 +1,263 @@
+//! Connections to upstreams by way of another instance, for as long as this one has lost its own path to them.
+//!
+//! Only the bytes of the connection pass the other instance. What is sent to whom, how often and under whose permit is decided
+//! where the client is connected, as without a detour. The other instance connects directly, so that there is one hop at
+//! most. `docs/design/detours.md` weighs the ways.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use orioleroute::ingress::path::{FromSibling, ToSibling};
+use orioleroute::prelude::*;
+use orioleroute::scheduler::Reply;
+use orioleroute_wire::connect::Options;
+use orioleroute_wire::frames;
+use orioleroute_wire::http1::socket::Socket;
+use orioleroute_wire::lines::Lines;
+use slog::{info, warn};
+
+use crate::gateway::{Gateway, Target, quarantine};
+use crate::line::Line;
+
+/// The longest wait for a connection. A round trip between regions takes 24 ms; a lost packet costs
+/// another second, and trying another upstream is faster than that.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long an upstream may acknowledge nothing before a connection to it is closed. A sound one may be silent for two
+/// seconds.
+const ACK_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// The longest wait for the reply of another instance, which connects meanwhile.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The number of other instances that are asked for one connection.
+const MAX_SIBLINGS: usize = 4;
+
+/// The longest reply, in bytes.
+const MAX_REPLY_BYTES: usize = 1 << 10;
+
+/// How many bytes of a peer wait for the other one before no more are read.
+const MAX_WAITING_BYTES: usize = 64 << 10;
+
+/// The way that a connection takes to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// This instance has connected to it.
+    Direct,
+    /// Another instance has connected to it.
+    Detour,
+}
+
+/// Connects to an upstream, by way of another instance if this one has lost its path.
+///
+/// # Errors
+///
+/// Fails if the upstream cannot be reached. Nothing has been sent then.
+pub async fn connect(gateway: &Rc<Gateway>, target: &Target) -> Result<(Socket, Way), String> {
+    let is_doubted = || gateway.path(&target.service).is_doubted();
+    if !is_doubted() {
+        match connect_directly(gateway, target).await {
+            Ok(socket) => return Ok((socket, Way::Direct)),
+            Err(error) if !is_doubted() => return Err(error),
+            Err(_) => {}
+        }
+    }
+    Ok((connect_by_sibling(gateway, &target.id).await?, Way::Detour))
+}
+
+/// Records whether an upstream has answered on a new connection. That somebody accepts one shows nothing.
+pub fn observe(gateway: &Gateway, target: &Target, way: Way, is_answered: bool) {
+    match (way, is_answered) {
+        (Way::Direct, true) => {
+            if gateway.path(&target.service).record_reached() {
+                info!(gateway.log, "path to upstreams regained"; "service" => &*target.service,
+                    "upstream" => &*target.id);
+                set_cut_off(gateway);
+            }
+        }
+        (Way::Direct, false) => record_unreachable(gateway, target),
+        (Way::Detour, true) => {
+            if gateway.path(&target.service).record_detour() {
+                warn!(gateway.log, "path to upstreams lost"; "service" => &*target.service,
+                    "upstream" => &*target.id);
+            }
+        }
+        (Way::Detour, false) => {}
+    }
+}
+
+/// Looks again whether paths are lost, from time to time. Requests do not show it: they take the detour, and clients are sent
+/// elsewhere.
+pub fn probe_if_due(gateway: &Rc<Gateway>) {
+    for service in gateway.take_due_probes() {
+        let target = {
+            let registry = gateway.registry();
+            let of_service = || registry.iter().filter(|it| it.service == service);
+            let number = gateway.now().as_micros() as usize % of_service().count().max(1);
+            of_service().nth(number).map(Target::from)
+        };
+        if let Some(target) = target {
+            monoio::spawn(probe(gateway.clone(), target));
+        }
+    }
+}
+
+/// Looks whether an upstream can be reached whose report this instance has not got.
+pub fn probe_unreported(gateway: &Rc<Gateway>, upstream: &str) {
+    let target = gateway.registry().get(upstream).map(Target::from);
+    let Some(target) = target else { return };
+    if gateway.path(&target.service).take_early_probe(gateway.now()) {
+        monoio::spawn(probe(gateway.clone(), target));
+    }
+}
+
+/// Asks an upstream who it is, and by way of another instance if the path is doubted. The other instances learn that this one is
+/// cut off once a probe fails although answers arrive by way of another.
+async fn probe(gateway: Rc<Gateway>, target: Target) {
+    let is_answered = |reply: Reply| matches!(reply, Reply::Answered(_) | Reply::Misdirected);
+    let reply = quarantine::ask_identity(&gateway, &target).await;
+    observe(&gateway, &target, Way::Direct, is_answered(reply));
+    let (is_doubted, is_lost) = {
+        let path = gateway.path(&target.service);
+        (path.is_doubted(), path.is_lost())
+    };
+    if is_lost {
+        set_cut_off(&gateway);
+    } else if is_doubted && let Ok(socket) = connect_by_sibling(&gateway, &target.id).await {
+        let reply = quarantine::ask_identity_over(&gateway, socket, &target).await;
+        observe(&gateway, &target, Way::Detour, is_answered(reply));
+    }
+}
+
+/// Records that an upstream could not be connected to.
+pub fn record_unreachable(gateway: &Gateway, target: &Target) {
+    let listed = {
+        let registry = gateway.registry();
+        registry.iter().filter(|it| it.service == target.service).count()
+    };
+    let mut path = gateway.path(&target.service);
+    if path.record_unreachable(&target.id, listed, gateway.now()) {
+        gateway.connections.clear();
+        warn!(gateway.log, "path to upstreams doubted"; "service" => &*target.service,
+            "upstream" => &*target.id);
+    }
+}
+
+async fn connect_directly(gateway: &Gateway, target: &Target) -> Result<Socket, String> {
+    let options = Options { ack_timeout: ACK_TIMEOUT, ..Options::default() };
+    let connected = Socket::connect_with(target.address, CONNECT_TIMEOUT, options).await;
+    connected.map_err(|error| {
+        record_unreachable(gateway, target);
+        error.to_string()
+    })
+}
+
+async fn connect_by_sibling(gateway: &Gateway, upstream: &Arc<str>) -> Result<Socket, String> {
+    let siblings: Vec<(Arc<str>, SocketAddr)> = {
+        let roster = gateway.roster();
+        let detours = roster.detours(gateway.now()).into_iter().take(MAX_SIBLINGS);
+        detours.map(|it| (it.name.clone(), it.peer_address)).collect()
+    };
+    let mut error = "no other instance reaches it".to_owned();
+    for (name, address) in siblings {
+        let opened = monoio::time::timeout(REPLY_TIMEOUT, open(address, upstream)).await;
+        let (outcome, opened) = match opened {
+            Ok(Ok((FromSibling::Opened, socket))) => ("opened", Some(socket)),
+            Ok(Ok((FromSibling::Unreachable, _))) => ("unreachable", None),
+            Ok(Ok((FromSibling::Unlisted, _))) => ("unlisted", None),
+            Ok(Ok((FromSibling::CutOff, _))) => ("cut_off", None),
+            Ok(Err(_)) | Err(_) => ("sibling_lost", None),
+        };
+        metrics::counter!("orioleroute_detours_total", "outcome" => outcome).increment(1);
+        if let Some(socket) = opened {
+            return Ok(socket);
+        }
+        error = format!("{outcome} at {name}");
+        if outcome == "unreachable" {
+            break;
+        }
+    }
+    Err(error)
+}
+
+/// Tells the other instances in the next heartbeat whether this one is cut off.
+fn set_cut_off(gateway: &Gateway) {
+    let is_cut_off = gateway.is_cut_off();
+    gateway.roster().set_cut_off(is_cut_off);
+    metrics::gauge!("orioleroute_path_lost").set(f64::from(u8::from(is_cut_off)));
+}
+
+/// Asks another instance for a connection to an upstream.
+async fn open(sibling: SocketAddr, upstream: &Arc<str>) -> std::io::Result<(FromSibling, Socket)> {
+    let options = Options { ack_timeout: ACK_TIMEOUT, ..Options::default() };
+    let mut socket = Socket::connect_with(sibling, CONNECT_TIMEOUT, options).await?;
+    let line = Line::of(&ToSibling::Open(upstream.clone())).text(false);
+    socket.write(line.as_bytes()).await?;
+    let mut lines = Lines::new(MAX_REPLY_BYTES);
+    loop {
+        let line = lines.take(&mut socket.input).map_err(std::io::Error::other)?;
+        if let Some(line) = line {
+            socket.expect_frames();
+            return Ok((serde_json::from_slice(&line)?, socket));
+        }
+        if socket.fill().await? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
+/// Connects another instance to an upstream, and passes bytes on until either of the two connections ends.
+pub async fn serve(gateway: Rc<Gateway>, mut sibling: Socket, upstream: Arc<str>) {
+    let target = gateway.registry().get(&upstream).map(Target::from);
+    let connected = match target {
+        Some(target) if gateway.path(&target.service).is_doubted() => Err(FromSibling::CutOff),
+        Some(target) => {
+            let connected = connect_directly(&gateway, &target).await;
+            connected.map_err(|_| FromSibling::Unreachable)
+        }
+        None => Err(FromSibling::Unlisted),
+    };
+    let reply = connected.as_ref().map_or_else(|error| *error, |_| FromSibling::Opened);
+    let line = Line::of(&reply).text(false);
+    // The instance that asked sees the end of the connection in any case.
+    if sibling.write(line.as_bytes()).await.is_ok()
+        && let Ok(upstream) = connected
+    {
+        let _ = pass_on(sibling, upstream).await;
+    }
+}
+
+/// Passes bytes on in both directions, those of the upstream in frames. Returns once the upstream's have ended and are
+/// written, or an error if either connection is lost or the other instance closes its own.
+async fn pass_on(mut sibling: Socket, mut upstream: Socket) -> std::io::Result<()> {
+    let (mut to_sibling, mut to_upstream) = (Bytes::new(), Bytes::new());
+    let mut has_ended = false;
+    loop {
+        if to_upstream.is_empty() {
+            to_upstream = sibling.input.split().freeze();
+        }
+        if to_sibling.is_empty() && (has_ended || !upstream.input.is_empty()) {
+            let mut framed = Vec::with_capacity(upstream.input.len() + 8);
+            frames::encode(&upstream.input.split(), &mut framed);
+            if has_ended {
+                frames::encode_end(&mut framed);
+                sibling.write(&framed).await?;
+                return sibling.shutdown().await;
+            }
+            to_sibling = framed.into();
+        }
+        let may_read_sibling = sibling.input.len() < MAX_WAITING_BYTES || !to_sibling.is_empty();
+        let may_read_upstream = upstream.input.len() < MAX_WAITING_BYTES || !to_upstream.is_empty();
+        monoio::select! {
+            read = sibling.write_or_fill(&mut to_sibling), if may_read_sibling => {
+                if read? == Some(0) {
+                    return Err(std::io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+            read = upstream.write_or_fill(&mut to_upstream), if may_read_upstream && !has_ended => {
+                has_ended = read? == Some(0);
+            }
+        }
+    }
+}
--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -8,6 +8,7 @@
 use orioleroute::ingress::feed::Table;
 use orioleroute::ingress::isolation::Isolation;
 use orioleroute::ingress::leaders::Leader;
+use orioleroute::ingress::roster::Roster;
 use orioleroute::prelude::*;
 use orioleroute_platform::store::{Commit, Write};
 use slog::{debug, warn};
@@ -98,7 +99,7 @@
             monoio::spawn(step_down_from(gateway.clone(), zone));
             continue;
         }
-        let is_vacant = is_vacant(gateway, &zone, now);
+        let is_vacant = is_vacant(gateway, &zone, now) && is_capable(&gateway.roster(), now);
         let mut vacant_since = gateway.leadership.timers.vacant_since.borrow_mut();
         match is_vacant {
             false => {
@@ -116,13 +117,16 @@
     }
 }
 
-/// Returns whether this instance schedules a zone other than its own while an instance in that zone has
-/// been serving for at least [`HANDOVER_DELAY`].
+/// Returns whether this instance schedules a zone although it reaches no upstream and another instance does, or a zone other
+/// than its own while an instance in that zone has been serving for at least [`HANDOVER_DELAY`].
 fn should_hand_over(gateway: &Rc<Gateway>, zone: &Arc<str>, now: Instant) -> bool {
     let roster = gateway.roster();
     let is_held = gateway.leadership.fencing_token(zone).is_some();
+    if is_held && !is_capable(&roster, now) {
+        return true;
+    }
     let is_outside = *roster.own().zone != **zone;
-    let mut successors = roster.serving(now).into_iter();
+    let mut successors = roster.capable(now).into_iter();
     let is_handover_due = is_held && is_outside && successors.any(|member| member.zone == *zone);
     let mut handover_due_since = gateway.leadership.timers.handover_due_since.borrow_mut();
     if !is_handover_due {
@@ -160,6 +164,12 @@
     }
 }
 
+/// Returns whether this instance can schedule a zone as well as others could.
+fn is_capable(roster: &Roster, now: Instant) -> bool {
+    let own = &roster.own().name;
+    !roster.is_cut_off(own) || roster.capable(now).iter().any(|it| it.name == *own)
+}
+
 /// Returns how long this instance waits before it takes over a zone, so that better-ranked candidates
 /// go first. Instances in the zone rank before others; within both groups, the order is by rendezvous
 /// hashing weighted by capacity.
@@ -173,7 +183,7 @@
     let confirmation = if leader.is_some() { VACANCY_CONFIRMATION } else { Duration::ZERO };
     let item = hash::digest(zone);
     let mut candidates: Vec<_> = roster
-        .serving(now)
+        .capable(now)
         .into_iter()
         .map(|member| {
             let is_outside = *member.zone != *zone;
--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -2,24 +2,20 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
+use orioleroute::ingress::upstream::Description;
 use orioleroute::prelude::*;
 use orioleroute_platform::ingress::Connection;
-use orioleroute_wire::connect::Options;
 use orioleroute_wire::http1::head::{self, Response};
 use orioleroute_wire::http1::incoming::{self, Cut};
 use orioleroute_wire::http1::socket::Socket;
 use orioleroute_wire::sse::Broken;
 
-/// The longest wait for a connection. A round trip between regions takes 24 ms; a lost packet costs
-/// another second, and trying another upstream is faster than that.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-
-/// How long an upstream may acknowledge nothing before a connection to it is closed. A sound one may be silent for two
-/// seconds.
-const ACK_TIMEOUT: Duration = Duration::from_millis(2_500);
+use super::state::Gateway;
+use crate::detour;
 
 /// The most idle connections kept open to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 8;
@@ -39,10 +35,19 @@
 pub struct Target {
     /// The id of the upstream.
     pub id: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
     /// The address for requests.
     pub address: SocketAddr,
 }
 
+impl From<&Description> for Target {
+    fn from(upstream: &Description) -> Self {
+        let Description { id, service, address, .. } = upstream.clone();
+        Self { id, service, address }
+    }
+}
+
 /// A request to send to an upstream.
 pub struct Outgoing<'a> {
     /// The method.
@@ -127,23 +132,26 @@
     /// Fails if the upstream is unreachable, closes the connection early or sends a malformed head.
     pub async fn send(
         &self,
+        gateway: &Rc<Gateway>,
         target: &Target,
         request: Outgoing<'_>,
-        now: Instant,
     ) -> Result<Incoming, Failure> {
+        let now = gateway.now();
         let max_idle = if request.is_repeatable { Duration::MAX } else { NON_REPEATABLE_MAX_IDLE };
-        let (socket, connection) = match self.take_idle(&target.id, max_idle, now) {
-            Some(socket) => (socket, Connection::Reused),
+        let (socket, way) = match self.take_idle(&target.id, max_idle, now) {
+            Some(socket) => (socket, None),
             None => {
-                let options = Options { ack_timeout: ACK_TIMEOUT, ..Options::default() };
-                let socket = Socket::connect_with(target.address, CONNECT_TIMEOUT, options)
-                    .await
-                    .map_err(|error| Failure::Unreachable(error.to_string()))?;
-                (socket, Connection::New)
+                let connected = detour::connect(gateway, target).await;
+                let (socket, way) = connected.map_err(Failure::Unreachable)?;
+                (socket, Some(way))
             }
         };
-        let response =
-            incoming::Incoming::receive(socket, encode(&request), request.method).await?;
+        let received = incoming::Incoming::receive(socket, encode(&request), request.method).await;
+        if let Some(way) = way {
+            detour::observe(gateway, target, way, received.is_ok());
+        }
+        let response = received?;
+        let connection = if way.is_some() { Connection::New } else { Connection::Reused };
         Ok(Incoming { response, target: target.clone(), connection })
     }
 
@@ -168,6 +176,11 @@
         kept.push(idle);
     }
 
+    /// Closes all connections that are not in use.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes connections to upstreams that are no longer listed, and those that were idle for too long.
     pub fn prune(&self, is_listed: impl Fn(&str) -> bool, now: Instant) {
         self.idle.borrow_mut().retain(|id, kept| {
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -23,7 +23,7 @@
 
 use super::state::Gateway;
 use super::{builds, copies, election, link, orders, origins, quarantine, reporting, sync};
-use crate::quota;
+use crate::{detour, quota};
 
 /// How often elections are run.
 pub const ELECTION_INTERVAL: Duration = Duration::from_millis(250);
@@ -154,6 +154,7 @@
         gateway.leadership.observe_contact(&gateway, now);
         tick(&gateway);
         sync::expire_upstreams(&gateway);
+        detour::probe_if_due(&gateway);
         if now >= next_election {
             next_election = now + ELECTION_INTERVAL;
             election::elect(&gateway);
--- a/crates/orioleroute-node/src/gateway/link.rs
+++ b/crates/orioleroute-node/src/gateway/link.rs
@@ -8,6 +8,7 @@
 use local_sync::mpsc;
 use monoio::net::TcpListener;
 use orioleroute::ingress::feed::{Subscription, ToReader};
+use orioleroute::ingress::path::ToSibling;
 use orioleroute::prelude::*;
 use orioleroute::scheduler::Client;
 use orioleroute::scheduler::message::{Reason, ToInstance, ToScheduler};
@@ -20,6 +21,7 @@
 
 use super::state::Gateway;
 use super::{feed, leadership, quarantine, turned_away};
+use crate::detour;
 
 /// The longest wait for a connection to a scheduler; a round trip between regions takes 24 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -273,11 +275,12 @@
     peer: SocketAddr,
     mut reservation: Reservation,
 ) {
-    let first = take_subscription(&mut socket, &mut reservation);
+    let first = take_first(&mut socket, &mut reservation);
     let first = monoio::time::timeout(FIRST_LINE_TIMEOUT, first).await;
     match first.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
-        Ok(Some(subscription)) => return feed::serve(gateway, socket, subscription).await,
-        Ok(None) => {}
+        Ok(First::Subscription(it)) => return feed::serve(gateway, socket, it).await,
+        Ok(First::Detour(upstream)) => return detour::serve(gateway, socket, upstream).await,
+        Ok(First::Message) => {}
         Err(error) => {
             debug!(gateway.log, "peer lost"; "peer" => peer.to_string(), "error" => error.to_string());
             return;
@@ -391,21 +394,30 @@
     }
 }
 
-/// Waits for the first line of a connection and, if it is the subscription of a follower, removes and
-/// returns it. Any other line remains in the input.
-async fn take_subscription(
-    socket: &mut Socket,
-    reservation: &mut Reservation,
-) -> std::io::Result<Option<Subscription>> {
+/// What a connection of another instance is for.
+enum First {
+    /// It follows this instance.
+    Subscription(Subscription),
+    /// It wants to reach this upstream.
+    Detour(Arc<str>),
+    /// It sends messages to a scheduler, of which the first remains in the input.
+    Message,
+}
+
+/// Waits for the first line of a connection, which shows what it is for.
+async fn take_first(socket: &mut Socket, reservation: &mut Reservation) -> std::io::Result<First> {
     loop {
         if let Some(end) = socket.input.iter().position(|byte| *byte == b'\n') {
-            let Ok(ToReader::Subscribe(subscription)) =
-                serde_json::from_slice(&socket.input[..end])
-            else {
-                return Ok(None);
+            let line = &socket.input[..end];
+            let first = if let Ok(ToReader::Subscribe(it)) = serde_json::from_slice(line) {
+                First::Subscription(it)
+            } else if let Ok(ToSibling::Open(upstream)) = serde_json::from_slice(line) {
+                First::Detour(upstream)
+            } else {
+                return Ok(First::Message);
             };
             let _ = socket.input.split_to(end + 1);
-            return Ok(Some(subscription));
+            return Ok(first);
         }
         hold_input(reservation, socket).map_err(|_| std::io::ErrorKind::OutOfMemory)?;
         if socket.input.len() > MAX_LINE_BYTES || socket.fill().await? == 0 {
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -22,7 +22,7 @@
 mod pauses;
 mod permit;
 mod placement;
-mod quarantine;
+pub mod quarantine;
 mod relaying;
 mod reporting;
 mod response;
@@ -45,6 +45,7 @@
 use slog::info;
 use strum::IntoEnumIterator;
 
+pub use exchange::Target;
 pub use leadership::lending_token;
 pub use link::{SchedulerHandle, scheduler_of, send_to_instance};
 pub use settings::Settings;
--- a/crates/orioleroute-node/src/gateway/orders.rs
+++ b/crates/orioleroute-node/src/gateway/orders.rs
@@ -11,6 +11,7 @@
 
 use super::state::Gateway;
 use super::{election, leadership};
+use crate::detour;
 
 /// The longest wait for the response to an order or to a report request of an engine in this region. A
 /// lost order blocks the engine's next ones for this time, and issuing it again is safe.
@@ -58,6 +59,7 @@
         Err(error) => {
             debug!(gateway.log, "report request failed"; "upstream" => &*upstream,
                 "error" => error.to_string());
+            detour::probe_unreported(&gateway, &upstream);
             None
         }
     };
--- a/crates/orioleroute-node/src/gateway/quarantine.rs
+++ b/crates/orioleroute-node/src/gateway/quarantine.rs
@@ -23,10 +23,12 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
+use super::exchange::Target;
 use super::leadership;
 use super::link::{self, SchedulerHandle};
 use super::state::Gateway;
 use super::sync::CLUSTER_TABLE;
+use crate::detour;
 
 /// The key prefix of the rows with the reports of the zones' schedulers.
 pub const REPORT_PREFIX: &str = "suspects/";
@@ -316,11 +318,13 @@
     check: EngineCheck,
 ) {
     let mut replies = Vec::new();
+    let (id, service) = (check.upstream.clone(), check.service.clone());
+    let target = Target { id, service, address };
     let finding = loop {
         if replies.last() == Some(&Reply::Closed) {
             monoio::time::sleep(CLOSED_DELAY).await;
         }
-        replies.push(ask_identity(&gateway, address, &check).await);
+        replies.push(ask_identity(&gateway, &target).await);
         if let Some(finding) = check.judge(&replies) {
             break finding;
         }
@@ -332,17 +336,24 @@
     leadership::handle_check(&gateway, &zone, &check, finding);
 }
 
-/// Asks who listens at the address of an upstream.
-async fn ask_identity(gateway: &Gateway, address: SocketAddr, check: &EngineCheck) -> Reply {
-    let socket = match Socket::connect(address, CHECK_TIMEOUT).await {
-        Ok(socket) => socket,
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Reply::Refused,
-        Err(error) if error.kind() == ErrorKind::TimedOut => return Reply::TimedOut,
+/// Asks who listens at the address of an upstream. That it cannot be reached says nothing while this instance has no path to
+/// the others of its service either.
+pub async fn ask_identity(gateway: &Gateway, target: &Target) -> Reply {
+    let reply = match Socket::connect(target.address, CHECK_TIMEOUT).await {
+        Ok(socket) => return ask_identity_over(gateway, socket, target).await,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => Reply::Refused,
+        Err(error) if error.kind() == ErrorKind::TimedOut => Reply::TimedOut,
         // An error of this instance.
         Err(_) => return Reply::Unclear,
     };
+    detour::record_unreachable(gateway, target);
+    if gateway.path(&target.service).is_doubted() { Reply::Unclear } else { reply }
+}
+
+/// Asks on this connection who an upstream is.
+pub async fn ask_identity_over(gateway: &Gateway, socket: Socket, target: &Target) -> Reply {
     let service = gateway.configuration().and_then(|configuration| {
-        let service = configuration.services.get(&check.service)?;
+        let service = configuration.services.get(&target.service)?;
         Some((service.engine.is_some(), service.health_path.clone()))
     });
     let health_path = match service {
@@ -350,9 +361,9 @@
         Some((false, Some(path))) => Some(path),
         Some((false, None)) | None => return Reply::Unclear,
     };
-    let call = engine::identity_request(&check.upstream, health_path.as_deref());
+    let call = engine::identity_request(&target.id, health_path.as_deref());
     let pool = Pool::resetting();
-    let answered = pool.call_over(socket, address, call);
+    let answered = pool.call_over(socket, target.address, call);
     match monoio::time::timeout(CHECK_TIMEOUT, answered).await {
         Ok(Ok(answer)) => engine::identity_reply(&answer),
         Ok(Err(error)) if error.step == Step::Check => Reply::Unclear,
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -8,13 +8,13 @@
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
 use orioleroute::hash::Map;
-use orioleroute::ingress::Configuration;
 use orioleroute::ingress::deadline::DeadlineTracker;
 use orioleroute::ingress::feed::Record;
 use orioleroute::ingress::health::Health;
 use orioleroute::ingress::registry::Registry;
 use orioleroute::ingress::roster::{Member, Roster};
 use orioleroute::ingress::upstream::Announcement;
+use orioleroute::ingress::{Configuration, Path};
 use orioleroute::prelude::*;
 use orioleroute::retry;
 use orioleroute_platform::store::Store;
@@ -88,6 +88,7 @@
     registry: RefCell<Registry>,
     roster: RefCell<Roster>,
     health: RefCell<Map<Arc<str>, Health>>,
+    paths: RefCell<Map<Arc<str>, Path>>,
     retries: RefCell<Map<Arc<str>, retry::Allowance>>,
     predecessor: Cell<retry::Predecessor>,
     adapter_versions: RefCell<Map<AdapterKey, u64>>,
@@ -135,6 +136,7 @@
             registry: RefCell::default(),
             roster: RefCell::new(Roster::new(own)),
             health: RefCell::default(),
+            paths: RefCell::default(),
             retries: RefCell::default(),
             predecessor: Cell::default(),
             adapter_versions: RefCell::default(),
@@ -207,6 +209,36 @@
         self.health.borrow_mut()
     }
 
+    /// Returns what is known of this instance's path to the upstreams of a service.
+    pub fn path(&self, service: &Arc<str>) -> RefMut<'_, Path> {
+        let paths = self.paths.borrow_mut();
+        RefMut::map(paths, |paths| paths.entry(service.clone()).or_default())
+    }
+
+    /// Returns the services of which a probe of the path is due, and counts the probes as made.
+    pub fn take_due_probes(&self) -> Vec<Arc<str>> {
+        let mut paths = self.paths.borrow_mut();
+        let due = paths
+            .iter_mut()
+            .filter_map(|(service, path)| path.take_probe(self.now()).then(|| service.clone()));
+        due.collect()
+    }
+
+    /// Returns whether this instance can do little for clients and nothing for engines: its path to the upstreams of a service
+    /// with engines is lost, or that to the upstreams of all services.
+    pub fn is_cut_off(&self) -> bool {
+        let Some(configuration) = self.configuration() else { return false };
+        let paths = self.paths.borrow();
+        let lost = |service: &Arc<str>| paths.get(service).is_some_and(Path::is_lost);
+        let has_engine = |service: &Arc<str>| {
+            configuration.services.get(service).is_some_and(|service| service.engine.is_some())
+        };
+        let registry = self.registry.borrow();
+        let mut services = registry.iter().map(|upstream| &upstream.service);
+        paths.keys().any(|service| lost(service) && has_engine(service))
+            || registry.iter().next().is_some() && services.all(lost)
+    }
+
     /// Returns the newest announced version of an adapter.
     pub fn version(&self, model: &Arc<str>, adapter: &Arc<str>) -> Option<u64> {
         self.adapter_versions.borrow().get(&(model.clone(), adapter.clone())).copied()
--- a/crates/orioleroute-node/src/gateway/tries.rs
+++ b/crates/orioleroute-node/src/gateway/tries.rs
@@ -42,7 +42,11 @@
             self.report_departed(&permit);
             return TryOutcome::NotRun(permit, RunResult::Departed { list_version });
         }
-        let target = Target { id: permit.upstream.clone(), address: permit.address };
+        let target = Target {
+            id: permit.upstream.clone(),
+            service: self.service.clone(),
+            address: permit.address,
+        };
         let outgoing = Outgoing {
             method: &self.inbound.head.method,
             target: &self.inbound.head.target,
@@ -51,8 +55,7 @@
             is_repeatable: self.route.is_repeatable(),
         };
         self.possible_runs.set(self.possible_runs.get() + 1);
-        let now = self.gateway.now();
-        match self.gateway.connections.send(&target, outgoing, now).await {
+        match self.gateway.connections.send(self.gateway, &target, outgoing).await {
             Ok(incoming) => self.classify(permit, incoming),
             Err(Failure::Unreachable(_)) => {
                 self.possible_runs.set(self.possible_runs.get() - 1);
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -4,6 +4,7 @@
 //! `orioleroute` makes the decisions; this program provides its sockets, timers and log.
 
 mod callers;
+mod detour;
 mod engines;
 mod events;
 mod gateway;
--- a/crates/orioleroute-wire/src/http1/socket.rs
+++ b/crates/orioleroute-wire/src/http1/socket.rs
@@ -15,6 +15,7 @@
 use monoio::time::Sleep;
 
 use crate::connect::{Options, connect};
+use crate::frames;
 
 /// The size of the buffer for one read, in bytes.
 const READ_BYTES: usize = 4 << 10;
@@ -36,6 +37,8 @@
     ready_reads: u32,
     /// The pause after too many reads in a row, while it lasts.
     pause: Option<Pin<Box<Sleep>>>,
+    /// The frames in which the input arrives, if the peer passes it on for another one.
+    frames: Option<frames::Decoder>,
     /// Input that has been received but not parsed yet.
     pub input: BytesMut,
 }
@@ -71,7 +74,16 @@
 
     fn new(stream: TcpStream) -> Result<Self> {
         let io = stream.into_poll_io()?;
-        Ok(Self { io, ready_reads: 0, pause: None, input: BytesMut::new() })
+        Ok(Self { io, ready_reads: 0, pause: None, frames: None, input: BytesMut::new() })
+    }
+
+    /// Takes the input out of frames from now on, those received already included. A connection that ends without the last
+    /// frame counts as lost.
+    pub fn expect_frames(&mut self) {
+        let received = std::mem::take(&mut self.input);
+        let mut frames = frames::Decoder::default();
+        frames.decode(&received, &mut self.input);
+        self.frames = Some(frames);
     }
 
     /// Reads more input and returns the number of bytes read; 0 if the peer has closed its side.
@@ -170,17 +182,32 @@
         }
         self.input.reserve(READ_BYTES);
         let mut buffer = [0_u8; READ_BYTES];
-        let mut read = ReadBuf::new(&mut buffer);
-        match Pin::new(&mut self.io).poll_read(context, &mut read) {
-            Poll::Ready(Ok(())) => {
-                self.ready_reads += 1;
-                self.input.extend_from_slice(read.filled());
-                Poll::Ready(Ok(read.filled().len()))
+        loop {
+            if self.frames.as_ref().is_some_and(frames::Decoder::has_ended) {
+                return Poll::Ready(Ok(0));
             }
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending => {
-                self.ready_reads = 0;
-                Poll::Pending
+            let mut read = ReadBuf::new(&mut buffer);
+            match Pin::new(&mut self.io).poll_read(context, &mut read) {
+                Poll::Ready(Ok(())) => {
+                    self.ready_reads += 1;
+                    let Some(frames) = &mut self.frames else {
+                        self.input.extend_from_slice(read.filled());
+                        return Poll::Ready(Ok(read.filled().len()));
+                    };
+                    if read.filled().is_empty() {
+                        return Poll::Ready(Err(ErrorKind::UnexpectedEof.into()));
+                    }
+                    let before = self.input.len();
+                    frames.decode(read.filled(), &mut self.input);
+                    if self.input.len() > before {
+                        return Poll::Ready(Ok(self.input.len() - before));
+                    }
+                }
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending => {
+                    self.ready_reads = 0;
+                    return Poll::Pending;
+                }
             }
         }
     }
--- a/crates/orioleroute-wire/src/lib.rs
+++ b/crates/orioleroute-wire/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod client;
 pub mod connect;
 mod error;
+pub mod frames;
 pub mod http1;
 pub mod lines;
 pub mod rpc;
--- /dev/null
+++ b/crates/orioleroute/src/ingress/path.rs
@@ -0,0 +1,119 @@
+//! Whether an instance has lost its path to the upstreams of a service.
+//!
+//! Load pattern: a firewall or a broken link parts single instances, or a whole availability zone, from all upstreams for
+//! seconds, while clients, the store and the other instances reach them. Each of their requests would try one upstream after
+//! the other. What they see of an upstream says nothing about it then: several upstreams that cannot be connected to, and
+//! none that can, are taken for a lost path, and requests go by way of another instance. Only if that one reaches an upstream is
+//! the path known to be lost, rather than the upstreams.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// The first message of a connection between two instances on which a request goes to an upstream. The bytes of the request
+/// follow the reply.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "method", content = "params", rename_all = "snake_case")]
+pub enum ToSibling {
+    /// Asks for a connection to an upstream, by its id.
+    Open(Arc<str>),
+}
+
+/// The reply to [`ToSibling`]. The upstream's bytes follow [`Opened`](Self::Opened) in frames.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "method", rename_all = "snake_case")]
+pub enum FromSibling {
+    /// The upstream is connected.
+    Opened,
+    /// The upstream cannot be connected to from there either.
+    Unreachable,
+    /// No such upstream is listed there.
+    Unlisted,
+    /// The other instance reaches no upstream itself.
+    CutOff,
+}
+
+/// How many upstreams have to be unreachable in a row for the path to be doubted.
+const MIN_UNREACHABLE: usize = 3;
+
+/// How long an upstream counts as unreachable.
+const FAILURE_TTL: Duration = Duration::from_secs(3);
+
+/// The time between two probes of a path that is doubted.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time between two probes of a path that is not doubted, but over which a scheduler gets no reports.
+const EARLY_PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What connecting to upstreams has shown of the path to them.
+#[derive(Clone, Debug, Default)]
+pub struct Path {
+    /// When a path that is not doubted may be probed again.
+    next_early_probe: Instant,
+    /// When upstreams were found unreachable, since one was reached.
+    unreachable: Map<Arc<str>, Instant>,
+    doubt: Option<Doubt>,
+}
+
+/// Since several upstreams could not be reached.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    next_probe: Instant,
+    /// Whether another instance has reached an upstream meanwhile.
+    is_confirmed: bool,
+}
+
+impl Path {
+    /// Records that an upstream, one of `listed`, could not be connected to. Returns whether the path is doubted since.
+    pub fn record_unreachable(&mut self, upstream: &Arc<str>, listed: usize, now: Instant) -> bool {
+        self.unreachable.insert(upstream.clone(), now);
+        self.unreachable.retain(|_, at| now.since(*at) < FAILURE_TTL);
+        let is_new =
+            self.doubt.is_none() && self.unreachable.len() >= MIN_UNREACHABLE.min(listed.max(1));
+        if is_new {
+            self.doubt = Some(Doubt { next_probe: now + PROBE_INTERVAL, is_confirmed: false });
+        }
+        is_new
+    }
+
+    /// Records that a connection to an upstream was established. Returns whether the path was known to be lost.
+    pub fn record_reached(&mut self) -> bool {
+        self.unreachable.clear();
+        self.doubt.take().is_some_and(|doubt| doubt.is_confirmed)
+    }
+
+    /// Records that another instance has reached an upstream. Returns whether the path is known to be lost since.
+    pub fn record_detour(&mut self) -> bool {
+        let Some(doubt) = &mut self.doubt else { return false };
+        !std::mem::replace(&mut doubt.is_confirmed, true)
+    }
+
+    /// Returns whether requests are to go by way of another instance.
+    pub fn is_doubted(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    /// Returns whether the path is lost although upstreams can be reached.
+    pub fn is_lost(&self) -> bool {
+        self.doubt.is_some_and(|doubt| doubt.is_confirmed)
+    }
+
+    /// Returns whether a path that is not doubted may be probed, and counts the probe as made.
+    pub fn take_early_probe(&mut self, now: Instant) -> bool {
+        let is_due = self.doubt.is_none() && now >= self.next_early_probe;
+        if is_due {
+            self.next_early_probe = now + EARLY_PROBE_INTERVAL;
+        }
+        is_due
+    }
+
+    /// Returns whether a probe of a doubted path is due, and counts it as made.
+    pub fn take_probe(&mut self, now: Instant) -> bool {
+        let Some(doubt) = &mut self.doubt else { return false };
+        let is_due = now >= doubt.next_probe;
+        if is_due {
+            doubt.next_probe = now + PROBE_INTERVAL;
+        }
+        is_due
+    }
+}
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -62,6 +62,9 @@
     /// The tables that the sender has lately failed to read from the store.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub unread: Vec<Table>,
+    /// Whether the sender reaches no upstream although others do.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_cut_off: bool,
     /// The loads of the availability zones that the sender schedules.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<Load>,
@@ -103,6 +106,8 @@
     store: Access,
     /// The tables that this instance has lately failed to read.
     unread: Vec<Table>,
+    /// Whether this instance reaches no upstream although others do.
+    is_cut_off: bool,
     peers: Map<Arc<str>, Peer>,
     loads: Map<Arc<str>, (Load, Instant)>,
 }
@@ -116,6 +121,7 @@
     is_serving: bool,
     store: Access,
     unread: Vec<Table>,
+    is_cut_off: bool,
     /// The availability zones that the instance schedules, by its last heartbeat.
     scheduled: Vec<Arc<str>>,
 }
@@ -179,6 +185,7 @@
             is_serving: false,
             store: Access::Unused,
             unread: Vec::new(),
+            is_cut_off: false,
             peers: Map::default(),
             loads: Map::default(),
         }
@@ -204,6 +211,44 @@
         self.unread = unread;
     }
 
+    /// Sets whether this instance reaches no upstream although others do.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
+    }
+
+    /// Returns whether an instance reaches no upstream although others do, by its last heartbeat.
+    pub fn is_cut_off(&self, name: &str) -> bool {
+        match *name == *self.own.name {
+            true => self.is_cut_off,
+            false => self.peers.get(name).is_some_and(|peer| peer.is_cut_off),
+        }
+    }
+
+    /// Returns the instances that can take on duties towards upstreams: of the [serving](Self::serving) ones those that are
+    /// not cut off, or all if all are.
+    pub fn capable(&self, now: Instant) -> Vec<&Member> {
+        let serving = self.serving(now);
+        let connected = || serving.iter().copied().filter(|it| !self.is_cut_off(&it.name));
+        if connected().next().is_some() { connected().collect() } else { serving }
+    }
+
+    /// Returns the other instances by way of which this one may reach upstreams, the nearest first and otherwise in an
+    /// order of its own.
+    pub fn detours(&self, now: Instant) -> Vec<&Member> {
+        let item = hash::digest(&*self.own.name);
+        let mut detours: Vec<&Member> = self
+            .serving(now)
+            .into_iter()
+            .filter(|it| it.name != self.own.name && !self.is_cut_off(&it.name))
+            .collect();
+        let score = |it: &Member| hash::score(item, hash::digest(&*it.name), it.capacity.max(1));
+        detours.sort_by(|one, other| {
+            let distance = |it: &Member| (it.region != self.own.region, it.zone != self.own.zone);
+            distance(one).cmp(&distance(other)).then(score(other).total_cmp(&score(one)))
+        });
+        detours
+    }
+
     /// Adds or updates another instance from its entry in the table.
     pub fn upsert(&mut self, member: Member, now: Instant) {
         if member.name == self.own.name {
@@ -220,6 +265,7 @@
                     is_serving: true,
                     store: Access::Unused,
                     unread: Vec::new(),
+                    is_cut_off: false,
                     scheduled: Vec::new(),
                 };
                 self.peers.insert(member.name, peer);
@@ -243,6 +289,7 @@
             peer.is_serving = heartbeat.is_serving;
             peer.store = Access::from_report(heartbeat.store, now);
             peer.unread.clone_from(&heartbeat.unread);
+            peer.is_cut_off = heartbeat.is_cut_off;
             peer.scheduled = heartbeat.loads.iter().map(|load| load.zone.clone()).collect();
             self.record_loads(&heartbeat.loads, now);
         }
@@ -274,6 +321,7 @@
             is_serving: self.is_serving,
             store: self.store.report(now),
             unread: self.unread.clone(),
+            is_cut_off: self.is_cut_off,
             loads,
         }
     }
@@ -458,13 +506,18 @@
     }
 
     /// Returns the addresses for a client in `region`: those of the serving instances of the region,
-    /// or of all regions if it has none. The list is empty if no instance is serving.
+    /// or of all regions if it has none. Those that reach no upstream are left out if others do. The list is
+    /// empty if no instance is serving.
     pub fn addresses(&self, region: &str, now: Instant) -> Vec<SocketAddr> {
         let own = self.is_serving.then_some(&self.own);
         let peers = self.peers.values().filter(|peer| {
             peer.is_serving && self.has_recent_heartbeat(peer, SUSPECT_INTERVALS, now)
         });
-        let serving: Vec<&Member> = own.into_iter().chain(peers.map(|peer| &peer.member)).collect();
+        let mut serving: Vec<&Member> =
+            own.into_iter().chain(peers.map(|peer| &peer.member)).collect();
+        if serving.iter().any(|member| !self.is_cut_off(&member.name)) {
+            serving.retain(|member| !self.is_cut_off(&member.name));
+        }
         let near = serving.iter().filter(|member| *member.region == *region);
         let mut addresses: Vec<SocketAddr> = near.map(|member| member.caller_address).collect();
         if addresses.is_empty() {
@@ -475,6 +528,7 @@
                 member.region != self.own.region
                     && regions.contains(&*member.region)
                     && !serving.iter().any(|known| known.name == member.name)
+                    && !self.is_cut_off(&member.name)
             });
             addresses =
                 serving.iter().copied().chain(unknown).map(|it| it.caller_address).collect();
--- a/crates/orioleroute/tests/feed.rs
+++ b/crates/orioleroute/tests/feed.rs
@@ -410,6 +410,7 @@
                 is_serving: true,
                 store: report.map(|(_, report)| *report).unwrap_or_default(),
                 unread: Vec::new(),
+                is_cut_off: false,
                 loads: Vec::new(),
             };
             roster.record_heartbeat(&heartbeat, now);
@@ -477,6 +478,7 @@
             is_serving: true,
             store: SERVED,
             unread: vec![Table::Operator],
+            is_cut_off: false,
             loads: Vec::new(),
         };
         roster.record_heartbeat(&heartbeat, now);
@@ -532,6 +534,7 @@
         is_serving: true,
         store: SERVED,
         unread: Vec::new(),
+        is_cut_off: false,
         loads: Vec::new(),
     };
     roster.record_heartbeat(&heartbeat, now);
--- a/crates/orioleroute/tests/ingress.rs
+++ b/crates/orioleroute/tests/ingress.rs
@@ -49,6 +49,7 @@
         is_serving,
         store: Report::Unused,
         unread: Vec::new(),
+        is_cut_off: false,
         loads: Vec::new(),
     }
 }
@@ -65,6 +66,47 @@
     registry
 }
 
+/// Returns a roster of `n1` with `n2` to `n4`, of which those named reach no upstream.
+fn roster_cut_off(cut_off: &[&str], now: Instant) -> Roster {
+    let mut roster = Roster::new(member("n1", "r"));
+    roster.set_serving(true);
+    roster.set_cut_off(cut_off.contains(&"n1"));
+    for name in ["n2", "n3", "n4"] {
+        roster.upsert(member(name, "r"), now);
+        let is_cut_off = cut_off.contains(&name);
+        roster.record_heartbeat(&Heartbeat { is_cut_off, ..heartbeat(name, true) }, now);
+    }
+    roster
+}
+
+fn names<'a>(members: impl IntoIterator<Item = &'a Member>) -> Vec<&'a str> {
+    let mut names: Vec<&str> = members.into_iter().map(|it| &*it.name).collect();
+    names.sort_unstable();
+    names
+}
+
+/// Clients are sent to instances that reach upstreams, and these take on duties; a cut instance reaches upstreams by way of
+/// them.
+#[test]
+fn instances_that_reach_no_upstream_are_not_offered_while_others_do() {
+    let now = Instant::from_millis(10_000);
+    let roster = roster_cut_off(&["n1", "n3"], now);
+
+    assert_eq!(names(roster.capable(now)), ["n2", "n4"]);
+    assert_eq!(names(roster.detours(now)), ["n2", "n4"]);
+    assert_eq!(roster.addresses("r", now).len(), 2);
+}
+
+#[test]
+fn instances_are_offered_as_before_when_none_reaches_an_upstream() {
+    let now = Instant::from_millis(10_000);
+    let roster = roster_cut_off(&["n1", "n2", "n3", "n4"], now);
+
+    assert_eq!(names(roster.capable(now)), ["n1", "n2", "n3", "n4"]);
+    assert_eq!(names(roster.detours(now)), [""; 0]);
+    assert_eq!(roster.addresses("r", now).len(), 4);
+}
+
 /// An instance that was cut off takes no zone over at the moment at which the cut heals: the first heartbeat
 /// comes from any instance, and that of a leader in another region up to two seconds later.
 #[test]
--- a/crates/orioleroute/tests/order_lease.rs
+++ b/crates/orioleroute/tests/order_lease.rs
@@ -87,6 +87,7 @@
             is_serving: true,
             store: Report::Unused,
             unread: Vec::new(),
+            is_cut_off: false,
             loads: Vec::new(),
         };
         roster.record_heartbeat(&heartbeat, last_heard);
