Bound what engines answer to their scheduler

Another operator saw a faulty upstream send bytes without an end, and the process that had called it run out of memory.

Here: 24 engines that do so in place of reports grew a scheduler to 219 MiB (without a length) and 197 MiB (with one), where the smallest machines have 120. The pool for all calls took answers of 16 MiB each.

Change: 64 KiB for reports, answers to orders and checks.

--- a/crates/orioleroute-node/src/gateway/quarantine.rs
+++ b/crates/orioleroute-node/src/gateway/quarantine.rs
@@ -26,7 +26,7 @@
 use super::exchange::Target;
 use super::leadership;
 use super::link::{self, SchedulerHandle};
-use super::state::Gateway;
+use super::state::{Gateway, MAX_REPORT_BYTES};
 use super::sync::CLUSTER_TABLE;
 use crate::detour;
 
@@ -362,7 +362,7 @@
         Some((false, None)) | None => return Reply::Unclear,
     };
     let call = engine::identity_request(&target.id, health_path.as_deref());
-    let pool = Pool::resetting();
+    let pool = Pool::resetting().with_max_answer(MAX_REPORT_BYTES);
     let answered = pool.call_over(socket, target.address, call);
     match monoio::time::timeout(CHECK_TIMEOUT, answered).await {
         Ok(Ok(answer)) => engine::identity_reply(&answer),
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -44,6 +44,9 @@
 /// How often a stopping instance checks whether requests are in flight.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The largest report of an engine and the largest answer to an order, in bytes. A report names each of some hundred requests.
+pub const MAX_REPORT_BYTES: usize = 64 << 10;
+
 /// A base model and the name of an adapter on it.
 type AdapterKey = (Arc<str>, Arc<str>);
 
@@ -115,7 +118,7 @@
         Self {
             log: log::to_stdout(&settings),
             store: Store::new(settings.store_address),
-            pool: Pool::resetting(),
+            pool: Pool::resetting().with_max_answer(MAX_REPORT_BYTES),
             connections: Connections::default(),
             room: Room::new(settings.machine()),
             turned_away: turned_away::Logged::default(),
--- a/crates/orioleroute-wire/src/client.rs
+++ b/crates/orioleroute-wire/src/client.rs
@@ -23,7 +23,7 @@
 /// The maximum number of idle connections kept open to one peer.
 const MAX_IDLE_PER_PEER: usize = 64;
 
-/// The largest body of a response that is read as a whole, in bytes. Objects of the store have up to 8 MiB.
+/// The default of the largest body of a response that is read as a whole, in bytes. Objects of the store have up to 8 MiB.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// A complete response.
@@ -107,10 +107,18 @@
 }
 
 /// A pool of connections to all peers, reused between calls.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Socket>>>>,
     on_close: OnClose,
+    /// The largest body of a response that is read as a whole, in bytes.
+    max_answer: usize,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self { idle: Rc::default(), on_close: OnClose::default(), max_answer: MAX_ANSWER_BYTES }
+    }
 }
 
 impl Pool {
@@ -125,6 +133,13 @@
         Self { on_close: OnClose::Reset, ..Self::default() }
     }
 
+    /// Returns the pool with another limit on the bodies that are read as a whole, in bytes. Many peers may send without an
+    /// end at the same time.
+    #[must_use]
+    pub fn with_max_answer(self, max_answer: usize) -> Self {
+        Self { max_answer, ..self }
+    }
+
     /// Sends a GET request for `path` to `peer` and reads the complete response.
     ///
     /// # Errors
@@ -181,8 +196,8 @@
                 .map_err(|_| expired(Step::Body))?
             {
                 body.extend_from_slice(&part?);
-                if body.len() > MAX_ANSWER_BYTES {
-                    return Err(incoming.fail(Cut::TooLong(MAX_ANSWER_BYTES)));
+                if body.len() > self.max_answer {
+                    return Err(incoming.fail(Cut::TooLong(self.max_answer)));
                 }
             }
             Ok(body)
@@ -332,7 +347,7 @@
     /// Reads the rest of the body.
     async fn collect(mut self) -> Result<Answer, Error> {
         let body = match &mut self.response {
-            Some(response) => response.collect(MAX_ANSWER_BYTES).await,
+            Some(response) => response.collect(self.pool.max_answer).await,
             None => Ok(Bytes::new()),
         };
         let body = body.map_err(|cut| self.fail(cut))?;
