Keep brittle upstreams within their room

Callers would see a plain service go down upstream by upstream: brittle ones (Server-Brittle) fall over when they have to turn too many requests away, and each that is back is pushed over again.

Change: what such an upstream can run, by its places and the time of its answers, is shared as a limit that it names, without anything saved; the rest is refused at once. A restarted upstream of a brittle service has a room from the start.

--- a/crates/orioleroute-node/src/gateway/limits.rs
+++ b/crates/orioleroute-node/src/gateway/limits.rs
@@ -21,8 +21,39 @@
 #[derive(Default)]
 pub struct Limits {
     known: RefCell<Map<Arc<str>, Known>>,
+    /// The rooms of the upstreams that say that they are brittle, and of those of their services that have not answered yet.
+    rooms: RefCell<Map<Arc<str>, Room>>,
+    /// The services of which an upstream has said that it is brittle.
+    brittle_services: RefCell<Map<Arc<str>, Brittle>>,
 }
 
+/// What is known of a service with brittle upstreams.
+#[derive(Clone, Copy)]
+struct Brittle {
+    /// How long answers take on average.
+    latency: Option<Duration>,
+    place: Place,
+    /// When an answer last said so.
+    at: Instant,
+}
+
+/// This instance's share of the room of a brittle upstream.
+#[derive(Clone, Copy)]
+struct Room {
+    started_ms: u64,
+    share: Share,
+    /// When an answer last said so.
+    at: Instant,
+}
+
+/// The weight of the newest answer in the average time of a brittle service. It is large, because answers take less time as soon
+/// as fewer requests wait.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// How long the upstreams of a service are taken to be brittle after one has said so. One that has fallen over is back after
+/// some seconds.
+const BRITTLE_TIME: Duration = Duration::from_secs(5);
+
 /// What an upstream has named.
 #[derive(Clone, Copy)]
 struct Known {
@@ -35,6 +66,15 @@
     share: Share,
 }
 
+impl Brittle {
+    /// Returns this instance's share of the room of an upstream of the service.
+    fn room(&self, upstream: &Description, now: Instant) -> Room {
+        let Self { latency, place, at } = *self;
+        let share = Share::of_room(upstream.slots, latency, place, unix_time(), now);
+        Room { started_ms: upstream.started_ms, share, at }
+    }
+}
+
 impl Limits {
     /// Returns the limit that an upstream has named to this instance, as a notice for the upstream's scheduler.
     pub fn notice(&self, gateway: &Gateway, upstream: &str) -> Option<Notice> {
@@ -43,19 +83,91 @@
         Some(Notice { limit: Some(Limit::PerSecond(known.rate)), age_ms, ..Notice::default() })
     }
 
-    /// Returns the time until this instance's share of an upstream's limit allows a request.
+    /// Returns the time until this instance's shares of an upstream's limit and room allow a request.
     pub fn delay(&self, upstream: &Description, now: Instant) -> Duration {
         let known = self.get(&upstream.id, Some(upstream.started_ms));
-        known.map_or(Duration::ZERO, |known| known.share.delay(now))
+        let limited = known.map_or(Duration::ZERO, |known| known.share.delay(now));
+        let room = self.room(upstream, now);
+        limited.max(room.map_or(Duration::ZERO, |room| room.share.delay(now)))
+    }
+
+    /// Records whether a plain upstream has said in an answer that it is brittle. `latency` is the time that the answer took,
+    /// unless the request was turned away.
+    pub fn observe_brittle(
+        &self,
+        gateway: &Gateway,
+        upstream: &str,
+        is_brittle: bool,
+        latency: Option<Duration>,
+    ) {
+        if !is_brittle && self.brittle_services.borrow().is_empty() {
+            return;
+        }
+        let now = gateway.now();
+        let Some(upstream) = gateway.registry().get(upstream).cloned() else { return };
+        if !is_brittle {
+            let is_over = |room: &Room| Limit::Unlimited.replaces(Some(room.at), now);
+            let mut rooms = self.rooms.borrow_mut();
+            if rooms.get(&upstream.id).is_some_and(is_over) {
+                rooms.remove(&upstream.id);
+                self.brittle_services.borrow_mut().remove(&upstream.service);
+                metrics::gauge!("orioleroute_brittle_upstreams").set(rooms.len() as f64);
+                info!(gateway.log, "upstream is no longer brittle"; "upstream" => &*upstream.id);
+            }
+            return;
+        }
+        let before = self.brittle_services.borrow().get(&upstream.service).copied();
+        let before = before.and_then(|brittle| brittle.latency);
+        let latency = match (before, latency) {
+            (Some(before), Some(latency)) => {
+                Some(before.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT))
+            }
+            (before, latency) => latency.or(before),
+        };
+        let brittle = Brittle { latency, place: place(gateway), at: now };
+        self.brittle_services.borrow_mut().insert(upstream.service.clone(), brittle);
+        let mut rooms = self.rooms.borrow_mut();
+        if !rooms.contains_key(&upstream.id) {
+            info!(gateway.log, "upstream is brittle"; "upstream" => &*upstream.id);
+        }
+        let new = brittle.room(&upstream, now);
+        let room = rooms.entry(upstream.id.clone()).or_insert(new);
+        room.share.adopt(new.share);
+        *room = Room { share: room.share, ..new };
+        metrics::gauge!("orioleroute_brittle_upstreams").set(rooms.len() as f64);
+    }
+
+    /// Returns the share of an upstream's room, if it or another one of its service is brittle.
+    fn room(&self, upstream: &Description, now: Instant) -> Option<Room> {
+        let room = self.rooms.borrow().get(&upstream.id).copied();
+        if let Some(room) = room.filter(|room| room.started_ms == upstream.started_ms) {
+            return Some(room);
+        }
+        let brittle = self.brittle_services.borrow().get(&upstream.service).copied()?;
+        (now.since(brittle.at) < BRITTLE_TIME).then(|| brittle.room(upstream, now))
     }
 
     /// Counts a request that this instance sends on its own account.
     pub fn take(&self, gateway: &Gateway, upstream: &str) {
+        if !self.brittle_services.borrow().is_empty() {
+            self.take_room(gateway, upstream);
+        }
         if let Some(known) = self.known.borrow_mut().get_mut(upstream) {
             known.share.take(gateway.now());
         }
     }
 
+    fn take_room(&self, gateway: &Gateway, upstream: &str) {
+        let now = gateway.now();
+        let listed = gateway.registry().get(upstream).cloned();
+        if let Some(listed) = listed
+            && let Some(mut room) = self.room(&listed, now)
+        {
+            room.share.take(now);
+            self.rooms.borrow_mut().insert(listed.id, room);
+        }
+    }
+
     /// Records what an upstream said in an answer that has just arrived.
     pub fn observe(&self, gateway: &Gateway, upstream: &Arc<str>, limit: Limit) {
         let now = gateway.now();
@@ -84,6 +196,7 @@
 
     /// Forgets upstreams that are no longer listed.
     pub fn prune(&self, is_listed: impl Fn(&str) -> bool) {
+        self.rooms.borrow_mut().retain(|upstream, _| is_listed(upstream));
         if self.known.borrow().is_empty() {
             return;
         }
@@ -106,7 +219,7 @@
     gateway.registry().get(upstream).map(|entry| entry.started_ms)
 }
 
-/// Returns this instance's share of a limit. All instances rank themselves by their names.
+/// Returns this instance's share of a limit.
 fn share(gateway: &Gateway, upstream: &str, rate: f64) -> Share {
     let configuration = gateway.configuration();
     let is_scheduled = gateway
@@ -115,12 +228,17 @@
         .zip(configuration.as_ref())
         .is_some_and(|(entry, configuration)| leadership::has_engine(configuration, entry));
     let rate = if is_scheduled { rate * UNSCHEDULED_SHARE } else { rate };
-    let place = {
-        let roster = gateway.roster();
-        let own = &roster.own().name;
-        let rank = roster.peers().filter(|peer| peer.name < *own).count() as u32;
-        Place { rank, instances: 1 + roster.peers().count() as u32 }
-    };
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Share::new(rate, place, unix, gateway.now())
+    Share::new(rate, place(gateway), unix_time(), gateway.now())
+}
+
+/// Returns the place of this instance among all. They rank themselves by their names.
+fn place(gateway: &Gateway) -> Place {
+    let roster = gateway.roster();
+    let own = &roster.own().name;
+    let rank = roster.peers().filter(|peer| peer.name < *own).count() as u32;
+    Place { rank, instances: 1 + roster.peers().count() as u32 }
+}
+
+fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
--- a/crates/orioleroute-node/src/gateway/permit.rs
+++ b/crates/orioleroute-node/src/gateway/permit.rs
@@ -146,9 +146,9 @@
         self.is_limited
     }
 
-    /// Records what the upstream says of itself, from now on for this instance and with the next message for the
-    /// scheduler.
-    pub fn observe(&mut self, notice: Notice) {
+    /// Records what the upstream says of itself in an answer, from now on for this instance and with the next message for the
+    /// scheduler. `is_run` says whether it has run the request.
+    pub fn observe(&mut self, notice: Notice, is_run: bool) {
         let limits = &self.gateway.limits;
         let is_limited = self.is_limited || limits.notice(&self.gateway, &self.upstream).is_some();
         // That there is no limit matters only where one is known.
@@ -156,6 +156,12 @@
         if let Some(limit) = limit {
             limits.observe(&self.gateway, &self.upstream, limit);
         }
+        if let Origin::Unscheduled(run) = &self.origin
+            && run.run.parts.is_empty()
+        {
+            let latency = is_run.then(|| self.age());
+            limits.observe_brittle(&self.gateway, &self.upstream, notice.is_brittle, latency);
+        }
         let notice = Notice { limit, ..notice };
         self.notice.set((!notice.is_empty()).then(|| (notice, self.gateway.now())));
         if notice.is_leaving {
--- a/crates/orioleroute-node/src/gateway/tries.rs
+++ b/crates/orioleroute-node/src/gateway/tries.rs
@@ -71,7 +71,7 @@
         let status = incoming.head().status;
         let class = ingress::classify_response(status, headers, id, incoming.connection());
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
-            permit.observe(ingress::notice(headers));
+            permit.observe(ingress::notice(headers), class == ResponseClass::Valid);
             if let Some(pause) = ingress::pause(incoming.head().status, headers) {
                 self.gateway.pauses.record(self.gateway, &permit.upstream, pause);
             }
--- a/crates/orioleroute/src/ingress/notice.rs
+++ b/crates/orioleroute/src/ingress/notice.rs
@@ -13,6 +13,9 @@
     /// The limit that it names; `None` if that is not reported.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<Limit>,
+    /// Whether the upstream falls over if it has to turn many requests away.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_brittle: bool,
     /// The time since the head arrived, in milliseconds.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub age_ms: u64,
--- a/crates/orioleroute/src/ingress/pace.rs
+++ b/crates/orioleroute/src/ingress/pace.rs
@@ -19,12 +19,15 @@
     rate: f64,
     tokens: f64,
     updated: Instant,
+    /// The most tokens that are saved.
+    most: f64,
 }
 
 impl Pace {
     /// Returns the pace of `rate` requests a second that has this part of a token.
     pub fn new(rate: f64, tokens: f64, now: Instant) -> Self {
-        Self { rate: rate.max(MIN_RATE), tokens, updated: now }
+        let rate = rate.max(MIN_RATE);
+        Self { rate, tokens, updated: now, most: (rate * BURST_TIME.as_secs_f64()).max(1.0) }
     }
 
     /// Changes the rate to that of another pace, and keeps the tokens.
@@ -32,6 +35,7 @@
         self.tokens = self.tokens_at(other.updated);
         self.updated = other.updated;
         self.rate = other.rate;
+        self.most = other.most;
     }
 
     /// Takes a token. There may be less than one: a request that is sent in any case delays the next.
@@ -47,8 +51,7 @@
     }
 
     fn tokens_at(&self, now: Instant) -> f64 {
-        let most = (self.rate * BURST_TIME.as_secs_f64()).max(1.0);
-        (self.tokens + self.rate * now.since(self.updated).as_secs_f64()).min(most)
+        (self.tokens + self.rate * now.since(self.updated).as_secs_f64()).min(self.most)
     }
 }
 
@@ -91,6 +94,15 @@
 /// The time within which an upstream is expected to bear `SLACK`, and half of its limit besides.
 const SLACK_TIME: Duration = Duration::from_secs(4);
 
+/// The part of a brittle upstream's places that is used. Answers take different times, and instances send independently.
+const ROOM_USED: f64 = 0.9;
+
+/// The time that answers of a brittle upstream are taken to need before there are any.
+const UNKNOWN_LATENCY: Duration = Duration::from_secs(1);
+
+/// The shortest time that an answer is taken to need.
+const MIN_LATENCY: Duration = Duration::from_millis(1);
+
 impl Share {
     /// Returns the share of a limit of `rate` requests a second, at `unix` by the time of day.
     pub fn new(rate: f64, place: Place, unix: Duration, now: Instant) -> Self {
@@ -99,7 +111,9 @@
         // After a pause each instance may send one request at once.
         if instances <= SLACK + rate * SLACK_TIME.as_secs_f64() / 2.0 {
             let phase = f64::from(place.rank) / instances;
-            return Self::Rate(Pace { rate: rate / instances, tokens: phase, updated: now });
+            let rate = rate / instances;
+            let most = (rate * BURST_TIME.as_secs_f64()).max(1.0);
+            return Self::Rate(Pace { rate, tokens: phase, updated: now, most });
         }
         let slot = Duration::from_secs_f64(1.0 / rate);
         let period = slot.mul_f64(instances);
@@ -116,6 +130,23 @@
         Self::Turns(Turns { start, period, length, sent: None })
     }
 
+    /// Returns the share of the room of a brittle upstream with `slots` places, whose answers take `latency`. Nothing is saved,
+    /// because what is sent at once finds the places taken.
+    pub fn of_room(
+        slots: usize,
+        latency: Option<Duration>,
+        place: Place,
+        unix: Duration,
+        now: Instant,
+    ) -> Self {
+        let latency = latency.unwrap_or(UNKNOWN_LATENCY).max(MIN_LATENCY);
+        let rate = ROOM_USED * slots as f64 / latency.as_secs_f64();
+        match Self::new(rate, place, unix, now) {
+            Self::Rate(pace) => Self::Rate(Pace { most: 1.0, ..pace }),
+            turns @ Self::Turns(_) => turns,
+        }
+    }
+
     /// Replaces the share by that of another limit, and keeps account of what was sent.
     pub fn adopt(&mut self, other: Self) {
         match (self, other) {
--- a/crates/orioleroute/tests/pace.rs
+++ b/crates/orioleroute/tests/pace.rs
@@ -140,3 +140,37 @@
     assert_eq!(limit.replaces(Some(START), at), replaces);
     assert!(!limit.replaces(Some(at + Duration::from_millis(1)), START));
 }
+
+/// Instances that see more requests than a brittle upstream has places for, after a pause in which they could save up.
+#[rstest]
+#[case::one(1)]
+#[case::as_many_as_places(4)]
+#[case::more_than_places(9)]
+fn the_shares_of_a_room_send_no_more_at_once_than_it_has_places_for(#[case] instances: u32) {
+    const PLACES: usize = 4;
+    const LATENCY: Duration = Duration::from_millis(100);
+    let mut shares: Vec<Share> = (0..instances)
+        .map(|rank| {
+            let place = Place { rank, instances };
+            Share::of_room(PLACES, Some(LATENCY), place, Duration::from_secs(1_000), START)
+        })
+        .collect();
+
+    let mut sent = Vec::new();
+    for step in 0..1_000_u32 {
+        let now = START + Duration::from_secs(5) + STEP * step;
+        for share in &mut shares {
+            while share.delay(now).is_zero() {
+                share.take(now);
+                sent.push(now);
+            }
+        }
+    }
+
+    let at_once = sent.iter().filter(|at| at.since(sent[0]) < STEP).count();
+    let most = PLACES.max(instances as usize);
+    let per_s = sent.len() as f64 / 10.0;
+    let capacity = PLACES as f64 / LATENCY.as_secs_f64();
+    assert!(at_once <= most, "{at_once} at once");
+    assert!(per_s <= capacity && per_s >= 0.75 * capacity, "{per_s} a second of {capacity}");
+}
