Connect directly when no sibling helps, and count crashes in doubt

Callers of a plain service with one upstream: once it had crashed under a request, no sound request was served any more and the crashing one was never refused.

Cause: one failed connection puts the path to a single upstream in doubt, and a check in doubt was unclear, so that the crash did not count ('engine checked', finding unclear, eight times in the log). In doubt nobody connected directly until a probe was answered.

Change: a check is unclear only once the path is known to be lost, which takes an answer by way of another instance; and an instance that nobody helps connects directly.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -63,7 +63,14 @@
             Err(_) => {}
         }
     }
-    Ok((connect_by_sibling(gateway, &target.id).await?, Way::Detour))
+    match connect_by_sibling(gateway, &target.id).await {
+        Ok(socket) => Ok((socket, Way::Detour)),
+        // If no other instance helps, the upstreams may have been down rather than the path.
+        Err(error) => match connect_directly(gateway, target).await {
+            Ok(socket) => Ok((socket, Way::Direct)),
+            Err(_) => Err(error),
+        },
+    }
 }
 
 /// Records whether an upstream has answered on a new connection. That somebody accepts one shows nothing.
@@ -211,10 +218,13 @@
 pub async fn serve(gateway: Rc<Gateway>, mut sibling: Socket, upstream: Arc<str>) {
     let target = gateway.registry().get(&upstream).map(Target::from);
     let connected = match target {
-        Some(target) if gateway.path(&target.service).is_doubted() => Err(FromSibling::CutOff),
+        Some(target) if gateway.path(&target.service).is_lost() => Err(FromSibling::CutOff),
         Some(target) => {
             let connected = connect_directly(&gateway, &target).await;
-            connected.map_err(|_| FromSibling::Unreachable)
+            connected.map_err(|_| match gateway.path(&target.service).is_doubted() {
+                true => FromSibling::CutOff,
+                false => FromSibling::Unreachable,
+            })
         }
         None => Err(FromSibling::Unlisted),
     };
--- a/crates/orioleroute-node/src/gateway/quarantine.rs
+++ b/crates/orioleroute-node/src/gateway/quarantine.rs
@@ -336,7 +336,7 @@
     leadership::handle_check(&gateway, &zone, &check, finding);
 }
 
-/// Asks who listens at the address of an upstream. That it cannot be reached says nothing while this instance has no path to
+/// Asks who listens at the address of an upstream. That it cannot be reached says nothing once this instance has lost its path to
 /// the others of its service either.
 pub async fn ask_identity(gateway: &Gateway, target: &Target) -> Reply {
     let reply = match Socket::connect(target.address, CHECK_TIMEOUT).await {
@@ -347,7 +347,7 @@
         Err(_) => return Reply::Unclear,
     };
     detour::record_unreachable(gateway, target);
-    if gateway.path(&target.service).is_doubted() { Reply::Unclear } else { reply }
+    if gateway.path(&target.service).is_lost() { Reply::Unclear } else { reply }
 }
 
 /// Asks on this connection who an upstream is.
