Take a path for lost only if a probe fails after a detour

Cause: an upstream that had crashed and was back was reached by the detour first, and the answer made the path count as lost, in which checks are unclear. With one upstream a single crash was a doubt, and former ids of it added up.

Change: three upstreams that are still listed are needed for a doubt, and a probe has to fail after an answer by way of another instance.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -84,12 +84,7 @@
             }
         }
         (Way::Direct, false) => record_unreachable(gateway, target),
-        (Way::Detour, true) => {
-            if gateway.path(&target.service).record_detour() {
-                warn!(gateway.log, "path to upstreams lost"; "service" => &*target.service,
-                    "upstream" => &*target.id);
-            }
-        }
+        (Way::Detour, true) => gateway.path(&target.service).record_detour(gateway.now()),
         (Way::Detour, false) => {}
     }
 }
@@ -139,16 +134,22 @@
 
 /// Records that an upstream could not be connected to.
 pub fn record_unreachable(gateway: &Gateway, target: &Target) {
-    let listed = {
+    let mut path = gateway.path(&target.service);
+    let was_lost = path.is_lost();
+    let is_doubted = {
         let registry = gateway.registry();
-        registry.iter().filter(|it| it.service == target.service).count()
+        let is_listed = |id: &str| registry.get(id).is_some();
+        path.record_unreachable(&target.id, is_listed, gateway.now())
     };
-    let mut path = gateway.path(&target.service);
-    if path.record_unreachable(&target.id, listed, gateway.now()) {
+    if is_doubted {
         gateway.connections.clear();
         warn!(gateway.log, "path to upstreams doubted"; "service" => &*target.service,
             "upstream" => &*target.id);
     }
+    if path.is_lost() && !was_lost {
+        warn!(gateway.log, "path to upstreams lost"; "service" => &*target.service,
+            "upstream" => &*target.id);
+    }
 }
 
 async fn connect_directly(gateway: &Gateway, target: &Target) -> Result<Socket, String> {
--- a/crates/orioleroute/src/ingress/path.rs
+++ b/crates/orioleroute/src/ingress/path.rs
@@ -60,20 +60,32 @@
 struct Doubt {
     next_probe: Instant,
     /// Whether another instance has reached an upstream meanwhile.
+    has_detour: bool,
+    /// Whether an upstream was out of reach after that.
     is_confirmed: bool,
 }
 
 impl Path {
-    /// Records that an upstream, one of `listed`, could not be connected to. Returns whether the path is doubted since.
-    pub fn record_unreachable(&mut self, upstream: &Arc<str>, listed: usize, now: Instant) -> bool {
+    /// Records that an upstream could not be connected to. Those that are not listed any more say nothing of the path, and
+    /// neither does a service with fewer than three upstreams. Returns whether the path is doubted since.
+    pub fn record_unreachable(
+        &mut self,
+        upstream: &Arc<str>,
+        is_listed: impl Fn(&str) -> bool,
+        now: Instant,
+    ) -> bool {
         self.unreachable.insert(upstream.clone(), now);
-        self.unreachable.retain(|_, at| now.since(*at) < FAILURE_TTL);
-        let is_new =
-            self.doubt.is_none() && self.unreachable.len() >= MIN_UNREACHABLE.min(listed.max(1));
-        if is_new {
-            self.doubt = Some(Doubt { next_probe: now + PROBE_INTERVAL, is_confirmed: false });
+        self.unreachable.retain(|id, at| now.since(*at) < FAILURE_TTL && is_listed(id));
+        if let Some(doubt) = &mut self.doubt {
+            doubt.is_confirmed |= doubt.has_detour;
+            return false;
         }
-        is_new
+        let is_doubted = self.unreachable.len() >= MIN_UNREACHABLE;
+        if is_doubted {
+            let next_probe = now + PROBE_INTERVAL;
+            self.doubt = Some(Doubt { next_probe, has_detour: false, is_confirmed: false });
+        }
+        is_doubted
     }
 
     /// Records that a connection to an upstream was established. Returns whether the path was known to be lost.
@@ -82,10 +94,14 @@
         self.doubt.take().is_some_and(|doubt| doubt.is_confirmed)
     }
 
-    /// Records that another instance has reached an upstream. Returns whether the path is known to be lost since.
-    pub fn record_detour(&mut self) -> bool {
-        let Some(doubt) = &mut self.doubt else { return false };
-        !std::mem::replace(&mut doubt.is_confirmed, true)
+    /// Records that another instance has reached an upstream. The path is known to be lost if this one cannot after that, which
+    /// a probe shows at once.
+    pub fn record_detour(&mut self, now: Instant) {
+        if let Some(doubt) = &mut self.doubt
+            && !std::mem::replace(&mut doubt.has_detour, true)
+        {
+            doubt.next_probe = now;
+        }
     }
 
     /// Returns whether requests are to go by way of another instance.
