--- a/crates/orioleroute-node/src/gateway/feed.rs
+++ b/crates/orioleroute-node/src/gateway/feed.rs
@@ -8,9 +8,10 @@
 use orioleroute::ingress::Version;
 use orioleroute::ingress::access::{Access, Span};
 use orioleroute::ingress::feed::{
-    self, Message, Outbox, Outgoing, Projection, Replica, Row, SOURCES, Sources, Subscription,
-    Table, ToReader, Update,
+    self, Message, Projection, Replica, Row, SOURCES, Sources, Subscription, Table, ToReader,
+    Update,
 };
+use orioleroute::ingress::outbox::{Outbox, Outgoing};
 use orioleroute::ingress::roster::Member;
 use orioleroute::prelude::*;
 use orioleroute_wire::http1::socket::Socket;
@@ -20,7 +21,8 @@
 
 use super::state::Gateway;
 use super::sync;
-use crate::line::{self, Line};
+use crate::follower::{Addressed, Follower, MAX_MESSAGE_BYTES, decode, write_in_parts};
+use crate::line::Line;
 use crate::traffic;
 
 /// How often an instance checks whether it is a reader and whom it follows.
@@ -32,12 +34,6 @@
 /// How long a connection to a reader may be silent before it is replaced.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
-/// The longest wait for a follower to read a part of a message.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
-
-/// The size of such a part, in bytes.
-const PART_BYTES: usize = 16 << 10;
-
 /// The pause after a lost connection.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -47,9 +43,6 @@
 /// That data is not current, as a kind of message in metrics.
 const LOST: &str = "lost";
 
-/// The longest message, in bytes: a whole table of 20,000 upstreams.
-const MAX_MESSAGE_BYTES: usize = 16 << 20;
-
 /// The tables as this instance knows them, and its part in passing them on.
 #[derive(Default)]
 pub struct Feed {
@@ -102,44 +95,6 @@
     Restored,
 }
 
-/// An instance that follows this one.
-struct Follower {
-    zone: Arc<str>,
-    outbox: Rc<RefCell<Outbox<Addressed>>>,
-    /// Wakes the task that sends what is in the outbox.
-    wake: mpsc::unbounded::Tx<()>,
-}
-
-/// A message and its kind in metrics.
-#[derive(Clone)]
-struct Addressed {
-    kind: &'static str,
-    line: Rc<Line>,
-}
-
-impl Addressed {
-    fn new(kind: &'static str, message: &Message) -> Self {
-        Self { kind, line: Rc::new(Line::of(message)) }
-    }
-}
-
-impl Follower {
-    fn send(&self, message: Addressed) {
-        self.outbox.borrow_mut().push(message);
-        self.wake();
-    }
-
-    fn send_update(&self, table: Table, after: Option<u64>, message: Addressed) {
-        self.outbox.borrow_mut().push_update(table, after, message);
-        self.wake();
-    }
-
-    fn wake(&self) {
-        // Fails if the follower's task has ended, which removes the follower.
-        let _ = self.wake.send(());
-    }
-}
-
 impl Feed {
     /// Returns the version up to which a table is known, or `None` before it has been read.
     pub fn version(&self, table: Table) -> Option<u64> {
@@ -503,14 +458,6 @@
     "no longer followed".into()
 }
 
-/// Decodes a message, and unpacks it if it is packed.
-fn decode(line: &[u8]) -> Result<Message, String> {
-    let message = serde_json::from_slice(line).map_err(|error| error.to_string())?;
-    let Message::Packed(packed) = message else { return Ok(message) };
-    let text = line::unpack(&packed, MAX_MESSAGE_BYTES).map_err(|error| error.to_string())?;
-    serde_json::from_slice(&text).map_err(|error| error.to_string())
-}
-
 /// Serves a follower until its connection ends.
 pub async fn serve(gateway: Rc<Gateway>, mut socket: Socket, subscription: Subscription) {
     let feed = &gateway.feed;
@@ -551,14 +498,3 @@
     }
     feed.followers.borrow_mut().remove(&id);
 }
-
-/// Writes a message that may be large, and returns whether the follower has read on all the while.
-async fn write_in_parts(socket: &mut Socket, message: &[u8]) -> bool {
-    for part in message.chunks(PART_BYTES) {
-        let written = monoio::time::timeout(WRITE_TIMEOUT, socket.write(part)).await;
-        if !matches!(written, Ok(Ok(()))) {
-            return false;
-        }
-    }
-    true
-}
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -7,6 +7,7 @@
 mod detour;
 mod engines;
 mod events;
+mod follower;
 mod gateway;
 mod line;
 mod log;
--- a/crates/orioleroute/src/ingress/access.rs
+++ b/crates/orioleroute/src/ingress/access.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::feed::Table;
 use crate::prelude::*;
 
 /// The longest time between two answers that count as uninterrupted. A watch is answered about once a
@@ -113,3 +114,33 @@
         }
     }
 }
+
+/// How the store serves an instance, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Service {
+    /// It answers all calls.
+    Whole,
+    /// The instance makes no calls.
+    Unknown,
+    /// Calls about some tables fail.
+    Partial,
+    /// It turns the instance away.
+    Refused,
+}
+
+impl Service {
+    /// Returns it by the outcomes of the calls about upstreams, and the tables that cannot be read.
+    pub fn of(store: Access, unread: &[Table]) -> Self {
+        match store {
+            Access::Failed => Self::Refused,
+            _ if !unread.is_empty() => Self::Partial,
+            Access::Answered(_) => Self::Whole,
+            Access::Unused => Self::Unknown,
+        }
+    }
+
+    /// Returns whether any calls fail.
+    pub fn is_failing(self) -> bool {
+        matches!(self, Self::Partial | Self::Refused)
+    }
+}
--- a/crates/orioleroute/tests/feed.rs
+++ b/crates/orioleroute/tests/feed.rs
@@ -8,9 +8,10 @@
 
 use orioleroute::ingress::access::{Access, Report};
 use orioleroute::ingress::feed::{
-    MAX_JITTER, Outbox, Outgoing, Projection, READERS_PER_REGION, Replica, Row, SOURCE_TIMEOUT,
-    SOURCES, Sources, Table, Update, jitter, retry_delay,
+    MAX_JITTER, Projection, READERS_PER_REGION, Replica, Row, SOURCE_TIMEOUT, SOURCES, Sources,
+    Table, Update, jitter, retry_delay,
 };
+use orioleroute::ingress::outbox::{Outbox, Outgoing};
 use orioleroute::ingress::roster::{Heartbeat, Member, Roster};
 use orioleroute::ingress::upstream::{Description, Model, Revision, State};
 use orioleroute::prelude::*;
