--- a/review/standins-2/rolling.rs
+++ b/review/standins-2/rolling.rs
@@ -28,6 +28,9 @@
 
 const GRACE_MS: u64 = 8_000;
 
+/// How long clients use an answer of the directory, which names the instance until it stops (`ttlS` of the answers).
+const TTL_MS: u64 = 2_000;
+
 /// The time from the start of a stop to the end of the process, at which it is killed.
 const KILL_AFTER: Duration = Duration::from_secs(8);
 
@@ -194,6 +197,10 @@
         served += u32::from(entry.status == 200);
         let stop = stops.iter().filter(|(node, at)| *node == entry.node && entry.at >= *at && entry.at <= at + GRACE_MS + 1_000);
         let Some((_, stopped)) = stop.max_by_key(|(_, at)| *at) else { continue };
+        // A client that keeps its addresses no longer than the answer says sends nothing later than this.
+        if entry.at > stopped + TTL_MS {
+            continue;
+        }
         let is_calm = calm.iter().any(|(from, to)| entry.at >= from + STABLE_MS && entry.ended < *to);
         let Some((runner, run_at)) = runs.get(&entry.attempt).filter(|_| is_calm) else { continue };
         during_stops += 1;
