Log by way of which instance a request goes

The lines "request" and "response lost" name the sibling now, "stopping" and "stopped" count the connections that are passed on, and "detour ended" reports each of them. When an instance ends is unchanged: InFlight counts both kinds of work, and the end of the process still depends on requests alone.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -19,6 +19,7 @@
 
 use crate::gateway::{Gateway, Target, quarantine};
 use crate::line::Line;
+use crate::work::Work;
 
 /// The longest wait for a connection. A round trip between regions takes 24 ms; a lost packet costs
 /// another second, and trying another upstream is faster than that.
@@ -41,12 +42,22 @@
 const MAX_WAITING_BYTES: usize = 64 << 10;
 
 /// The way that a connection takes to an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Way {
     /// This instance has connected to it.
     Direct,
-    /// Another instance has connected to it.
-    Detour,
+    /// The instance of this name has connected to it.
+    Detour(Arc<str>),
+}
+
+impl Way {
+    /// Returns the name of the other instance by way of which the connection goes, if it does.
+    pub fn sibling(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::Direct => None,
+            Self::Detour(sibling) => Some(sibling),
+        }
+    }
 }
 
 /// Connects to an upstream, by way of another instance if this one has lost its path.
@@ -64,7 +75,7 @@
         }
     }
     match connect_by_sibling(gateway, &target.id).await {
-        Ok(socket) => Ok((socket, Way::Detour)),
+        Ok((socket, sibling)) => Ok((socket, Way::Detour(sibling))),
         // If no other instance helps, the upstreams may have been down rather than the path.
         Err(error) => match connect_directly(gateway, target).await {
             Ok(socket) => Ok((socket, Way::Direct)),
@@ -74,7 +85,7 @@
 }
 
 /// Records whether an upstream has answered on a new connection. That somebody accepts one shows nothing.
-pub fn observe(gateway: &Gateway, target: &Target, way: Way, is_answered: bool) {
+pub fn observe(gateway: &Gateway, target: &Target, way: &Way, is_answered: bool) {
     match (way, is_answered) {
         (Way::Direct, true) => {
             if gateway.path(&target.service).record_reached() {
@@ -84,8 +95,8 @@
             }
         }
         (Way::Direct, false) => record_unreachable(gateway, target),
-        (Way::Detour, true) => gateway.path(&target.service).record_detour(gateway.now()),
-        (Way::Detour, false) => {}
+        (Way::Detour(_), true) => gateway.path(&target.service).record_detour(gateway.now()),
+        (Way::Detour(_), false) => {}
     }
 }
 
@@ -119,16 +130,18 @@
 async fn probe(gateway: Rc<Gateway>, target: Target) {
     let is_answered = |reply: Reply| matches!(reply, Reply::Answered(_) | Reply::Misdirected);
     let reply = quarantine::ask_identity(&gateway, &target).await;
-    observe(&gateway, &target, Way::Direct, is_answered(reply));
+    observe(&gateway, &target, &Way::Direct, is_answered(reply));
     let (is_doubted, is_lost) = {
         let path = gateway.path(&target.service);
         (path.is_doubted(), path.is_lost())
     };
     if is_lost {
         set_cut_off(&gateway);
-    } else if is_doubted && let Ok(socket) = connect_by_sibling(&gateway, &target.id).await {
+    } else if is_doubted
+        && let Ok((socket, sibling)) = connect_by_sibling(&gateway, &target.id).await
+    {
         let reply = quarantine::ask_identity_over(&gateway, socket, &target).await;
-        observe(&gateway, &target, Way::Detour, is_answered(reply));
+        observe(&gateway, &target, &Way::Detour(sibling), is_answered(reply));
     }
 }
 
@@ -161,7 +174,11 @@
     })
 }
 
-async fn connect_by_sibling(gateway: &Gateway, upstream: &Arc<str>) -> Result<Socket, String> {
+/// Connects to an upstream by way of another instance, whose name is returned as well.
+async fn connect_by_sibling(
+    gateway: &Gateway,
+    upstream: &Arc<str>,
+) -> Result<(Socket, Arc<str>), String> {
     let siblings: Vec<(Arc<str>, SocketAddr)> = {
         let roster = gateway.roster();
         let detours = roster.detours(gateway.now()).into_iter().take(MAX_SIBLINGS);
@@ -179,7 +196,7 @@
         };
         metrics::counter!("orioleroute_detours_total", "outcome" => outcome).increment(1);
         if let Some(socket) = opened {
-            return Ok(socket);
+            return Ok((socket, name));
         }
         error = format!("{outcome} at {name}");
         if outcome == "unreachable" {
@@ -216,7 +233,12 @@
 }
 
 /// Connects another instance to an upstream, and passes bytes on until either of the two connections ends.
-pub async fn serve(gateway: Rc<Gateway>, mut sibling: Socket, upstream: Arc<str>) {
+pub async fn serve(
+    gateway: Rc<Gateway>,
+    mut sibling: Socket,
+    peer: SocketAddr,
+    upstream: Arc<str>,
+) {
     let target = gateway.registry().get(&upstream).map(Target::from);
     let connected = match target {
         Some(target) if gateway.path(&target.service).is_lost() => Err(FromSibling::CutOff),
@@ -233,9 +255,17 @@
     let line = Line::of(&reply).text(false);
     // The instance that asked sees the end of the connection in any case.
     if sibling.write(line.as_bytes()).await.is_ok()
-        && let Ok(upstream) = connected
+        && let Ok(socket) = connected
     {
-        let _ = pass_on(sibling, upstream).await;
+        let _guard = gateway.in_flight.begin(Work::Detour);
+        let since = gateway.now();
+        let served = metrics::gauge!("orioleroute_detours_served");
+        served.increment(1.0);
+        let passed = pass_on(sibling, socket).await;
+        served.decrement(1.0);
+        info!(gateway.log, "detour ended"; "upstream" => &*upstream, "peer" => peer.to_string(),
+            "error" => passed.err().map(|error| error.to_string()),
+            "ms" => gateway.now().since(since).as_millis() as u64);
     }
 }
 
--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use orioleroute_wire::sse::Broken;
 
 use super::state::Gateway;
-use crate::detour;
+use crate::detour::{self, Way};
 
 /// The most idle connections kept open to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 8;
@@ -62,6 +62,15 @@
     pub is_repeatable: bool,
 }
 
+/// The connection on which a request went to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Transport {
+    /// The way that it takes.
+    pub way: Way,
+    /// Whether it had carried other requests.
+    pub connection: Connection,
+}
+
 /// Why an exchange failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Failure {
@@ -69,8 +78,8 @@
     #[error("connect: {0}")]
     Unreachable(String),
     /// The connection ended early or the response was malformed; the request may have run.
-    #[error(transparent)]
-    Broken(#[from] Cut),
+    #[error("{0}")]
+    Broken(Cut, Transport),
 }
 
 /// Why a response is lost to the client, although the request may have run.
@@ -113,6 +122,7 @@
 
 struct IdleConnection {
     socket: Socket,
+    way: Way,
     idle_since: Instant,
     max_idle: Duration,
 }
@@ -121,7 +131,7 @@
 pub struct Incoming {
     response: incoming::Incoming,
     target: Target,
-    connection: Connection,
+    transport: Transport,
 }
 
 impl Connections {
@@ -138,30 +148,31 @@
     ) -> Result<Incoming, Failure> {
         let now = gateway.now();
         let max_idle = if request.is_repeatable { Duration::MAX } else { NON_REPEATABLE_MAX_IDLE };
-        let (socket, way) = match self.take_idle(&target.id, max_idle, now) {
-            Some(socket) => (socket, None),
+        let (socket, transport) = match self.take_idle(&target.id, max_idle, now) {
+            Some((socket, way)) => (socket, Transport { way, connection: Connection::Reused }),
             None => {
                 let connected = detour::connect(gateway, target).await;
                 let (socket, way) = connected.map_err(Failure::Unreachable)?;
-                (socket, Some(way))
+                (socket, Transport { way, connection: Connection::New })
             }
         };
         let received = incoming::Incoming::receive(socket, encode(&request), request.method).await;
-        if let Some(way) = way {
-            detour::observe(gateway, target, way, received.is_ok());
+        if transport.connection == Connection::New {
+            detour::observe(gateway, target, &transport.way, received.is_ok());
+        }
+        match received {
+            Ok(response) => Ok(Incoming { response, target: target.clone(), transport }),
+            Err(cut) => Err(Failure::Broken(cut, transport)),
         }
-        let response = received?;
-        let connection = if way.is_some() { Connection::New } else { Connection::Reused };
-        Ok(Incoming { response, target: target.clone(), connection })
     }
 
-    fn take_idle(&self, id: &Arc<str>, max_idle: Duration, now: Instant) -> Option<Socket> {
+    fn take_idle(&self, id: &Arc<str>, max_idle: Duration, now: Instant) -> Option<(Socket, Way)> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(id)?;
         while let Some(mut candidate) = kept.pop() {
             let is_fresh = now.since(candidate.idle_since) < candidate.max_idle.min(max_idle);
             if is_fresh && candidate.socket.is_idle() {
-                return Some(candidate.socket);
+                return Some((candidate.socket, candidate.way));
             }
         }
         None
@@ -196,9 +207,9 @@
         &self.response.head
     }
 
-    /// Returns whether the connection had carried other requests.
-    pub fn connection(&self) -> Connection {
-        self.connection
+    /// Returns the connection on which the request went.
+    pub fn transport(&self) -> &Transport {
+        &self.transport
     }
 
     /// Returns how many bytes of the body have been received, with its framing.
@@ -219,8 +230,9 @@
     pub fn release(self, connections: &Connections, now: Instant) {
         let max_idle = max_idle_from(&self.response.head.headers);
         if let Some(socket) = self.response.into_reusable() {
-            connections
-                .put_idle(&self.target.id, IdleConnection { socket, idle_since: now, max_idle });
+            let way = self.transport.way;
+            let idle = IdleConnection { socket, way, idle_since: now, max_idle };
+            connections.put_idle(&self.target.id, idle);
         }
     }
 }
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -19,7 +19,7 @@
 use slog::info;
 
 use super::ending::{refuse_early, respond_locally};
-use super::exchange::{Incoming, Loss};
+use super::exchange::{Incoming, Loss, Transport};
 use super::origins;
 use super::permit::{Permit, Refusal};
 use super::placement;
@@ -31,6 +31,7 @@
 use super::state::Gateway;
 use super::takeover;
 use super::tries::TryOutcome;
+use crate::detour::Way;
 use crate::quota;
 
 /// The number of upstreams that may decline one request, or be unreachable, before it is refused.
@@ -142,6 +143,7 @@
         declines: 0,
         excluded: RefCell::default(),
         tried_upstreams: RefCell::default(),
+        siblings: RefCell::default(),
         received_at: Cell::default(),
         progress: RefCell::default(),
         refusal: None,
@@ -200,6 +202,8 @@
     pub(super) build: RefCell<Option<Arc<str>>>,
     /// The upstreams tried and how each try ended, for the log.
     pub(super) tried_upstreams: RefCell<Vec<String>>,
+    /// The instances by way of which requests went, for the log.
+    pub(super) siblings: RefCell<Vec<Arc<str>>>,
     /// When the last data of an upstream arrived, for the log.
     pub(super) received_at: Cell<Option<Instant>>,
     /// The events passed on, for the log.
@@ -241,8 +245,8 @@
                 TryOutcome::NotRun(permit, result) => {
                     self.handle_not_run(response, permit, result).await
                 }
-                TryOutcome::Lost(permit, loss) => {
-                    self.handle_lost(response, permit, &loss, None).await
+                TryOutcome::Lost(permit, loss, transport) => {
+                    self.handle_lost(response, permit, &loss, &transport, None).await
                 }
             };
             if let Some(end) = next {
@@ -303,7 +307,8 @@
                 Some(self.time_out(response).await)
             }
             RelayOutcome::Lost(loss) => {
-                self.handle_lost(response, permit, &loss, Some(&incoming)).await
+                let transport = incoming.transport().clone();
+                self.handle_lost(response, permit, &loss, &transport, Some(&incoming)).await
             }
         }
     }
@@ -343,6 +348,7 @@
         response: &mut Response<'_>,
         permit: Permit,
         loss: &Loss,
+        transport: &Transport,
         incoming: Option<&Incoming>,
     ) -> Option<(Disposition, &'static str)> {
         self.note(format!("{} lost: {loss}", permit.upstream));
@@ -357,7 +363,7 @@
             (false, true) => "cut",
             (false, false) => "fail",
         };
-        self.report_loss(&upstream, ran, loss, next, incoming);
+        self.report_loss(&upstream, ran, loss, next, transport, incoming);
         if may_retry {
             self.exclude(&upstream);
             self.report_retry();
@@ -410,6 +416,13 @@
         self.tried_upstreams.borrow_mut().push(end);
     }
 
+    /// Notes for the log by way of which instance a request went, if it did.
+    pub(super) fn note_way(&self, way: &Way) {
+        if let Some(sibling) = way.sibling() {
+            self.siblings.borrow_mut().push(sibling.clone());
+        }
+    }
+
     fn disposition(&self) -> Disposition {
         match self.gateway.is_stopping() {
             true => Disposition::Close,
--- a/crates/orioleroute-node/src/gateway/link.rs
+++ b/crates/orioleroute-node/src/gateway/link.rs
@@ -279,7 +279,7 @@
     let first = monoio::time::timeout(FIRST_LINE_TIMEOUT, first).await;
     match first.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
         Ok(First::Subscription(it)) => return feed::serve(gateway, socket, it).await,
-        Ok(First::Detour(upstream)) => return detour::serve(gateway, socket, upstream).await,
+        Ok(First::Detour(upstream)) => return detour::serve(gateway, socket, peer, upstream).await,
         Ok(First::Message) => {}
         Err(error) => {
             debug!(gateway.log, "peer lost"; "peer" => peer.to_string(), "error" => error.to_string());
--- a/crates/orioleroute-node/src/gateway/reporting.rs
+++ b/crates/orioleroute-node/src/gateway/reporting.rs
@@ -7,9 +7,10 @@
 use orioleroute::prelude::*;
 use orioleroute::scheduler::Decision;
 use orioleroute::scheduler::message::Reason;
+use orioleroute_platform::ingress::Connection;
 use slog::info;
 
-use super::exchange::{Incoming, Loss};
+use super::exchange::{Incoming, Loss, Transport};
 use super::forward::Relay;
 use super::permit::Permit;
 use super::state::Gateway;
@@ -42,6 +43,7 @@
         ran: Duration,
         loss: &Loss,
         next: &'static str,
+        transport: &Transport,
         incoming: Option<&Incoming>,
     ) {
         let framing = |incoming: &Incoming| -> &'static str { incoming.head().framing.into() };
@@ -55,6 +57,8 @@
             "framing" => incoming.map(framing),
             "body_bytes" => incoming.map(Incoming::body_bytes), "last_event" => self.last_event.get(),
             "silent_ms" => self.silence().map(|silence| silence.as_millis() as u64),
+            "sibling" => transport.way.sibling().map(|sibling| &**sibling),
+            "is_reused" => transport.connection == Connection::Reused,
             "phase" => <&str>::from(phase), "ran_ms" => ran.as_millis() as u64,
             "retries" => usage.retries, "retry_limit" => usage.limit as u64,
             "parts" => self.shared_parts(), "content" => format!("{:x}", self.content));
@@ -88,6 +92,7 @@
         info!(self.gateway.log, "request"; "request" => self.attempt.id.as_deref(),
             "route" => &*self.route.name, "service" => &*self.service,
             "version" => self.version, "upstreams" => self.tried_upstreams.borrow().join(", "),
+            "siblings" => self.siblings_text(),
             "outcome" => outcome, "parts" => self.shared_parts(), "content" => format!("{:x}", self.content),
             "organisation" => self.organisation.as_ref().map(|it| &*it.name),
             "cost" => self.organisation.as_ref().and_then(|it| Some(it.quota?.cost(self.attempt.tokens))),
@@ -107,6 +112,12 @@
         Some(ids.join(","))
     }
 
+    /// Returns the instances by way of which requests went, if any did.
+    fn siblings_text(&self) -> Option<String> {
+        let siblings = self.siblings.borrow();
+        (!siblings.is_empty()).then(|| siblings.join(", "))
+    }
+
     /// Returns how long ago the last data of an upstream arrived, if any has.
     fn silence(&self) -> Option<Duration> {
         self.received_at.get().map(|received| self.gateway.now().since(received))
--- a/crates/orioleroute-node/src/gateway/server.rs
+++ b/crates/orioleroute-node/src/gateway/server.rs
@@ -18,6 +18,7 @@
 use super::forward::{self, Disposition, Inbound};
 use super::state::Gateway;
 use super::turned_away;
+use crate::work::Work;
 
 /// The longest wait for a whole body: the longest deadline that clients currently use.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -118,7 +119,7 @@
             Ok(None) => return,
             Err(rejection) => return reject(client, None, rejection).await,
         };
-        let _guard = gateway.track_request();
+        let _guard = gateway.in_flight.begin(Work::Request);
         let arrived = gateway.now();
         let id = ingress::attempt(&head.headers).id;
         let body = match read_body(gateway, client, &head, &limits).await {
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -33,6 +33,7 @@
 use crate::log;
 use crate::quota::Quotas;
 use crate::room::Room;
+use crate::work::{InFlight, Work};
 
 /// The fraction of the grace period during which a stopping instance still accepts new requests.
 /// Clients may cache its address, so this covers the cache lifetime as far as the grace period allows.
@@ -82,6 +83,8 @@
     pub leadership: Leadership,
     /// What is lent and borrowed of the quotas of organisations.
     pub quotas: Quotas,
+    /// What this instance is at work on.
+    pub in_flight: InFlight,
     settings: RefCell<Settings>,
     started: StdInstant,
     incarnation: u64,
@@ -97,7 +100,6 @@
     adapter_versions: RefCell<Map<AdapterKey, u64>>,
     deadlines: RefCell<Map<Arc<str>, DeadlineTracker>>,
     stopping_since: Cell<Option<Instant>>,
-    in_flight: Cell<usize>,
     reserved_body_bytes: Cell<usize>,
 }
 
@@ -131,6 +133,7 @@
             suspects: quarantine::Shared::default(),
             leadership: Leadership::default(),
             quotas: Quotas::default(),
+            in_flight: InFlight::default(),
             settings: RefCell::new(settings),
             started: StdInstant::now(),
             incarnation,
@@ -145,7 +148,6 @@
             adapter_versions: RefCell::default(),
             deadlines: RefCell::default(),
             stopping_since: Cell::new(None),
-            in_flight: Cell::new(0),
             reserved_body_bytes: Cell::new(0),
         }
     }
@@ -352,12 +354,6 @@
             && self.registry.borrow().is_read()
     }
 
-    /// Counts a request as in flight until the returned guard is dropped.
-    pub fn track_request(self: &Rc<Self>) -> RequestGuard {
-        self.in_flight.set(self.in_flight.get() + 1);
-        RequestGuard(self.clone())
-    }
-
     /// Reserves `bytes` of memory for a request body, and returns whether that much was available.
     pub fn reserve_body(&self, bytes: usize) -> bool {
         let total = self.reserved_body_bytes.get() + bytes;
@@ -388,7 +384,8 @@
         if self.is_stopping() {
             return;
         }
-        info!(self.log, "stopping"; "in_flight" => self.in_flight.get());
+        info!(self.log, "stopping"; "in_flight" => self.in_flight.count(Work::Request),
+            "detours" => self.in_flight.count(Work::Detour));
         self.stopping_since.set(Some(self.now()));
         self.update_serving();
     }
@@ -411,15 +408,6 @@
     }
 }
 
-/// Counts one request as in flight until it is dropped.
-pub struct RequestGuard(Rc<Gateway>);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get().saturating_sub(1));
-    }
-}
-
 /// The handled signals. They are caught from the moment of construction.
 pub struct Signals {
     termination: UnixStream,
@@ -469,14 +457,15 @@
     loop {
         monoio::time::sleep(STOP_POLL_INTERVAL).await;
         let elapsed = gateway.now().since(since);
-        let is_idle = gateway.in_flight.get() == 0;
+        let is_idle = gateway.in_flight.count(Work::Request) == 0;
         if (is_idle && elapsed > grace.mul_f64(IDLE_EXIT_GRACE_FRACTION))
             || elapsed > grace.mul_f64(FORCED_EXIT_GRACE_FRACTION)
         {
             break;
         }
     }
-    info!(gateway.log, "stopped"; "in_flight" => gateway.in_flight.get());
+    info!(gateway.log, "stopped"; "in_flight" => gateway.in_flight.count(Work::Request),
+        "detours" => gateway.in_flight.count(Work::Detour));
     Ok(())
 }
 
--- a/crates/orioleroute-node/src/gateway/takeover.rs
+++ b/crates/orioleroute-node/src/gateway/takeover.rs
@@ -91,7 +91,15 @@
         incoming: &mut Incoming,
     ) -> Bytes {
         let Successor { permit: new, incoming: response, data } = successor;
-        self.report_loss(&permit.upstream, permit.age(), loss, "resume", Some(incoming));
+        let transport = incoming.transport().clone();
+        self.report_loss(
+            &permit.upstream,
+            permit.age(),
+            loss,
+            "resume",
+            &transport,
+            Some(incoming),
+        );
         self.note(format!("{} lost: {loss}", permit.upstream));
         self.note(format!("{} {}", new.upstream, response.head().status.as_u16()));
         new.send_started();
@@ -118,7 +126,7 @@
             }
             return give_up(relay, permit, result);
         }
-        TryOutcome::Lost(permit, _) => return give_up(relay, permit, RunResult::Broken),
+        TryOutcome::Lost(permit, ..) => return give_up(relay, permit, RunResult::Broken),
     };
     if !continues_stream(incoming.head()) {
         return give_up(relay, permit, RunResult::Erred);
--- a/crates/orioleroute-node/src/gateway/tries.rs
+++ b/crates/orioleroute-node/src/gateway/tries.rs
@@ -8,7 +8,7 @@
 use orioleroute_platform::ingress::{self, Dispatch, ResponseClass};
 use orioleroute_wire::http1::head;
 
-use super::exchange::{Failure, Incoming, Loss, Outgoing, Target};
+use super::exchange::{Failure, Incoming, Loss, Outgoing, Target, Transport};
 use super::forward::Relay;
 use super::permit::{Permit, Refusal};
 use super::placement::{self, PermitRequest};
@@ -23,7 +23,7 @@
     /// The upstream did not run the request.
     NotRun(Permit, RunResult),
     /// The upstream may have run the request, but its response is lost.
-    Lost(Permit, Loss),
+    Lost(Permit, Loss, Transport),
 }
 
 impl Relay<'_> {
@@ -56,12 +56,18 @@
         };
         self.possible_runs.set(self.possible_runs.get() + 1);
         match self.gateway.connections.send(self.gateway, &target, outgoing).await {
-            Ok(incoming) => self.classify(permit, incoming),
+            Ok(incoming) => {
+                self.note_way(&incoming.transport().way);
+                self.classify(permit, incoming)
+            }
             Err(Failure::Unreachable(_)) => {
                 self.possible_runs.set(self.possible_runs.get() - 1);
                 TryOutcome::NotRun(permit, RunResult::Unreachable)
             }
-            Err(Failure::Broken(cut)) => TryOutcome::Lost(permit, cut.into()),
+            Err(Failure::Broken(cut, transport)) => {
+                self.note_way(&transport.way);
+                TryOutcome::Lost(permit, cut.into(), transport)
+            }
         }
     }
 
@@ -69,7 +75,8 @@
         let id = self.attempt.id.as_deref();
         let headers = &incoming.head().headers;
         let status = incoming.head().status;
-        let class = ingress::classify_response(status, headers, id, incoming.connection());
+        let class =
+            ingress::classify_response(status, headers, id, incoming.transport().connection);
         if matches!(class, ResponseClass::Valid | ResponseClass::NotRun) {
             permit.observe(ingress::notice(headers), class == ResponseClass::Valid);
             if let Some(pause) = ingress::pause(incoming.head().status, headers) {
@@ -78,7 +85,9 @@
         }
         match class {
             ResponseClass::Valid => TryOutcome::Answered(permit, Box::new(incoming)),
-            ResponseClass::Mismatched => TryOutcome::Lost(permit, Loss::Mismatched),
+            ResponseClass::Mismatched => {
+                TryOutcome::Lost(permit, Loss::Mismatched, incoming.transport().clone())
+            }
             ResponseClass::NotRun | ResponseClass::Misdirected => {
                 self.possible_runs.set(self.possible_runs.get() - 1);
                 let result = match class {
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -22,6 +22,7 @@
 mod shell;
 mod signals;
 mod traffic;
+mod work;
 
 use std::process::ExitCode;
 use std::rc::Rc;
