Do not end a process that is at work for other instances

What callers saw: a response that comes by way of a stopping instance is cut in the middle, or is lost with 502, when that instance ends.

The connections that it passes on to upstreams for its siblings were not counted, so it ended under them.

Change: detours are work in flight like requests, from before they are opened, and the process waits for them within its grace time. That alone does not make a process end at once when others keep idle connections through it; those are the next fault.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -239,6 +239,8 @@
     peer: SocketAddr,
     upstream: Arc<str>,
 ) {
+    // Counted before it is opened, so that the process does not end in between.
+    let _guard = gateway.in_flight.begin(Work::Detour);
     let target = gateway.registry().get(&upstream).map(Target::from);
     let connected = match target {
         Some(target) if gateway.path(&target.service).is_lost() => Err(FromSibling::CutOff),
@@ -257,7 +259,6 @@
     if sibling.write(line.as_bytes()).await.is_ok()
         && let Ok(socket) = connected
     {
-        let _guard = gateway.in_flight.begin(Work::Detour);
         let since = gateway.now();
         let served = metrics::gauge!("orioleroute_detours_served");
         served.increment(1.0);
--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -54,8 +54,8 @@
 
 use crate::meter;
 
-/// Runs an instance until a termination signal arrives and its requests are answered or the grace
-/// period ends.
+/// Runs an instance until a termination signal arrives and its work for clients and for other instances is
+/// done, or the grace period ends.
 pub fn main() -> ExitCode {
     let settings = match Settings::from_environment() {
         settings::Outcome::Run(settings) => *settings,
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -438,8 +438,9 @@
     UnixStream::from_std(receiver)
 }
 
-/// Runs until a termination signal arrives, then until the instance is idle after
-/// [`IDLE_EXIT_GRACE_FRACTION`] of the grace period or reaches [`FORCED_EXIT_GRACE_FRACTION`] of it.
+/// Runs until a termination signal arrives, then until the instance has no work in flight after
+/// [`IDLE_EXIT_GRACE_FRACTION`] of the grace period or reaches [`FORCED_EXIT_GRACE_FRACTION`] of it. What it does for other
+/// instances is work, too.
 ///
 /// # Errors
 ///
@@ -457,7 +458,7 @@
     loop {
         monoio::time::sleep(STOP_POLL_INTERVAL).await;
         let elapsed = gateway.now().since(since);
-        let is_idle = gateway.in_flight.count(Work::Request) == 0;
+        let is_idle = gateway.in_flight.is_empty();
         if (is_idle && elapsed > grace.mul_f64(IDLE_EXIT_GRACE_FRACTION))
             || elapsed > grace.mul_f64(FORCED_EXIT_GRACE_FRACTION)
         {
--- a/crates/orioleroute-node/src/work.rs
+++ b/crates/orioleroute-node/src/work.rs
@@ -26,6 +26,11 @@
         Guard { in_flight: self.clone(), work }
     }
 
+    /// Returns whether there is none of any kind.
+    pub fn is_empty(&self) -> bool {
+        self.0.iter().all(|count| count.get() == 0)
+    }
+
     /// Returns the number of pieces of this kind.
     pub fn count(&self, work: Work) -> usize {
         self.count_of(work).get()
