Write the last lines of the log before the process ends

Cause: a thread of its own writes the log, and was waited for only when the last logger was dropped. Tasks that are still running when the process ends hold loggers, so nobody waited.

--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -52,7 +52,7 @@
 pub use state::Gateway;
 use state::Signals;
 
-use crate::meter;
+use crate::{log, meter};
 
 /// Runs an instance until a termination signal arrives and its work for clients and for other instances is
 /// done, or the grace period ends.
@@ -86,7 +86,8 @@
     let ready = TcpListener::bind(settings.ready_address)?;
     let directory = TcpListener::bind(settings.directory_address)?;
     let metrics_listener = TcpListener::bind(settings.metrics_address)?;
-    let gateway = Rc::new(Gateway::new(settings));
+    let (log, _flush) = log::to_stdout(&settings);
+    let gateway = Rc::new(Gateway::new(settings, log));
     info!(gateway.log, "started"; "incarnation" => gateway.incarnation(),
         "callers" => gateway.settings().caller_address.to_string());
     monoio::spawn(server::serve(gateway.clone(), callers));
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -30,7 +30,6 @@
 use super::pauses::Pauses;
 use super::settings::{Outcome, Settings};
 use super::{builds, origins, quarantine, turned_away};
-use crate::log;
 use crate::quota::Quotas;
 use crate::room::Room;
 use crate::work::{InFlight, Work};
@@ -105,7 +104,7 @@
 
 impl Gateway {
     /// Returns the state of an instance that has read nothing from the store yet.
-    pub fn new(settings: Settings) -> Self {
+    pub fn new(settings: Settings, log: Logger) -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = since_epoch.as_micros() as u64;
         let own = Member {
@@ -118,7 +117,7 @@
             capacity: (settings.processor_share * 100.0) as u32,
         };
         Self {
-            log: log::to_stdout(&settings),
+            log,
             store: Store::new(settings.store_address),
             pool: Pool::resetting().with_max_answer(MAX_REPORT_BYTES),
             connections: Connections::default(),
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -60,8 +60,10 @@
     let callers = callers::bind(&settings)?;
     let peers = peers::bind(&settings)?;
     let operators = operators::bind(&settings)?;
+    let (log, _flush) = log::to_stderr(&settings);
     let shell = Rc::new(Shell::new(
         settings,
+        log,
         callers.local_addr()?,
         peers.local_addr()?,
         operators.local_addr()?,
--- a/crates/orioleroute-node/src/shell.rs
+++ b/crates/orioleroute-node/src/shell.rs
@@ -21,7 +21,7 @@
 
 use crate::meter::Meter;
 use crate::settings::Settings;
-use crate::{engines, log, platform};
+use crate::{engines, platform};
 
 /// The longest wait for a peer to acknowledge a message.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -51,6 +51,7 @@
     /// Returns an instance that listens on the given addresses.
     pub fn new(
         settings: Settings,
+        log: Logger,
         caller_address: SocketAddr,
         peer_address: SocketAddr,
         operator_address: SocketAddr,
@@ -65,7 +66,6 @@
             peer_address,
             operator_address,
         };
-        let log = log::to_stderr(&settings);
         Self {
             settings,
             pool: Pool::new(),
