Use a connection by way of a sibling only while the path is in doubt

What callers saw: streams were cut when an instance ended, although their own instance had long been able to reach the upstreams itself, and had been told that the other one stops.

Cause: an idle connection was used again whatever way it takes. While requests follow each other it is never idle for too long, so it outlives the doubt for which it was opened, and the stop of the instance by way of which it goes.

Change: each idle connection keeps its way. A detour is taken from the pool, put into it and kept in it only while the path is in doubt and the sibling is one that would be asked for a new one. The others are closed at once, so that a stopping instance does not wait for them.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -100,6 +100,17 @@
     }
 }
 
+/// Returns whether a new request to an upstream of a service may go on an open connection that takes this way. A detour is
+/// used only for as long as the path is in doubt, and the other instance neither stops nor loses its own path.
+pub fn is_usable(gateway: &Gateway, service: &Arc<str>, way: &Way) -> bool {
+    match way {
+        Way::Direct => true,
+        Way::Detour(sibling) => {
+            gateway.path(service).is_doubted() && gateway.roster().is_detour(sibling, gateway.now())
+        }
+    }
+}
+
 /// Looks again whether paths are lost, from time to time. Requests do not show it: they take the detour, and clients are sent
 /// elsewhere.
 pub fn probe_if_due(gateway: &Rc<Gateway>) {
--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -122,6 +122,8 @@
 
 struct IdleConnection {
     socket: Socket,
+    /// The service of the upstream.
+    service: Arc<str>,
     way: Way,
     idle_since: Instant,
     max_idle: Duration,
@@ -146,9 +148,8 @@
         target: &Target,
         request: Outgoing<'_>,
     ) -> Result<Incoming, Failure> {
-        let now = gateway.now();
         let max_idle = if request.is_repeatable { Duration::MAX } else { NON_REPEATABLE_MAX_IDLE };
-        let (socket, transport) = match self.take_idle(&target.id, max_idle, now) {
+        let (socket, transport) = match self.take_idle(gateway, &target.id, max_idle) {
             Some((socket, way)) => (socket, Transport { way, connection: Connection::Reused }),
             None => {
                 let connected = detour::connect(gateway, target).await;
@@ -166,12 +167,18 @@
         }
     }
 
-    fn take_idle(&self, id: &Arc<str>, max_idle: Duration, now: Instant) -> Option<(Socket, Way)> {
+    fn take_idle(
+        &self,
+        gateway: &Gateway,
+        id: &Arc<str>,
+        max_idle: Duration,
+    ) -> Option<(Socket, Way)> {
+        let now = gateway.now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(id)?;
         while let Some(mut candidate) = kept.pop() {
             let is_fresh = now.since(candidate.idle_since) < candidate.max_idle.min(max_idle);
-            if is_fresh && candidate.socket.is_idle() {
+            if is_fresh && candidate.is_usable(gateway) && candidate.socket.is_idle() {
                 return Some((candidate.socket, candidate.way));
             }
         }
@@ -192,15 +199,25 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Closes connections to upstreams that are no longer listed, and those that were idle for too long.
-    pub fn prune(&self, is_listed: impl Fn(&str) -> bool, now: Instant) {
+    /// Closes connections to upstreams that are no longer listed, those that were idle for too long, and those whose way is no
+    /// longer to be used: an instance that stops waits for them.
+    pub fn prune(&self, gateway: &Gateway, is_listed: impl Fn(&str) -> bool) {
+        let now = gateway.now();
         self.idle.borrow_mut().retain(|id, kept| {
-            kept.retain(|idle| now.since(idle.idle_since) < idle.max_idle);
+            kept.retain(|idle| {
+                now.since(idle.idle_since) < idle.max_idle && idle.is_usable(gateway)
+            });
             !kept.is_empty() && is_listed(id)
         });
     }
 }
 
+impl IdleConnection {
+    fn is_usable(&self, gateway: &Gateway) -> bool {
+        detour::is_usable(gateway, &self.service, &self.way)
+    }
+}
+
 impl Incoming {
     /// Returns the head.
     pub fn head(&self) -> &Response {
@@ -227,12 +244,14 @@
     }
 
     /// Returns the connection to the pool if it can be reused.
-    pub fn release(self, connections: &Connections, now: Instant) {
+    pub fn release(self, gateway: &Gateway) {
         let max_idle = max_idle_from(&self.response.head.headers);
         if let Some(socket) = self.response.into_reusable() {
-            let way = self.transport.way;
-            let idle = IdleConnection { socket, way, idle_since: now, max_idle };
-            connections.put_idle(&self.target.id, idle);
+            let (service, way) = (self.target.service, self.transport.way);
+            let idle = IdleConnection { socket, service, way, idle_since: gateway.now(), max_idle };
+            if idle.is_usable(gateway) {
+                gateway.connections.put_idle(&self.target.id, idle);
+            }
         }
     }
 }
--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -295,7 +295,7 @@
                     // The engine may have ended before it has written the rest of the answer.
                     _ => permit.end_unconfirmed(),
                 }
-                incoming.release(&self.gateway.connections, self.gateway.now());
+                incoming.release(self.gateway);
                 Some((self.disposition(), "answered"))
             }
             RelayOutcome::ClientClosed => {
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -169,7 +169,7 @@
             builds::write_if_due(&gateway);
             let registry = gateway.registry();
             let is_listed = |id: &str| registry.get(id).is_some();
-            gateway.connections.prune(is_listed, now);
+            gateway.connections.prune(&gateway, is_listed);
             gateway.limits.prune(is_listed);
             gateway.health().retain(|id, health| is_listed(id) || health.outstanding() > 0);
         }
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -140,11 +140,8 @@
     /// order of its own.
     pub fn detours(&self, now: Instant) -> Vec<&Member> {
         let item = hash::digest(&*self.own.name);
-        let mut detours: Vec<&Member> = self
-            .serving(now)
-            .into_iter()
-            .filter(|it| it.name != self.own.name && !self.is_cut_off(&it.name))
-            .collect();
+        let peers = self.peers.values().filter(|peer| self.passes_on(peer, now));
+        let mut detours: Vec<&Member> = peers.map(|peer| &peer.member).collect();
         let score = |it: &Member| hash::score(item, hash::digest(&*it.name), it.capacity.max(1));
         detours.sort_by(|one, other| {
             let distance = |it: &Member| (it.region != self.own.region, it.zone != self.own.zone);
@@ -153,6 +150,20 @@
         detours
     }
 
+    /// Returns whether an instance is one of those [by way of which](Self::detours) upstreams may be reached. One that stops
+    /// is none.
+    pub fn is_detour(&self, name: &str, now: Instant) -> bool {
+        self.peers.get(name).is_some_and(|peer| self.passes_on(peer, now))
+    }
+
+    fn passes_on(&self, peer: &Peer, now: Instant) -> bool {
+        self.is_in_service(peer, now) && !peer.is_cut_off
+    }
+
+    fn is_in_service(&self, peer: &Peer, now: Instant) -> bool {
+        peer.is_serving && self.has_recent_heartbeat(peer, FAILED_INTERVALS, now)
+    }
+
     /// Adds or updates another instance from its entry in the table.
     pub fn upsert(&mut self, member: Member, now: Instant) {
         if member.name == self.own.name {
@@ -259,9 +270,7 @@
     /// Returns the instances that can take on duties: those that are serving and have not failed,
     /// including this one if it is serving.
     pub fn serving(&self, now: Instant) -> Vec<&Member> {
-        let peers = self.peers.values().filter(|peer| {
-            peer.is_serving && self.has_recent_heartbeat(peer, FAILED_INTERVALS, now)
-        });
+        let peers = self.peers.values().filter(|peer| self.is_in_service(peer, now));
         let own = self.is_serving.then_some(&self.own);
         own.into_iter().chain(peers.map(|peer| &peer.member)).collect()
     }
