Do not pass new connections on while stopping

What callers saw: a response may be cut when the instance by way of which it comes reaches the end of its grace time, although another instance could have been asked.

Cause: the others learn of a stop by the next heartbeat, and until then ask the stopping instance for connections. It opened them.

Evidence: a_stopping_instance_passes_no_new_connections_on failed before ("opened" after SIGTERM) and passes now.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -254,6 +254,8 @@
     let _guard = gateway.in_flight.begin(Work::Detour);
     let target = gateway.registry().get(&upstream).map(Target::from);
     let connected = match target {
+        // It might end before the response does.
+        _ if gateway.is_stopping() => Err(FromSibling::CutOff),
         Some(target) if gateway.path(&target.service).is_lost() => Err(FromSibling::CutOff),
         Some(target) => {
             let connected = connect_directly(&gateway, &target).await;
--- a/crates/orioleroute/src/ingress/path.rs
+++ b/crates/orioleroute/src/ingress/path.rs
@@ -29,7 +29,7 @@
     Unreachable,
     /// No such upstream is listed there.
     Unlisted,
-    /// The other instance reaches no upstream itself.
+    /// The other instance passes nothing on: it reaches no upstream itself, or it stops.
     CutOff,
 }
 
