Try the hand-over again while a stopping scheduler waits for the store

What callers saw: requests that need a scheduler are placed without one, or refused, for seconds after an instance has ended.

Cause: a stopping scheduler tried once to clear its row in the store. If that call failed, it went on scheduling until its end, and the others had to notice from missing heartbeats that it was gone.

--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -10,7 +10,7 @@
 use orioleroute::ingress::leaders::Leader;
 use orioleroute::ingress::roster::Roster;
 use orioleroute::prelude::*;
-use orioleroute_platform::store::{Commit, Write};
+use orioleroute_platform::store::{Commit, Error, Write};
 use slog::{debug, warn};
 
 use super::leadership::{self, ELECTION_INTERVAL, reconcile};
@@ -96,6 +96,7 @@
             continue;
         }
         if should_hand_over(gateway, &zone, now) {
+            // Tried again at a later election if the store does not answer.
             monoio::spawn(step_down_from(gateway.clone(), zone));
             continue;
         }
@@ -294,21 +295,30 @@
 }
 
 /// Steps down from all zones, so that successors need not wait for this instance's heartbeats to
-/// time out.
+/// time out. Tries again for as long as the store does not answer; the zones are scheduled here meanwhile.
 pub async fn step_down(gateway: Rc<Gateway>) {
-    for zone in gateway.leadership.scheduled_zones() {
-        step_down_from(gateway.clone(), zone).await;
+    let mut zones = gateway.leadership.scheduled_zones();
+    while !zones.is_empty() {
+        let mut unanswered = Vec::new();
+        for zone in zones {
+            if step_down_from(gateway.clone(), zone.clone()).await.is_err() {
+                unanswered.push(zone);
+            }
+        }
+        zones = unanswered;
+        monoio::time::sleep(ELECTION_INTERVAL).await;
     }
 }
 
 /// Clears the leader row of one zone, unless it has changed since this instance became leader.
-async fn step_down_from(gateway: Rc<Gateway>, zone: Arc<str>) {
-    let Some(version) = gateway.leadership.fencing_token(&zone) else { return };
+async fn step_down_from(gateway: Rc<Gateway>, zone: Arc<str>) -> Result<(), Error> {
+    let Some(version) = gateway.leadership.fencing_token(&zone) else { return Ok(()) };
     let key = format!("{LEADER_PREFIX}{zone}");
     let write = Write { table: CLUSTER_TABLE, key, expected_version: Some(version), value: None };
-    match gateway.store.commit(&[write]).await {
+    let committed = gateway.store.commit(&[write]).await;
+    match &committed {
         Ok(Commit::Committed(version)) => {
-            gateway.leadership.leaders.clear_leader(&zone, version, gateway.now())
+            gateway.leadership.leaders.clear_leader(&zone, *version, gateway.now())
         }
         Ok(Commit::Conflict) => {}
         Err(error) => {
@@ -317,4 +327,5 @@
         }
     }
     reconcile(&gateway);
+    committed.map(drop)
 }
