Let the only other instance take over from one that stops

What callers saw: where two instances are left, a zone has no scheduler for five seconds and more after its scheduler has handed over.

Cause: a candidate for a zone that is the only one waits five seconds, because it may be cut off itself. That was concluded from the other instances being no candidates. One that stops, or reaches no upstream, is none, and still sends heartbeats.

Change: the wait applies only if no heartbeat of another instance is recent.

--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -196,7 +196,10 @@
         outside.cmp(other_outside).then(other_score.total_cmp(score))
     });
     let rank = candidates.iter().position(|(_, _, member)| member.name == own.name).unwrap_or(0);
-    let is_isolated = candidates.len() == 1 && roster.peers().next().is_some();
+    // Those that stop, or reach no upstream, are no candidates, but their heartbeats show that this instance is not cut off.
+    let is_isolated = candidates.len() == 1
+        && roster.peers().next().is_some()
+        && !roster.contact(now).is_present();
     let isolation = if is_isolated { ISOLATION_DELAY } else { Duration::ZERO };
     confirmation + CANDIDATE_DELAY_STEP * rank as u32 + isolation
 }
