Tell the instances of other regions when an instance stops

What callers saw: clients whose own region has no serving instance get the address of one that stops, or has ended, for up to 6.5 s; instances of other regions go on asking it for connections to upstreams.

Cause: only readers and schedulers send heartbeats to other regions. An instance that stops is neither any more, so that the others learn of the stop from its silence alone.

Evidence: other_regions_do_not_name_an_instance_that_stops failed before (named 0.7 s after SIGTERM) and passes now.

Change: the first three heartbeats after the signal go to all instances.

--- a/crates/orioleroute-node/src/gateway/heartbeat.rs
+++ b/crates/orioleroute-node/src/gateway/heartbeat.rs
@@ -14,6 +14,9 @@
 /// The largest heartbeat datagram, in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 1_400;
 
+/// The number of heartbeats by which an instance that stops tells all others so, because some may be lost.
+const STOP_ROUNDS: u32 = 3;
+
 /// Sends and receives heartbeats, forever.
 pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
     let socket = Rc::new(socket);
@@ -49,17 +52,21 @@
 }
 
 /// Returns the addresses of the peers that get a heartbeat in this round, and how far they are. Instances of other regions get
-/// them only from the readers of this region, which stand for it, and from schedulers.
+/// them only from the readers of this region, which stand for it, from schedulers, and at first from one that stops, which is
+/// neither any more.
 fn due_addresses(gateway: &Gateway, round: u32) -> Vec<(SocketAddr, Reach)> {
     let stands_for_region =
         gateway.feed.is_reader() || !gateway.leadership.scheduled_zones().is_empty();
     // The load of a zone whose scheduler has just begun is needed at once.
     let has_begun =
         gateway.now().since(gateway.leadership.scheduling_since()) < HEARTBEAT_INTERVAL * 2;
+    let has_stopped =
+        gateway.stopping_for().is_some_and(|it| it < HEARTBEAT_INTERVAL * STOP_ROUNDS);
     let roster = gateway.roster();
     let due_peers = roster.peers().filter(|peer| {
-        let is_due = has_begun || round.is_multiple_of(roster.heartbeat_stride(peer));
-        is_due && (stands_for_region || peer.region == roster.own().region)
+        let is_due =
+            has_begun || has_stopped || round.is_multiple_of(roster.heartbeat_stride(peer));
+        is_due && (stands_for_region || has_stopped || peer.region == roster.own().region)
     });
     due_peers.map(|peer| (peer.peer_address, traffic::reach(gateway, &peer.zone))).collect()
 }
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -339,10 +339,15 @@
         self.stopping_since.get().is_some()
     }
 
+    /// Returns how long ago this instance received a termination signal, if it has.
+    pub fn stopping_for(&self) -> Option<Duration> {
+        self.stopping_since.get().map(|since| self.now().since(since))
+    }
+
     /// Returns whether new requests are accepted.
     pub fn is_accepting(&self) -> bool {
-        let Some(since) = self.stopping_since.get() else { return true };
-        self.now().since(since) < self.settings().grace.mul_f64(ACCEPTING_GRACE_FRACTION)
+        let accepting = self.settings().grace.mul_f64(ACCEPTING_GRACE_FRACTION);
+        self.stopping_for().is_none_or(|time| time < accepting)
     }
 
     /// Returns whether this instance is ready for clients: it knows the configuration and the upstreams,
