Leave out instances that have said that they stop, also of other regions

What callers saw: clients whose region has no serving instance got the address of one that had said that it stops.

Cause: most instances of other regions send no heartbeats here, so all that are not known to serve were named beside those that are. That took in those that had said that they do not.

Change: only those of which nothing else is known are added.

--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -435,9 +435,10 @@
         let mut addresses: Vec<SocketAddr> = near.map(|member| member.caller_address).collect();
         if addresses.is_empty() {
             // Most instances of another region send no heartbeats to this one. They count as serving
-            // while some of their region do.
+            // while some of their region do, unless they have said that they do not serve.
             let regions: Set<&str> = serving.iter().map(|member| &*member.region).collect();
-            let unknown = self.peers.values().map(|peer| &peer.member).filter(|member| {
+            let silent = self.peers.values().filter(|peer| peer.is_serving);
+            let unknown = silent.map(|peer| &peer.member).filter(|member| {
                 member.region != self.own.region
                     && regions.contains(&*member.region)
                     && !serving.iter().any(|known| known.name == member.name)
