Take a status outside of 100 to 599 for a malformed response

What callers saw: an upstream's answer with status 600 or 999 was passed on to the client, with the upstream's seal; and where it also said that the request had not run, the client got 503, which promises that, although the request had run. 000 to 099 were no answer before either.

Cause: the parser of response heads accepted each number that the library's type for statuses can hold, 100 to 999.

Change: a number outside of 100 to 599 is no status, and the response is malformed.

--- a/crates/orioleroute-wire/src/http1/head.rs
+++ b/crates/orioleroute-wire/src/http1/head.rs
@@ -9,6 +9,9 @@
 /// The maximum number of header fields of one message.
 const MAX_FIELDS: usize = 64;
 
+/// The first number above all statuses (RFC 9110, section 15).
+const END_OF_STATUSES: u16 = 600;
+
 /// The head of a request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -95,8 +98,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the head is malformed, is longer than `limit` bytes, or has ambiguous framing, and if
-    /// the server switches protocols.
+    /// Fails if the head is malformed, is longer than `limit` bytes, has ambiguous framing or a status outside of 100 to 599,
+    /// and if the server switches protocols.
     pub fn parse(
         input: &mut BytesMut,
         method: &Method,
@@ -126,8 +129,7 @@
             Ok(_) => return Err(Malformed::HeadTooLarge(limit)),
             Err(_) => return Err(Malformed::Head),
         };
-        let status = StatusCode::from_u16(parsed.code.unwrap_or_default());
-        let status = status.map_err(|_| Malformed::Head)?;
+        let status = parse_status(parsed.code.unwrap_or_default())?;
         let is_http11 = parsed.version == Some(1);
         let headers = to_header_map(parsed.headers)?;
         let framing = Framing::of_response(method, status, &headers)?;
@@ -139,6 +141,14 @@
     }
 }
 
+/// Returns a status. What a number outside of 100 to 599 means, and whether its request has run, is not defined.
+fn parse_status(number: u16) -> Result<StatusCode, Malformed> {
+    match StatusCode::from_u16(number) {
+        Ok(status) if number < END_OF_STATUSES => Ok(status),
+        Ok(_) | Err(_) => Err(Malformed::Status(number)),
+    }
+}
+
 /// Appends the request line and the header fields, without the empty line that ends the head.
 pub fn write_request(output: &mut Vec<u8>, method: &Method, target: &str, headers: &HeaderMap) {
     output.extend_from_slice(method.as_str().as_bytes());
--- a/crates/orioleroute-wire/src/http1/mod.rs
+++ b/crates/orioleroute-wire/src/http1/mod.rs
@@ -25,6 +25,9 @@
     /// The head violates the HTTP/1.1 grammar.
     #[error("the head does not follow the grammar")]
     Head,
+    /// The status of a response has three digits and is none (RFC 9110, section 15).
+    #[error("{0:03} is no status")]
+    Status(u16),
     /// The head is longer than the limit, in bytes.
     #[error("the head is longer than {0} bytes")]
     HeadTooLarge(usize),
--- a/crates/orioleroute-wire/tests/http1.rs
+++ b/crates/orioleroute-wire/tests/http1.rs
@@ -154,6 +154,28 @@
     assert!(response(text).is_err());
 }
 
+#[rstest]
+#[case::below(0)]
+#[case::just_below(99)]
+#[case::just_above(600)]
+#[case::above(999)]
+fn a_response_with_a_status_that_is_none_is_rejected(#[case] status: u16) {
+    let rejected = response(&format!("HTTP/1.1 {status:03} OK\r\nContent-Length: 0\r\n\r\n"));
+
+    assert_eq!(rejected.unwrap_err(), Malformed::Status(status));
+}
+
+#[rstest]
+#[case::lowest_final(200)]
+#[case::unknown_success(299)]
+#[case::unknown_refusal(499)]
+#[case::highest(599)]
+fn a_response_with_any_final_status_is_accepted(#[case] status: u16) {
+    let parsed = response(&format!("HTTP/1.1 {status} OK\r\nContent-Length: 0\r\n\r\n"));
+
+    assert_eq!(parsed.unwrap().unwrap().status.as_u16(), status);
+}
+
 #[test]
 fn hop_by_hop_fields_are_not_forwarded() {
     let mut headers = HeaderMap::new();
