Count a malformed answer as one that was reached

What callers saw: three upstreams that answer malformed within three seconds put the path of an instance in doubt, so that its idle connections are closed and its requests go by way of other instances.

Cause: whatever ended a new connection before the head of a response was taken for an upstream that cannot be reached, also bytes that it had sent.

Change: a malformed head shows that the upstream is reached. Without any bytes, or on a lost connection, nothing changes.

--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -159,7 +159,9 @@
         };
         let received = incoming::Incoming::receive(socket, encode(&request), request.method).await;
         if transport.connection == Connection::New {
-            detour::observe(gateway, target, &transport.way, received.is_ok());
+            // A malformed answer shows that the upstream can be reached, too.
+            let is_answered = matches!(received, Ok(_) | Err(Cut::Malformed(_)));
+            detour::observe(gateway, target, &transport.way, is_answered);
         }
         match received {
             Ok(response) => Ok(Incoming { response, target: target.clone(), transport }),
