Keep records of streams at instances that stay

What callers saw: while upstreams of several builds serve, a stream that broke off cannot be taken up after some instances have stopped; it is refused with 503 (unknown origin).

Cause: where a stream began is recorded at three other instances, chosen from all that are listed. One that stops was chosen like any other, and its records end with it.

Change: instances that have said that they stop are chosen only after the others.

--- a/crates/orioleroute-node/src/gateway/origins.rs
+++ b/crates/orioleroute-node/src/gateway/origins.rs
@@ -111,8 +111,14 @@
     let own = gateway.roster().own().name.clone();
     let candidates = gateway.origins.candidates.borrow();
     let others = origin.holders(&candidates).into_iter().filter(|name| **name != own);
-    let in_reach =
-        others.filter_map(|name| link::instance(gateway, name)).filter(SchedulerHandle::is_current);
+    // Those that stop take their records with them.
+    let is_staying = |name: &&Arc<str>| !gateway.roster().is_out_of_service(name);
+    let (staying, leaving): (Vec<_>, Vec<_>) = others.partition(is_staying);
+    let in_reach = staying
+        .into_iter()
+        .chain(leaving)
+        .filter_map(|name| link::instance(gateway, name))
+        .filter(SchedulerHandle::is_current);
     for holder in in_reach.take(HOLDERS) {
         holder.send(gateway, ToScheduler::Began { origin, build: build.clone() });
     }
--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -156,6 +156,11 @@
         self.peers.get(name).is_some_and(|peer| self.passes_on(peer, now))
     }
 
+    /// Returns whether an instance has said that it serves no clients, because it stops or has just started.
+    pub fn is_out_of_service(&self, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|peer| !peer.is_serving)
+    }
+
     fn passes_on(&self, peer: &Peer, now: Instant) -> bool {
         self.is_in_service(peer, now) && !peer.is_cut_off
     }
