Fold metric samples into histograms although nobody reads them

Cause: the recorder keeps the samples of histograms until the metrics are rendered; its upkeep was never run.

Evidence: memory_does_not_grow_with_requests_while_nobody_reads_the_ metrics found 2.0 MB more after 120,000 requests before, where 1 MB is allowed, and passes now, three times.

Change: both backends run the upkeep every second.

--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -95,6 +95,7 @@
     monoio::spawn(heartbeat::run(gateway.clone(), heartbeats));
     monoio::spawn(endpoints::serve_ready(gateway.clone(), ready));
     monoio::spawn(endpoints::serve_resolutions(gateway.clone(), directory));
+    monoio::spawn(meter::maintain(metrics.clone()));
     monoio::spawn(endpoints::serve_metrics(gateway.clone(), metrics_listener, metrics));
     monoio::spawn(feed::run(gateway.clone()));
     monoio::spawn(sync::register_after_read(gateway.clone()));
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -71,6 +71,7 @@
     shell.announce();
     monoio::spawn(callers::run(shell.clone(), callers));
     monoio::spawn(peers::run(shell.clone(), peers));
+    monoio::spawn(meter::maintain(metrics.clone()));
     monoio::spawn(operators::run(shell.clone(), operators, metrics));
     monoio::spawn(platform::poll_instance_list(shell.clone()));
     monoio::spawn(signals::watch(shell.clone())?);
--- a/crates/orioleroute-node/src/meter.rs
+++ b/crates/orioleroute-node/src/meter.rs
@@ -17,6 +17,9 @@
 const BUCKETS_S: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.46, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0];
 
+/// The time between two rounds of [`maintain`]. At a thousand requests a second they take 20 kB of samples each.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Installs the recorder of metrics and returns the handle that renders them.
 pub fn install() -> PrometheusHandle {
     // Setting the buckets fails only if the list is empty.
@@ -28,6 +31,15 @@
     handle
 }
 
+/// Folds recorded samples into their histograms, forever. The recorder does so by itself only when the metrics are read, and
+/// keeps them until then.
+pub async fn maintain(metrics: PrometheusHandle) {
+    loop {
+        monoio::time::sleep(UPKEEP_INTERVAL).await;
+        metrics.run_upkeep();
+    }
+}
+
 /// Updates the metrics from events and effects.
 #[derive(Default)]
 pub struct Meter {
