Do not lead a zone again right after another instance

What callers saw: engines get orders of one scheduler, of another one and of the first again within three seconds.

Cause: an instance that has handed a zone over, because it takes its path for lost, takes it back at once when its successor does the same. Nothing kept a former leader from leading again.

Change: an instance takes a zone over only 3.3 s after it has ceased to lead it. The others take it over as before; a zone with no other candidate has no scheduler for that time.

--- a/crates/orioleroute-node/src/gateway/election.rs
+++ b/crates/orioleroute-node/src/gateway/election.rs
@@ -100,7 +100,9 @@
             monoio::spawn(step_down_from(gateway.clone(), zone));
             continue;
         }
-        let is_vacant = is_vacant(gateway, &zone, now) && is_capable(&gateway.roster(), now);
+        let is_vacant = is_vacant(gateway, &zone, now)
+            && is_capable(&gateway.roster(), now)
+            && !leaders.has_just_left(&zone, now);
         let mut vacant_since = gateway.leadership.timers.vacant_since.borrow_mut();
         match is_vacant {
             false => {
--- a/crates/orioleroute-node/src/gateway/leadership.rs
+++ b/crates/orioleroute-node/src/gateway/leadership.rs
@@ -260,6 +260,7 @@
             (false, Some(fencing_token)) => {
                 info!(gateway.log, "scheduling ends"; "zone" => &*zone, "fencing" => fencing_token,
                     "successor" => entry.leader.map(|leader| leader.holder.to_string()));
+                gateway.leadership.leaders.record_left(&zone, gateway.now());
                 stopped.extend(schedulers.remove(&zone));
             }
             (false, None) => {}
@@ -417,6 +418,7 @@
             (Output::Fenced, Some(zone)) => {
                 warn!(gateway.log, "fenced off"; "zone" => &**zone);
                 let scheduler = gateway.leadership.schedulers.borrow_mut().remove(zone);
+                gateway.leadership.leaders.record_left(zone, gateway.now());
                 gateway.leadership.leaders.forget(zone);
                 if let Some(mut scheduler) = scheduler {
                     scheduler.refuse_waiting();
--- a/crates/orioleroute/src/ingress/leaders.rs
+++ b/crates/orioleroute/src/ingress/leaders.rs
@@ -33,6 +33,8 @@
 #[derive(Default)]
 pub struct Leaders {
     entries: RefCell<Map<Arc<str>, Entry>>,
+    /// When this instance last ceased to lead a zone.
+    left: RefCell<Map<Arc<str>, Instant>>,
 }
 
 /// What is known of the leader of one zone.
@@ -60,6 +62,10 @@
 /// call that is not answered and another one.
 pub const REWRITE_TIME: Duration = Duration::from_millis(2_000);
 
+/// How long after it has led a zone an instance does not take it over again, because a successor may have sent orders meanwhile.
+/// Engines must not get orders of two leaders in turn within three seconds.
+pub const RETURN_DELAY: Duration = Duration::from_millis(3_300);
+
 impl Entry {
     /// Returns whether the leader has yet to write its row in the store's current era.
     pub fn is_unconfirmed(&self) -> bool {
@@ -110,6 +116,17 @@
         }
     }
 
+    /// Records that this instance has ceased to lead a zone.
+    pub fn record_left(&self, zone: &Arc<str>, now: Instant) {
+        self.left.borrow_mut().insert(zone.clone(), now);
+    }
+
+    /// Returns whether this instance has led a zone so lately that it must not take it over yet.
+    pub fn has_just_left(&self, zone: &str, now: Instant) -> bool {
+        let left = self.left.borrow().get(zone).copied();
+        left.is_some_and(|left| now.since(left) < RETURN_DELAY)
+    }
+
     /// Forgets the leader of a zone, which is then read from the store again.
     pub fn forget(&self, zone: &str) {
         self.entries.borrow_mut().remove(zone);
