--- a/crates/orioleroute/tests/leaders.rs
+++ b/crates/orioleroute/tests/leaders.rs
@@ -3,7 +3,7 @@
 //! Guards against two leaders of a zone: the one that the copy names, and the one that took over after the copy was made.
 
 use orioleroute::ingress::Version;
-use orioleroute::ingress::leaders::{Leader, Leaders, REWRITE_TIME};
+use orioleroute::ingress::leaders::{Leader, Leaders, RETURN_DELAY, REWRITE_TIME};
 use orioleroute::prelude::*;
 use rstest::rstest;
 
@@ -124,3 +124,15 @@
     assert_eq!(holder(&leaders).as_deref(), Some("first"));
     assert!(!leaders.is_unconfirmed("a"));
 }
+
+/// The successor may have sent orders, and may give the zone up at once.
+#[test]
+fn an_instance_that_has_left_a_zone_waits_before_it_leads_it_again() {
+    let leaders = Leaders::default();
+
+    leaders.record_left(&"a".into(), NOW);
+
+    assert!(leaders.has_just_left("a", NOW + Duration::from_millis(3_000)));
+    assert!(!leaders.has_just_left("a", NOW + RETURN_DELAY));
+    assert!(!leaders.has_just_left("b", NOW));
+}
