Close what is passed on once it is idle while stopping

What callers saw: beside instances of the last landing, streams are cut when a stopping instance reaches 0.93 of its grace time. Those instances go on using idle connections through it, and it waits for these.

Cause: an instance that passes bytes on did not know when no response is due, so that it could not end a connection between two of them.

Evidence: a_stopping_instance_closes_the_connections_that_it_passes_on_ once_they_are_idle failed before in both cases (2.8 s, the end of the process) and passes now.

Change: an observer follows requests and responses in the bytes that are passed on. A stopping instance closes the connection after the response in progress, and one on which nothing was asked after 0.25 s. Where the observer cannot tell, the connection counts as before.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -13,6 +13,7 @@
 use orioleroute::scheduler::Reply;
 use orioleroute_wire::connect::Options;
 use orioleroute_wire::frames;
+use orioleroute_wire::http1::observer::Observer;
 use orioleroute_wire::http1::socket::Socket;
 use orioleroute_wire::lines::Lines;
 use slog::{info, warn};
@@ -41,6 +42,10 @@
 /// How many bytes of a peer wait for the other one before no more are read.
 const MAX_WAITING_BYTES: usize = 64 << 10;
 
+/// How long a connection on which nothing was asked yet has to be idle before a stopping instance closes it. Whoever has opened
+/// it is about to send a request, a round trip between regions later at most.
+const UNUSED_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// The way that a connection takes to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Way {
@@ -275,7 +280,7 @@
         let since = gateway.now();
         let served = metrics::gauge!("orioleroute_detours_served");
         served.increment(1.0);
-        let passed = pass_on(sibling, socket).await;
+        let passed = pass_on(&gateway, sibling, socket).await;
         served.decrement(1.0);
         info!(gateway.log, "detour ended"; "upstream" => &*upstream, "peer" => peer.to_string(),
             "error" => passed.err().map(|error| error.to_string()),
@@ -284,17 +289,26 @@
 }
 
 /// Passes bytes on in both directions, those of the upstream in frames. Returns once the upstream's have ended and are
-/// written, or an error if either connection is lost or the other instance closes its own.
-async fn pass_on(mut sibling: Socket, mut upstream: Socket) -> std::io::Result<()> {
+/// written, or an error if either connection is lost or the other instance closes its own. Returns as well once no response is
+/// due while this instance stops: instances of an older release would go on using the connection.
+async fn pass_on(
+    gateway: &Gateway,
+    mut sibling: Socket,
+    mut upstream: Socket,
+) -> std::io::Result<()> {
     let (mut to_sibling, mut to_upstream) = (Bytes::new(), Bytes::new());
-    let mut has_ended = false;
+    let mut observer = Observer::default();
+    let (mut has_ended, mut is_unused) = (false, false);
     loop {
         if to_upstream.is_empty() {
             to_upstream = sibling.input.split().freeze();
+            observer.observe_request(&to_upstream);
         }
         if to_sibling.is_empty() && (has_ended || !upstream.input.is_empty()) {
-            let mut framed = Vec::with_capacity(upstream.input.len() + 8);
-            frames::encode(&upstream.input.split(), &mut framed);
+            let received = upstream.input.split();
+            observer.observe_response(&received);
+            let mut framed = Vec::with_capacity(received.len() + 8);
+            frames::encode(&received, &mut framed);
             if has_ended {
                 frames::encode_end(&mut framed);
                 sibling.write(&framed).await?;
@@ -302,6 +316,10 @@
             }
             to_sibling = framed.into();
         }
+        let is_idle = observer.is_idle() && to_sibling.is_empty() && to_upstream.is_empty();
+        if is_idle && gateway.is_stopping() && (observer.has_answered() || is_unused) {
+            return sibling.shutdown().await;
+        }
         let may_read_sibling = sibling.input.len() < MAX_WAITING_BYTES || !to_sibling.is_empty();
         let may_read_upstream = upstream.input.len() < MAX_WAITING_BYTES || !to_upstream.is_empty();
         monoio::select! {
@@ -313,6 +331,7 @@
             read = upstream.write_or_fill(&mut to_upstream), if may_read_upstream && !has_ended => {
                 has_ended = read? == Some(0);
             }
+            () = monoio::time::sleep(UNUSED_TIMEOUT), if is_idle => is_unused = true,
         }
     }
 }
--- a/crates/orioleroute-wire/src/http1/mod.rs
+++ b/crates/orioleroute-wire/src/http1/mod.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 messages for the proxy, [`crate::client`] and [`crate::server`]: heads are parsed strictly, bodies
 //! are forwarded as they arrive.
 //!
-//! [`head`] and [`body`] work on buffers and do no I/O; [`socket`] fills the buffers, and [`incoming`] reads
-//! responses. `docs/PLATFORM.md`, section "HTTP", gives the reasons.
+//! [`head`] and [`body`] work on buffers and do no I/O, nor does [`observer`], which follows exchanges; [`socket`] fills the
+//! buffers, and [`incoming`] reads responses. `docs/PLATFORM.md`, section "HTTP", gives the reasons.
 //!
 //! ```
 //! use bytes::BytesMut;
@@ -17,6 +17,7 @@
 pub mod body;
 pub mod head;
 pub mod incoming;
+pub mod observer;
 pub mod socket;
 
 /// The reason why input is rejected as an HTTP/1.1 message.
