--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -202,7 +202,7 @@
     }
 
     /// Closes connections to upstreams that are no longer listed, those that were idle for too long, and those whose way is no
-    /// longer to be used: an instance that stops waits for them.
+    /// longer to be used.
     pub fn prune(&self, gateway: &Gateway, is_listed: impl Fn(&str) -> bool) {
         let now = gateway.now();
         self.idle.borrow_mut().retain(|id, kept| {
--- a/crates/orioleroute-node/src/gateway/heartbeat.rs
+++ b/crates/orioleroute-node/src/gateway/heartbeat.rs
@@ -14,7 +14,7 @@
 /// The largest heartbeat datagram, in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 1_400;
 
-/// The number of heartbeats by which an instance that stops tells all others so, because some may be lost.
+/// The number of heartbeats to all instances from one that stops. One may be lost, and each tells of the stop.
 const STOP_ROUNDS: u32 = 3;
 
 /// Sends and receives heartbeats, forever.
--- a/crates/orioleroute-node/src/log.rs
+++ b/crates/orioleroute-node/src/log.rs
@@ -33,6 +33,7 @@
     }
 }
 
+/// Returns a drain that passes lines to `drain` on a thread of its own.
 fn queued<D>(drain: D) -> (Async, Flush)
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
