Add failing tests of verdicts that displace each other

Two parts, or two requests, that were lost together are judged on losses alone: the one with fewer losses is not blamed, whatever it ended by itself afterwards.

--- a/crates/orioleroute/tests/crashing_requests.rs
+++ b/crates/orioleroute/tests/crashing_requests.rs
@@ -99,6 +99,16 @@
     assert_eq!(blamed, [OTHER, BAD]);
 }
 
+/// Upstreams are lost under both requests at first, and then under each by itself.
+#[test]
+fn two_bad_requests_that_were_lost_together_are_both_blamed() {
+    let mut losses: Vec<Loss> =
+        (1..=4).map(|number| loss(number, &[(BAD, 85), (OTHER, 85)])).collect();
+    losses.extend([loss(1, &[(BAD, 85)]), loss(2, &[(BAD, 85)]), loss(3, &[(OTHER, 85)])]);
+
+    assert_eq!(blamed(losses, Duration::from_secs(1)), [OTHER, BAD]);
+}
+
 #[rstest]
 #[case::three_losses(3, &[])]
 #[case::four_losses(4, &[SOUND, BAD])]
--- a/crates/orioleroute/tests/quarantine.rs
+++ b/crates/orioleroute/tests/quarantine.rs
@@ -273,6 +273,38 @@
     assert_eq!(blamed(losses), [7, 8]);
 }
 
+/// Engines are lost under both parts at first, and then under one of them while the other one is refused.
+#[test]
+fn two_bad_parts_that_were_lost_together_do_not_displace_each_other() {
+    let both = |engine, own| loss(engine, &[(own, &[7]), (own + 100, &[8])]);
+    let mut losses: Vec<Loss> = (1..=3).map(|number| both(number, number.into())).collect();
+    losses.push(loss(1, &[(14, &[7])]));
+    losses.push(loss(2, &[(15, &[8])]));
+    losses.push(loss(3, &[(16, &[7])]));
+
+    let blamed_by_then: Vec<Vec<u64>> =
+        (5..=losses.len()).map(|count| blamed(losses[..count].to_vec())).collect();
+
+    assert_eq!(blamed_by_then, [[7, 8], [7, 8]]);
+}
+
+/// The other part was lost three times beside the one that ends engines, and then once by itself or not.
+#[rstest]
+#[case::by_itself(loss(6, &[(15, &[7])]), &[7, BAD])]
+#[case::beside_a_third(loss(6, &[(15, &[7]), (16, &[8])]), &[BAD])]
+#[case::beside_the_first(loss(6, &[(15, &[7]), (16, &[BAD])]), &[BAD])]
+fn a_part_that_was_lost_beside_another_is_blamed_once_it_is_lost_alone(
+    #[case] last: Loss,
+    #[case] expected: &[u64],
+) {
+    let beside = |number: u16| loss(number, &[(number.into(), &[BAD]), (90, &[7])]);
+    let mut losses = vec![loss(4, &[(10, &[BAD])]), loss(5, &[(11, &[BAD])])];
+    losses.extend((1..=3).map(beside));
+    losses.push(last);
+
+    assert_eq!(blamed(losses), expected);
+}
+
 #[test]
 fn a_part_that_is_sound_in_another_zone_is_not_blamed() {
     let mut quarantine = Quarantine::default();
