Keep the verdict on what is lost alone as well

Of what was lost together, the part with the most losses explained the shared ones, and the rest was not enough for the other.

What was in enough losses, explained or not, and then alone in one that nothing explains, is blamed as well. Requests had the same fault.

--- a/crates/orioleroute/src/ingress/quarantine.rs
+++ b/crates/orioleroute/src/ingress/quarantine.rs
@@ -16,7 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use self::judgement::{Blame, TimedLoss, most_blamed};
+use self::judgement::{Blame, TimedLoss, most_blamed, most_blamed_alone};
 use crate::prelude::*;
 
 /// How long a request or part is refused after the last upstream was lost under it. The next request is then run by itself,
@@ -250,7 +250,7 @@
     }
 
     /// Derives the verdicts. What the most losses have in common is blamed first, and the losses that it explains
-    /// blame nothing else. What cannot be told apart in the end is blamed together.
+    /// blame nothing else, unless that was lost by itself too. What cannot be told apart in the end is blamed together.
     fn judge(&mut self, now: Instant) {
         let sound: Set<&Subject> =
             self.reports.values().flat_map(|received| &received.report.sound).collect();
@@ -274,7 +274,10 @@
             under.iter().map(|(subject, indices)| (subject.clone(), indices.len())).collect();
         let mut is_explained = vec![false; losses.len()];
         loop {
-            let worst = most_blamed(&under, &losses, &is_explained);
+            let mut worst = most_blamed(&under, &losses, &is_explained);
+            if worst.is_empty() {
+                worst.extend(most_blamed_alone(&under, &losses, &is_explained));
+            }
             if worst.is_empty() {
                 return;
             }
@@ -326,6 +329,12 @@
         is_suspect
     }
 
+    /// Returns whether all runs with a suspect of its kind have it.
+    fn is_alone(&self, key: Key) -> bool {
+        let mut runs = self.runs.iter().filter(|run| run.keys().any(|it| it.kind == key.kind));
+        runs.all(|run| run.keys().any(|it| it == key))
+    }
+
     fn runs_of(&self, key: Key) -> impl Iterator<Item = &Run> {
         self.runs.iter().filter(move |run| run.keys().any(|suspect| suspect == key))
     }
--- a/crates/orioleroute/src/ingress/quarantine/judgement.rs
+++ b/crates/orioleroute/src/ingress/quarantine/judgement.rs
@@ -9,6 +9,9 @@
 /// The number of separate losses of upstreams under a request or part for it to be blamed.
 const MIN_LOSSES: usize = 3;
 
+/// The number of them if something else explains some: the last one is under it alone.
+const MIN_LOSSES_BESIDE: usize = MIN_LOSSES + 1;
+
 /// The time between losses under which they count as one for a part: several engines are lost at once when their machine,
 /// rack or network is. It covers [`REPORT_DELAY`].
 const SIMULTANEOUS: Duration = Duration::from_millis(300);
@@ -53,8 +56,8 @@
         let unexplained = indices.iter().filter(|index| !is_explained[**index]);
         let under: Vec<&TimedLoss<'_>> = unexplained.map(|index| &losses[*index]).collect();
         let blame = match subject.key.kind {
-            Kind::Part => judge_part(subject.key, &under),
-            Kind::Request => judge_request(subject.key, &under, losses),
+            Kind::Part => judge_part(subject.key, &under, MIN_LOSSES),
+            Kind::Request => judge_request(subject.key, &under, losses, MIN_LOSSES),
         };
         Some((subject, blame?))
     });
@@ -81,12 +84,37 @@
     clear.map(|((subject, blame), _)| (subject.clone(), blame)).collect()
 }
 
+/// Returns what was lost often enough beside something that is blamed, and then once by itself. The losses beside it may have
+/// been its doing too, so one more that nothing else explains is enough: without that, two that end upstreams together would
+/// be refused in turn, each for as long as it has more losses.
+pub(super) fn most_blamed_alone(
+    under: &Map<Subject, Vec<usize>>,
+    losses: &[TimedLoss<'_>],
+    is_explained: &[bool],
+) -> Option<(Subject, Blame)> {
+    let judged = under.iter().filter_map(|(subject, indices)| {
+        let is_alone =
+            |index: usize| !is_explained[index] && losses[index].loss.is_alone(subject.key);
+        let last = indices.iter().rposition(|index| is_alone(*index))?;
+        let until_last: Vec<&TimedLoss<'_>> =
+            indices[..=last].iter().map(|index| &losses[*index]).collect();
+        let blame = match subject.key.kind {
+            Kind::Part => judge_part(subject.key, &until_last, MIN_LOSSES_BESIDE),
+            Kind::Request => judge_request(subject.key, &until_last, losses, MIN_LOSSES_BESIDE),
+        };
+        Some((subject, blame?))
+    });
+    let most = judged
+        .max_by_key(|(subject, blame)| (blame.losses, Reverse(blame.requests), Reverse(*subject)));
+    most.map(|(subject, blame)| (subject.clone(), blame))
+}
+
 /// Judges a part, whose requests differ: enough losses at different moments, on different engines and under different
 /// requests blame it.
-fn judge_part(key: Key, under: &[&TimedLoss<'_>]) -> Option<Blame> {
+fn judge_part(key: Key, under: &[&TimedLoss<'_>], min_losses: usize) -> Option<Blame> {
     let runs = under.iter().flat_map(|timed| timed.loss.runs_of(key));
     let requests: Set<u64> = runs.map(|run| run.own).collect();
-    let is_blamed = count_moments(under) >= MIN_LOSSES
+    let is_blamed = count_moments(under) >= min_losses
         && count_addresses(under) >= MIN_DIFFERENT
         && requests.len() >= MIN_DIFFERENT;
     is_blamed.then(|| blame(under, requests.len()))
@@ -97,9 +125,14 @@
 ///
 /// Where all of them were at one address, the upstream itself may be defective. It is not if several of its processes had
 /// answered something else, and none was lost without the request meanwhile.
-fn judge_request(key: Key, under: &[&TimedLoss<'_>], losses: &[TimedLoss<'_>]) -> Option<Blame> {
+fn judge_request(
+    key: Key,
+    under: &[&TimedLoss<'_>],
+    losses: &[TimedLoss<'_>],
+    min_losses: usize,
+) -> Option<Blame> {
     let chain = consecutive(key, under);
-    let is_blamed = chain.len() >= MIN_LOSSES
+    let is_blamed = chain.len() >= min_losses
         && (count_addresses(&chain) >= MIN_DIFFERENT
             || chain.iter().filter(|timed| timed.loss.has_answered).count() >= MIN_DIFFERENT
                 && is_in_all_losses_at_its_address(key, &chain, losses));
