Add failing tests of a long deadline and of versions announced while requests wait

One client's deadline far above the others' makes all requests of its route at an instance count as returned. A scheduler grants a waiting request at the version that was the newest when it arrived.

--- a/crates/orioleroute/tests/ingress.rs
+++ b/crates/orioleroute/tests/ingress.rs
@@ -380,6 +380,48 @@
     assert_eq!(elapsed, Duration::from_millis(300));
 }
 
+/// A client whose deadline is far above the others' sends one request in a second.
+#[test]
+fn one_client_with_a_long_deadline_does_not_make_others_count_as_returned() {
+    let mut tracker = DeadlineTracker::default();
+    let usual = Duration::from_millis(4_000);
+
+    let elapsed: Vec<Duration> = (1..=3_000)
+        .map(|number| {
+            let now = Instant::from_millis(number * 10);
+            if number % 100 == 50 {
+                tracker.elapsed(Duration::from_millis(60_000 + number), now);
+            }
+            tracker.elapsed(usual, now)
+        })
+        .collect();
+
+    assert_eq!(elapsed.iter().filter(|elapsed| !elapsed.is_zero()).count(), 0);
+    let after_all = Instant::from_millis(30_010);
+    assert_eq!(
+        tracker.elapsed(Duration::from_millis(3_000), after_all),
+        Duration::from_millis(1_000)
+    );
+}
+
+/// Of the requests in a burst of returns only a tenth are first attempts.
+#[test]
+fn returns_in_a_burst_count_from_the_deadline_of_first_attempts() {
+    let mut tracker = DeadlineTracker::default();
+    let time_left = |number: u64| match number % 10 {
+        0 => Duration::from_millis(4_000),
+        other => Duration::from_millis(3_000 - other * 150),
+    };
+
+    let elapsed = (0..2_000)
+        .map(|number| (number, tracker.elapsed(time_left(number), Instant::from_millis(number))));
+    let wrong = elapsed.filter(|(number, elapsed)| {
+        *elapsed != Duration::from_millis(4_000).saturating_sub(time_left(*number))
+    });
+
+    assert_eq!(wrong.count(), 0);
+}
+
 #[test]
 fn when_all_clients_shorten_their_deadline_the_longer_one_expires() {
     let mut tracker = DeadlineTracker::default();
--- a/crates/orioleroute/tests/scheduler.rs
+++ b/crates/orioleroute/tests/scheduler.rs
@@ -2,10 +2,10 @@
 
 mod scheduling;
 
-use orioleroute::ingress::upstream::Description;
+use orioleroute::ingress::upstream::{Announcement, Description, Revision};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::copies::EngineCopies;
-use orioleroute::scheduler::message::{Reason, RunResult};
+use orioleroute::scheduler::message::{Reason, RunResult, ToInstance};
 use orioleroute::scheduler::order::{Action, Order, Outcome, Report};
 use orioleroute::scheduler::{Output, RequestKey, Scheduler};
 use rstest::rstest;
@@ -255,6 +255,49 @@
     assert_eq!(load.action, Action::LoadAdapter { adapter: "a1".into(), version: Some(2) });
 }
 
+/// Returns the versions with which requests were granted, by ticket.
+fn granted_versions(outputs: &[Output]) -> Vec<(u64, Option<u64>)> {
+    let grants = outputs.iter().filter_map(|output| match output {
+        Output::Send(_, ToInstance::Grant(grant)) => Some((grant.ticket, grant.version)),
+        _ => None,
+    });
+    grants.collect()
+}
+
+fn announcement(version: u64) -> Announcement {
+    Announcement { model: "m".into(), revision: Revision { name: "a1".into(), version } }
+}
+
+#[test]
+fn a_request_that_waits_for_an_engine_gets_a_version_that_was_announced_meanwhile() {
+    let (mut scheduler, now) = scheduler(&[description(0, &["a1"])]);
+    // Two prompts of 100 ms each exceed the maximum backlog of an engine.
+    (1..=3).for_each(|ticket| scheduler.place(CLIENT, placement(ticket, "a1"), now));
+    scheduler.take_outputs();
+
+    scheduler.announce(&announcement(2));
+    (1..=2).for_each(|ticket| {
+        scheduler.handle_ended(key(ticket), Some(RunResult::Answered), now);
+    });
+    scheduler.tick(now);
+
+    let outputs = scheduler.take_outputs();
+    assert_eq!(granted_versions(&outputs), []);
+    assert_eq!(orders(&outputs)[0].action, Action::UnloadAdapter { adapter: "a1".into() });
+}
+
+#[test]
+fn a_request_that_waits_for_a_load_gets_a_version_that_was_announced_meanwhile() {
+    let (mut scheduler, now) = scheduler(&[description(0, &[])]);
+    scheduler.place(CLIENT, placement_of_version(1), now);
+    let load = orders(&scheduler.take_outputs()).remove(0);
+
+    scheduler.announce(&announcement(2));
+    scheduler.handle_order_outcome(&load, Outcome::Holds, now);
+
+    assert_eq!(granted_versions(&scheduler.take_outputs()), []);
+}
+
 fn placement_of_version(version: u64) -> orioleroute::scheduler::message::Placement {
     let mut request = placement(1, "a1");
     request.version = Some(version);
