Grant waiting requests at the newest version

A request that waits in a scheduler's queue, or for a load, was granted at the version that was the newest when it arrived. The longest waits of the small sites are shorter than the time in which a version has to be served; with a deadline of 20 s a request may wait for 5 s.

Announce raises the version of waiting requests too. The other places that choose a version, an instance without a scheduler and each new placement, read the newest one when they choose.

--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -211,11 +211,19 @@
         self.dispatch(now);
     }
 
-    /// Records the newest version of an adapter. An older version than the known one is ignored.
+    /// Records the newest version of an adapter, which waiting requests get as well. An older version than the known one is
+    /// ignored.
     pub fn announce(&mut self, announcement: &Announcement) {
-        let key = (announcement.model.clone(), announcement.revision.name.clone());
-        let newest = self.newest_versions.entry(key).or_default();
-        *newest = (*newest).max(announcement.revision.version);
+        let Announcement { model, revision } = announcement;
+        let newest =
+            self.newest_versions.entry((model.clone(), revision.name.clone())).or_default();
+        *newest = (*newest).max(revision.version);
+        let newest = Some(*newest);
+        let waiting = self.waiting.iter_mut().map(|waiting| &mut waiting.request);
+        let concerned = waiting.filter(|request| {
+            request.model == *model && request.adapter.as_ref() == Some(&revision.name)
+        });
+        concerned.for_each(|request| request.version = request.version.max(newest));
     }
 
     /// Grants, queues or refuses a request.
