Probe accepted connections

An instance kept the connections that it had accepted from machines that lost power, with their part of the memory for other instances, for as long as it ran. None is known to have filled it.

Outgoing connections have keepalive probes, accepted ones had none, at every listener.

Every accepted connection is probed after 15 s of silence, and closed 15 s later if nothing is acknowledged. Instances probe from their end every second, so between them it costs nothing.

Not measured: a real loss of power, which needs a second kernel. Open: a peer whose kernel acknowledges and whose process is silent for good.

--- a/crates/orioleroute-wire/src/http1/socket.rs
+++ b/crates/orioleroute-wire/src/http1/socket.rs
@@ -31,6 +31,12 @@
 /// of waiting for a time would keep it from them.
 const READ_PAUSE: Duration = Duration::from_millis(1);
 
+/// How long an accepted connection may be idle before its peer is probed, the time between two probes, and how many may be
+/// unanswered. Instances probe sooner from their end, so a probe shows that a machine has lost power, or its path for good.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+const MAX_PROBES: u32 = 3;
+
 /// A connected TCP socket.
 pub struct Socket {
     io: TcpStreamPoll,
@@ -62,13 +68,15 @@
         Self::new(connect(peer, limit, options).await?)
     }
 
-    /// Wraps an accepted connection and disables Nagle's algorithm on it.
+    /// Wraps an accepted connection, disables Nagle's algorithm on it, and enables keepalive probes. Without these, the
+    /// connections of a machine that lost power would keep their memory for good.
     ///
     /// # Errors
     ///
     /// Fails if the socket cannot be configured.
     pub fn accepted(stream: TcpStream) -> Result<Self> {
         stream.set_nodelay(true)?;
+        stream.set_tcp_keepalive(Some(IDLE_TIME), Some(PROBE_INTERVAL), Some(MAX_PROBES))?;
         Self::new(stream)
     }
 
