Pass over instances that share a cut path

All instances of a zone that were parted from all upstreams by resets served nothing (0 of 39 requests each), although the instances of the other zone reached every upstream.

They asked the nearest instance, of their own zone, for a connection. It was accepted and reset, the reply was "opened" all the same, and nothing was learnt: 48 of 51 lost responses in a log went by the same one.

An instance that doubts its path passes nothing on now. One by way of which nothing answers, that passes nothing on or is lost, is asked after the others for 3 s. Messages are unchanged.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -79,7 +79,7 @@
             Err(_) => {}
         }
     }
-    match connect_by_sibling(gateway, &target.id).await {
+    match connect_by_sibling(gateway, target).await {
         Ok((socket, sibling)) => Ok((socket, Way::Detour(sibling))),
         // If no other instance helps, the upstreams may have been down rather than the path.
         Err(error) => match connect_directly(gateway, target).await {
@@ -107,7 +107,9 @@
                 set_cut_off(gateway);
             }
         }
-        (Way::Detour(_), false) => {}
+        (Way::Detour(sibling), false) => {
+            gateway.path(&target.service).record_fruitless(sibling, gateway.now());
+        }
     }
 }
 
@@ -163,7 +165,7 @@
         if is_reached || !is_open {
             return;
         }
-        let Ok((socket, sibling)) = connect_by_sibling(&gateway, &target.id).await else { return };
+        let Ok((socket, sibling)) = connect_by_sibling(&gateway, &target).await else { return };
         let reply = quarantine::ask_identity_over(&gateway, socket, &target).await;
         observe(&gateway, &target, &Way::Detour(sibling), is_answered(&reply));
         if !is_answered(&reply) || gateway.path(&target.service).is_lost() {
@@ -199,19 +201,26 @@
     })
 }
 
+/// Returns the names and addresses of other instances to ask for a connection. Those that were of no use lately come last:
+/// most of a zone may have lost the same path.
+fn siblings(gateway: &Gateway, service: &Arc<str>) -> Vec<(Arc<str>, SocketAddr)> {
+    let now = gateway.now();
+    let roster = gateway.roster();
+    let path = gateway.path(service);
+    let mut detours = roster.detours(now);
+    detours.sort_by_key(|it| path.is_fruitless(&it.name, now));
+    detours.into_iter().take(MAX_SIBLINGS).map(|it| (it.name.clone(), it.peer_address)).collect()
+}
+
 /// Connects to an upstream by way of another instance, whose name is returned as well.
 async fn connect_by_sibling(
     gateway: &Gateway,
-    upstream: &Arc<str>,
+    target: &Target,
 ) -> Result<(Socket, Arc<str>), String> {
-    let siblings: Vec<(Arc<str>, SocketAddr)> = {
-        let roster = gateway.roster();
-        let detours = roster.detours(gateway.now()).into_iter().take(MAX_SIBLINGS);
-        detours.map(|it| (it.name.clone(), it.peer_address)).collect()
-    };
+    let siblings = siblings(gateway, &target.service);
     let mut error = "no other instance reaches it".to_owned();
     for (name, address) in siblings {
-        let opened = monoio::time::timeout(REPLY_TIMEOUT, open(address, upstream)).await;
+        let opened = monoio::time::timeout(REPLY_TIMEOUT, open(address, &target.id)).await;
         let (outcome, opened) = match opened {
             Ok(Ok((FromSibling::Opened, socket))) => ("opened", Some(socket)),
             Ok(Ok((FromSibling::Unreachable, _))) => ("unreachable", None),
@@ -224,8 +233,12 @@
             return Ok((socket, name));
         }
         error = format!("{outcome} at {name}");
-        if outcome == "unreachable" {
-            break;
+        match outcome {
+            "unreachable" => break,
+            "cut_off" | "sibling_lost" => {
+                gateway.path(&target.service).record_fruitless(&name, gateway.now());
+            }
+            _ => {}
         }
     }
     Err(error)
@@ -270,7 +283,8 @@
     let connected = match target {
         // It might end before the response does.
         _ if gateway.is_stopping() => Err(FromSibling::CutOff),
-        Some(target) if gateway.path(&target.service).is_lost() => Err(FromSibling::CutOff),
+        // It would go by way of another instance itself: a connection that is accepted may be reset at once.
+        Some(target) if gateway.path(&target.service).is_doubted() => Err(FromSibling::CutOff),
         Some(target) => {
             let connected = connect_directly(&gateway, &target).await;
             connected.map_err(|_| match gateway.path(&target.service).is_doubted() {
--- a/crates/orioleroute/src/ingress/path.rs
+++ b/crates/orioleroute/src/ingress/path.rs
@@ -29,14 +29,14 @@
     Unreachable,
     /// No such upstream is listed there.
     Unlisted,
-    /// The other instance passes nothing on: it reaches no upstream itself, or it stops.
+    /// The other instance passes nothing on: it may reach no upstream itself, or it stops.
     CutOff,
 }
 
 /// How many upstreams have to be unreachable in a row for the path to be doubted.
 const MIN_UNREACHABLE: usize = 3;
 
-/// How long an upstream counts as unreachable.
+/// How long an upstream counts as unreachable, and another instance as fruitless.
 const FAILURE_TTL: Duration = Duration::from_secs(3);
 
 /// The time between two probes of a path that is doubted.
@@ -66,6 +66,8 @@
     has_detour: bool,
     /// The upstreams that another instance has reached lately.
     detoured: Map<Arc<str>, Detoured>,
+    /// Other instances by way of which no upstream has answered.
+    fruitless: Map<Arc<str>, Instant>,
     /// Whether another instance has reached an upstream before and after this one could not.
     is_confirmed: bool,
 }
@@ -101,6 +103,7 @@
                 next_probe: now + PROBE_INTERVAL,
                 has_detour: false,
                 detoured: Map::default(),
+                fruitless: Map::default(),
                 is_confirmed: false,
             });
         }
@@ -128,6 +131,22 @@
         is_shown && !std::mem::replace(&mut doubt.is_confirmed, true)
     }
 
+    /// Records that no upstream has answered by way of another instance: it passes nothing on, is lost, or has lost its own path
+    /// without knowing it. Others are asked before it for a while.
+    pub fn record_fruitless(&mut self, sibling: &Arc<str>, now: Instant) {
+        if let Some(doubt) = &mut self.doubt {
+            doubt.fruitless.insert(sibling.clone(), now);
+        }
+    }
+
+    /// Returns whether other instances are asked before this one.
+    pub fn is_fruitless(&self, sibling: &str, now: Instant) -> bool {
+        let fruitless = self.doubt.as_ref().map(|doubt| &doubt.fruitless);
+        fruitless
+            .and_then(|fruitless| fruitless.get(sibling))
+            .is_some_and(|at| now.since(*at) < FAILURE_TTL)
+    }
+
     /// Returns the upstream that another instance has reached last, if that was lately.
     pub fn last_detoured(&self, now: Instant) -> Option<Arc<str>> {
         let detoured = self.doubt.iter().flat_map(|doubt| &doubt.detoured);
--- a/crates/orioleroute/tests/path.rs
+++ b/crates/orioleroute/tests/path.rs
@@ -141,3 +141,15 @@
     assert!(was_lost && !path.is_doubted());
     assert!(!path.take_probe(at(20_000) + Duration::from_secs(1)));
 }
+
+#[test]
+fn an_instance_by_way_of_which_nothing_answers_is_asked_after_others_for_a_while() {
+    let mut path = path_without(3);
+
+    path.record_fruitless(&"n1".into(), at(10_100));
+
+    assert!(path.is_fruitless("n1", at(12_000)) && !path.is_fruitless("n2", at(12_000)));
+    assert!(!path.is_fruitless("n1", at(13_100)));
+    path.record_reached();
+    assert!(!path.is_fruitless("n1", at(10_200)));
+}
