Reach services with few upstreams by way of other instances

An instance that was parted from the one or two upstreams of a service served nothing of it (0 of 24 to 40 requests), though other instances reached them. Three upstreams had to be out of reach for a doubt.

All that a service has are enough now, because what others reach tells a cut from a crash. A doubt closes the idle connections of its service only: the single upstream of a small service may crash often.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -183,10 +183,12 @@
     let is_doubted = {
         let registry = gateway.registry();
         let is_listed = |id: &str| registry.get(id).is_some();
-        gateway.path(&target.service).record_unreachable(&target.id, is_listed, gateway.now())
+        let listed = registry.iter().filter(|it| it.service == target.service).count();
+        let mut path = gateway.path(&target.service);
+        path.record_unreachable(&target.id, is_listed, listed, gateway.now())
     };
     if is_doubted {
-        gateway.connections.clear();
+        gateway.connections.clear(&target.service);
         warn!(gateway.log, "path to upstreams doubted"; "service" => &*target.service,
             "upstream" => &*target.id);
     }
--- a/crates/orioleroute-node/src/gateway/exchange.rs
+++ b/crates/orioleroute-node/src/gateway/exchange.rs
@@ -196,9 +196,11 @@
         kept.push(idle);
     }
 
-    /// Closes all connections that are not in use.
-    pub fn clear(&self) {
-        self.idle.borrow_mut().clear();
+    /// Closes the connections to upstreams of a service that are not in use.
+    pub fn clear(&self, service: &Arc<str>) {
+        let mut idle = self.idle.borrow_mut();
+        idle.values_mut().for_each(|kept| kept.retain(|idle| idle.service != *service));
+        idle.retain(|_, kept| !kept.is_empty());
     }
 
     /// Closes connections to upstreams that are no longer listed, those that were idle for too long, and those whose way is no
--- a/crates/orioleroute/src/ingress/path.rs
+++ b/crates/orioleroute/src/ingress/path.rs
@@ -33,7 +33,7 @@
     CutOff,
 }
 
-/// How many upstreams have to be unreachable in a row for the path to be doubted.
+/// How many upstreams have to be unreachable in a row for the path to be doubted, or all if a service has fewer.
 const MIN_UNREACHABLE: usize = 3;
 
 /// How long an upstream counts as unreachable, and another instance as fruitless.
@@ -81,12 +81,13 @@
 }
 
 impl Path {
-    /// Records that an upstream could not be connected to. Those that are not listed any more say nothing of the path, and
-    /// neither does a service with fewer than three upstreams. Returns whether the path is doubted since.
+    /// Records that an upstream could not be connected to, of a service that has `listed` upstreams. Those that are not listed any
+    /// more say nothing of the path. Returns whether the path is doubted since.
     pub fn record_unreachable(
         &mut self,
         upstream: &Arc<str>,
         is_listed: impl Fn(&str) -> bool,
+        listed: usize,
         now: Instant,
     ) -> bool {
         self.unreachable.insert(upstream.clone(), now);
@@ -97,7 +98,7 @@
             }
             return false;
         }
-        let is_doubted = self.unreachable.len() >= MIN_UNREACHABLE;
+        let is_doubted = self.unreachable.len() >= MIN_UNREACHABLE.min(listed.max(1));
         if is_doubted {
             self.doubt = Some(Doubt {
                 next_probe: now + PROBE_INTERVAL,
--- a/crates/orioleroute/tests/path.rs
+++ b/crates/orioleroute/tests/path.rs
@@ -7,6 +7,9 @@
 use orioleroute::ingress::path::Path;
 use orioleroute::prelude::{Arc, Instant};
 
+/// The number of upstreams of the service.
+const UPSTREAMS: usize = 6;
+
 fn upstream(number: usize) -> Arc<str> {
     format!("i-{number}").into()
 }
@@ -19,7 +22,7 @@
 fn path_without(count: usize) -> Path {
     let mut path = Path::default();
     for number in 0..count {
-        path.record_unreachable(&upstream(number), |_| true, at(10_000));
+        path.record_unreachable(&upstream(number), |_| true, UPSTREAMS, at(10_000));
     }
     path
 }
@@ -31,7 +34,12 @@
 
     for round in 0..20 {
         for number in 0..2 {
-            path.record_unreachable(&upstream(number), |_| true, at(10_000 + 100 * round));
+            path.record_unreachable(
+                &upstream(number),
+                |_| true,
+                UPSTREAMS,
+                at(10_000 + 100 * round),
+            );
         }
         path.record_reached();
     }
@@ -44,7 +52,7 @@
     let mut path = Path::default();
 
     for round in 0..20 {
-        path.record_unreachable(&upstream(1), |_| true, at(10_000 + round));
+        path.record_unreachable(&upstream(1), |_| true, UPSTREAMS, at(10_000 + round));
     }
 
     assert!(!path.is_doubted());
@@ -58,7 +66,7 @@
     path.record_detour(&upstream(4), at(10_100));
     let detoured = (path.take_probe(at(10_100)), path.is_lost());
     let probed = path.last_detoured(at(10_100));
-    path.record_unreachable(&upstream(4), |_| true, at(10_200));
+    path.record_unreachable(&upstream(4), |_| true, UPSTREAMS, at(10_200));
     let is_shown = path.record_detour(&upstream(4), at(10_210));
 
     assert_eq!(doubted, (true, false));
@@ -74,7 +82,7 @@
 
     path.record_detour(&upstream(4), at(10_100));
     for number in 0..3 {
-        path.record_unreachable(&upstream(number), |_| true, at(10_150));
+        path.record_unreachable(&upstream(number), |_| true, UPSTREAMS, at(10_150));
     }
     path.record_detour(&upstream(5), at(10_200));
     path.record_detour(&upstream(4), at(10_200));
@@ -88,7 +96,7 @@
     let mut path = path_without(3);
 
     path.record_detour(&upstream(4), at(10_100));
-    path.record_unreachable(&upstream(4), |_| true, at(10_150));
+    path.record_unreachable(&upstream(4), |_| true, UPSTREAMS, at(10_150));
     path.record_detour(&upstream(4), at(10_700));
 
     assert!(path.is_doubted() && !path.is_lost());
@@ -112,17 +120,34 @@
 
     for number in 0..20 {
         let id = upstream(number);
-        path.record_unreachable(&id, |listed| *listed == *id, at(10_000 + 100 * number as u64));
+        path.record_unreachable(
+            &id,
+            |listed| *listed == *id,
+            UPSTREAMS,
+            at(10_000 + 100 * number as u64),
+        );
     }
 
     assert!(!path.is_doubted());
 }
 
+/// They may as well have crashed: only what other instances reach tells.
+#[test]
+fn a_path_to_few_upstreams_is_doubted_once_all_are_out_of_reach() {
+    let mut path = Path::default();
+
+    let doubted =
+        [0, 1].map(|number| path.record_unreachable(&upstream(number), |_| true, 2, at(10_000)));
+
+    assert_eq!(doubted, [false, true]);
+    assert!(!path.is_lost());
+}
+
 #[test]
 fn failures_of_long_ago_do_not_add_up() {
     let mut path = path_without(2);
 
-    path.record_unreachable(&upstream(5), |_| true, at(14_000));
+    path.record_unreachable(&upstream(5), |_| true, UPSTREAMS, at(14_000));
 
     assert!(!path.is_doubted());
 }
@@ -131,7 +156,7 @@
 fn a_doubted_path_is_probed_until_an_upstream_is_reached() {
     let mut path = path_without(3);
     path.record_detour(&upstream(4), at(10_390));
-    path.record_unreachable(&upstream(4), |_| true, at(10_400));
+    path.record_unreachable(&upstream(4), |_| true, UPSTREAMS, at(10_400));
     path.record_detour(&upstream(4), at(10_440));
 
     let probes = (10_450..12_000).step_by(50).filter(|millis| path.take_probe(at(*millis))).count();
