--- a/crates/orioleroute/tests/ingress.rs
+++ b/crates/orioleroute/tests/ingress.rs
@@ -267,6 +267,20 @@
 }
 
 /// The time of day of an instance may jump back between two of its starts.
+/// It may be stopping: an instance that has just started has read its entry, and heard nothing of it.
+#[test]
+fn requests_do_not_go_by_way_of_an_instance_that_was_not_heard_of() {
+    let now = Instant::from_millis(10_000);
+    let mut roster = roster_cut_off(&[], now);
+
+    roster.upsert(member("n5", "r"), now);
+    let unheard = (roster.is_detour("n5", now), names(roster.detours(now)).contains(&"n5"));
+    roster.record_heartbeat(&heartbeat("n5", true), now);
+
+    assert_eq!(unheard, (false, false));
+    assert!(roster.is_detour("n5", now));
+}
+
 #[test]
 fn heartbeats_of_a_later_start_with_a_lower_incarnation_are_recorded() {
     let now = Instant::from_millis(10_000);
