Send no requests by way of an instance that was not heard of

The entry in the table does not say that an instance stops, and without a heartbeat it counted as serving. One of this build refuses; one of the last release does not, and ends.

Only instances that have been heard of are asked now. Messages are unchanged.

--- a/crates/orioleroute/src/ingress/roster.rs
+++ b/crates/orioleroute/src/ingress/roster.rs
@@ -161,8 +161,10 @@
         self.peers.get(name).is_some_and(|peer| !peer.is_serving)
     }
 
+    /// Returns whether an instance passes connections on. One that was only read from the table may be stopping, and one of an
+    /// older release would not say so when asked.
     fn passes_on(&self, peer: &Peer, now: Instant) -> bool {
-        self.is_in_service(peer, now) && !peer.is_cut_off
+        peer.last_heartbeat.is_some() && self.is_in_service(peer, now) && !peer.is_cut_off
     }
 
     fn is_in_service(&self, peer: &Peer, now: Instant) -> bool {
