Say again whether this instance is cut off at each probe of a lost path

Since paths are known to be lost by the same upstream, an instance told others that it is cut off once, when a path was lost. What it says also depends on which services there are, so a service that came later left it out of look-ups until the path was back.

--- a/crates/orioleroute-node/src/detour.rs
+++ b/crates/orioleroute-node/src/detour.rs
@@ -158,11 +158,15 @@
         let reply = quarantine::ask_identity(&gateway, &target).await;
         let is_reached = is_answered(&reply);
         observe(&gateway, &target, &Way::Direct, is_reached);
-        let is_open = {
+        let (is_doubted, is_lost) = {
             let path = gateway.path(&target.service);
-            path.is_doubted() && !path.is_lost()
+            (path.is_doubted(), path.is_lost())
         };
-        if is_reached || !is_open {
+        if is_lost {
+            // Services may have been added or removed since.
+            set_cut_off(&gateway);
+        }
+        if is_reached || is_lost || !is_doubted {
             return;
         }
         let Ok((socket, sibling)) = connect_by_sibling(&gateway, &target).await else { return };
