--- a/crates/orioleroute/tests/ingress.rs
+++ b/crates/orioleroute/tests/ingress.rs
@@ -267,7 +267,7 @@
 }
 
 /// The time of day of an instance may jump back between two of its starts.
-/// It may be stopping: an instance that has just started has read its entry, and heard nothing of it.
+/// The entry in the table does not say whether an instance is stopping; its heartbeats do.
 #[test]
 fn requests_do_not_go_by_way_of_an_instance_that_was_not_heard_of() {
     let now = Instant::from_millis(10_000);
