Hold ranks of any size, and keep their order everywhere

A configuration with a rank above 255 was never put in force: requests went on to the service that it moves them from, at all instances, for good.

Cause: a rank was decoded into eight bits, and one that does not fit costs the whole row. The ranks of organisations had the same type. Ranks above 9 were cut off to 9 for engines, so their order was lost there too.

A rank is now any number from 0 to 2^53 and is held as the bits of that number, which have its order. The scheduler compares those. Engines know 10 levels and schedulers of the last release 256; a service's ranks are mapped onto them in their order, and ranks that are levels stay what they are. A placement names the level as before, and the exact rank in a new field only where it is not the same, so builds of the last release read it, and theirs are read.

--- a/crates/orioleroute-node/src/gateway/forward.rs
+++ b/crates/orioleroute-node/src/gateway/forward.rs
@@ -8,6 +8,7 @@
 use orioleroute::ingress::attempt::{Attempt, Content};
 use orioleroute::ingress::configuration::Route;
 use orioleroute::ingress::origins::Finding;
+use orioleroute::ingress::priority::Grade;
 use orioleroute::ingress::quarantine::Key;
 use orioleroute::ingress::{Organisation, Progress};
 use orioleroute::prelude::*;
@@ -120,6 +121,7 @@
         generation: attempt.generation.as_ref(),
         body: &inbound.body,
     };
+    let priority = organisation.as_ref().and_then(|it| it.priority).unwrap_or(route.priority);
     let mut relay = Relay {
         gateway,
         content: content.digest(),
@@ -130,7 +132,7 @@
         build: RefCell::default(),
         inbound,
         attempt,
-        priority: organisation.as_ref().and_then(|it| it.priority).unwrap_or(route.priority),
+        grade: configuration.grade(&service, priority),
         organisation,
         route,
         service,
@@ -174,7 +176,7 @@
     /// The organisation whose request it is, if it is known.
     pub(super) organisation: Option<Arc<Organisation>>,
     /// The priority: that of the organisation, else of the route.
-    pub(super) priority: u8,
+    pub(super) grade: Grade,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
     /// The version of the configuration that routed the request.
--- a/crates/orioleroute-node/src/gateway/placement.rs
+++ b/crates/orioleroute-node/src/gateway/placement.rs
@@ -4,6 +4,7 @@
 
 use orioleroute::hash;
 use orioleroute::ingress::attempt::Generation;
+use orioleroute::ingress::priority::Grade;
 use orioleroute::ingress::{Configuration, Notice};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::{Placement, Reason, ToInstance, ToScheduler};
@@ -24,8 +25,8 @@
     pub service: &'a Arc<str>,
     /// The model, the adapter and the prompt.
     pub generation: &'a Generation,
-    /// The priority of the request; 0 is the most urgent.
-    pub priority: u8,
+    /// The priority of the request.
+    pub grade: Grade,
     /// When the client stops waiting.
     pub deadline: Instant,
     /// When the target latency of the response, or of its first event, is exceeded.
@@ -223,7 +224,7 @@
     let now = gateway.now();
     let generation = request.generation;
     let adapter = generation.adapter.as_ref();
-    Placement {
+    let mut placement = Placement {
         ticket,
         zone: zone.clone(),
         organisation: request.organisation.cloned(),
@@ -236,14 +237,17 @@
         parts: generation.parts.clone(),
         content: Some(request.content),
         build: request.build.cloned(),
-        priority: request.priority,
+        priority: 0,
+        exact_priority: None,
         time_left_ms: request.deadline.since(now).as_millis() as u64,
         objective_left_ms: request.objective.since(now).as_millis() as u64,
         excluded: request.excluded.to_vec(),
         attempt: request.attempt.cloned(),
         is_return: request.is_return,
         may_fetch: true,
-    }
+    };
+    placement.set_priority(request.grade);
+    placement
 }
 
 /// Returns the home zone of an adapter, which fetches it while it is rarely used.
--- a/crates/orioleroute-node/src/gateway/tries.rs
+++ b/crates/orioleroute-node/src/gateway/tries.rs
@@ -132,7 +132,7 @@
                     organisation: self.organisation.as_ref().map(|it| &it.name),
                     service: &self.service,
                     generation,
-                    priority: self.priority,
+                    grade: self.grade,
                     deadline: self.deadline,
                     objective: self.objective,
                     excluded,
@@ -166,7 +166,7 @@
             upstream: permit.upstream.clone(),
             time_left: self.deadline.since(self.gateway.now()),
             adapter_version: permit.version,
-            priority: self.has_engine.then_some(self.priority.min(MAX_PRIORITY)),
+            priority: self.has_engine.then_some(self.grade.engine),
             last_event: self.last_event.get(),
             organisation: self.organisation.as_ref().map(|it| it.name.clone()),
         };
@@ -174,6 +174,3 @@
         headers
     }
 }
-
-/// The least urgent priority that upstreams accept.
-const MAX_PRIORITY: u8 = 9;
--- a/crates/orioleroute/src/ingress/configuration.rs
+++ b/crates/orioleroute/src/ingress/configuration.rs
@@ -5,6 +5,7 @@
 pub use check::Invalid;
 
 use super::organisation::{Organisation, Organisations, Unidentified};
+use super::priority::{Grade, Priority, Scale};
 use crate::hash;
 use crate::prelude::*;
 
@@ -21,6 +22,8 @@
     pub limits: Limits,
     /// The organisations whose requests carry keys. Without any, no request needs a key.
     pub organisations: Organisations,
+    /// The priorities that the requests of each service can have.
+    scales: Map<Arc<str>, Scale>,
 }
 
 impl Configuration {
@@ -39,13 +42,15 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|service| (service.name.clone(), service));
-        Self {
+        let configuration = Self {
             version,
             routes: by_host,
             services: services.collect(),
             limits,
             organisations: Organisations::default(),
-        }
+            scales: Map::default(),
+        };
+        configuration.with_scales()
     }
 
     /// Returns the configuration with these organisations.
@@ -59,7 +64,31 @@
     ) -> Result<Self, Invalid> {
         let organisations: Vec<Organisation> = organisations.into_iter().collect();
         check::check_organisations(&organisations)?;
-        Ok(Self { organisations: organisations.into_iter().collect(), ..self })
+        let organisations = organisations.into_iter().collect();
+        Ok(Self { organisations, ..self }.with_scales())
+    }
+
+    /// Returns the configuration with the priorities that the requests of each service can have: those of its routes, and of
+    /// the organisations, which may ask for any service.
+    fn with_scales(self) -> Self {
+        let mut priorities: Map<Arc<str>, Vec<Priority>> = Map::default();
+        for route in self.routes.values().flatten() {
+            for target in &route.targets {
+                priorities.entry(target.service.clone()).or_default().push(route.priority);
+            }
+        }
+        let of_organisations = || self.organisations.iter().filter_map(|it| it.priority);
+        let scales = priorities
+            .into_iter()
+            .map(|(service, of_routes)| (service, of_routes.into_iter().chain(of_organisations())))
+            .map(|(service, all)| (service, all.collect()));
+        Self { scales: scales.collect(), ..self }
+    }
+
+    /// Returns the priority of a request for a service, with the levels that stand for it elsewhere.
+    pub fn grade(&self, service: &str, priority: Priority) -> Grade {
+        let scale = self.scales.get(service);
+        scale.map_or(Grade { priority, ..Grade::default() }, |scale| scale.grade(priority))
     }
 
     /// Returns the organisation by whose key a request on a route is made, or `None` if the request needs no key and has
@@ -127,7 +156,7 @@
     /// The time within which a response, or the first event of a stream, is on time.
     pub objective: Duration,
     /// The priority of its requests; 0 is the highest.
-    pub priority: u8,
+    pub priority: Priority,
     /// The maximum number of upstreams to which one attempt may be sent.
     pub attempts: u32,
     /// Whether an interrupted stream may be resumed at another upstream.
--- a/crates/orioleroute/src/ingress/organisation.rs
+++ b/crates/orioleroute/src/ingress/organisation.rs
@@ -3,6 +3,7 @@
 //! A key is known only by its digest, so that a configuration can be logged, passed between instances and compared without
 //! revealing one. `docs/design/tenants.md` says who decides and what an instance does that lags.
 
+use super::priority::Priority;
 use crate::hash;
 use crate::prelude::*;
 
@@ -17,7 +18,7 @@
     /// Its keys. It may have none, if all were taken away.
     pub keys: Vec<KeyDigest>,
     /// The priority of its requests, which goes before that of their routes; 0 is the highest.
-    pub priority: Option<u8>,
+    pub priority: Option<Priority>,
     /// The most that it may ask for over all instances, if it is limited.
     pub quota: Option<Quota>,
 }
--- a/crates/orioleroute/src/scheduler/message.rs
+++ b/crates/orioleroute/src/scheduler/message.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 
-use crate::ingress::Notice;
 use crate::ingress::attempt::Part;
 use crate::ingress::health::Outcome;
 use crate::ingress::origins::{Origin, Testimony};
+use crate::ingress::priority::Grade;
 use crate::ingress::quarantine::Run;
 use crate::ingress::quota::{Lent, Loan, Shortage};
+use crate::ingress::{Notice, Priority};
 use crate::prelude::*;
 
 /// A message from an instance to a scheduler.
@@ -233,8 +234,11 @@
     /// The only build whose engines may run the request, because it goes on with what one of them began.
     #[serde(default)]
     pub build: Option<Arc<str>>,
-    /// The priority of the request; 0 is the highest.
+    /// The level of the priority among those that schedulers of an older release know; 0 is the highest.
     pub priority: u8,
+    /// The priority. Instances of an older release do not name it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub exact_priority: Option<Priority>,
     /// The time until the client's deadline, in milliseconds.
     pub time_left_ms: u64,
     /// The time until the response is late, in milliseconds; 0 if it is late already.
@@ -293,6 +297,20 @@
     Abandoned,
 }
 
+impl Placement {
+    /// Returns the priority of the request.
+    pub fn priority(&self) -> Priority {
+        self.exact_priority.unwrap_or_else(|| self.priority.into())
+    }
+
+    /// Sets the priority. It is named only where the level is not the same.
+    pub fn set_priority(&mut self, grade: Grade) {
+        self.priority = grade.coarse;
+        let is_level = grade.priority == grade.coarse.into();
+        self.exact_priority = (!is_level).then_some(grade.priority);
+    }
+}
+
 impl RunResult {
     /// Returns whether the request was sent to the engine.
     pub fn was_sent(self) -> bool {
--- a/crates/orioleroute/src/scheduler/mod.rs
+++ b/crates/orioleroute/src/scheduler/mod.rs
@@ -382,6 +382,7 @@
     }
 
     fn to_request(&self, placement: Placement, now: Instant) -> Request {
+        let priority = placement.priority();
         let adapter = placement.adapter;
         let newest = adapter.as_ref().and_then(|adapter| {
             self.newest_versions.get(&(placement.model.clone(), adapter.clone())).copied()
@@ -402,7 +403,7 @@
             version: newest.max(placement.version),
             prompt_tokens: placement.prompt_tokens,
             output_tokens: placement.output_tokens,
-            priority: placement.priority,
+            priority,
             deadline: now + Duration::from_millis(placement.time_left_ms),
             objective: now + Duration::from_millis(placement.objective_left_ms),
             excluded: placement.excluded,
--- a/crates/orioleroute/src/scheduler/queue.rs
+++ b/crates/orioleroute/src/scheduler/queue.rs
@@ -8,6 +8,7 @@
 
 use super::Request;
 use super::share::Standing;
+use crate::ingress::Priority;
 use crate::prelude::*;
 
 /// The position of a request in the queue; lower goes first.
@@ -16,7 +17,7 @@
     /// Whether the organisation takes what others are due. Their late requests go first as well.
     is_far: bool,
     is_late: bool,
-    priority: u8,
+    priority: Priority,
     /// How far the request starts beyond the share of its organisation.
     step: u32,
     due: Instant,
--- a/crates/orioleroute/src/scheduler/request.rs
+++ b/crates/orioleroute/src/scheduler/request.rs
@@ -1,5 +1,6 @@
 //! The requests that a scheduler places.
 
+use crate::ingress::Priority;
 use crate::prelude::*;
 
 /// The connection of an instance that sends requests to the scheduler.
@@ -41,7 +42,7 @@
     /// The only build whose engines may run the request, if not all may.
     pub build: Option<Arc<str>>,
     /// The priority; 0 is the highest.
-    pub priority: u8,
+    pub priority: Priority,
     /// When the client stops waiting.
     pub deadline: Instant,
     /// When the response is late.
--- a/crates/orioleroute/tests/organisations.rs
+++ b/crates/orioleroute/tests/organisations.rs
@@ -25,7 +25,7 @@
         kind: Kind::Idempotent,
         timeout: Duration::from_secs(1),
         objective: Duration::from_secs(1),
-        priority: 0,
+        priority: 0.into(),
         attempts: 1,
         is_resumable: false,
         is_open,
--- a/crates/orioleroute/tests/scheduling/mod.rs
+++ b/crates/orioleroute/tests/scheduling/mod.rs
@@ -95,6 +95,7 @@
         output_tokens: 24,
         parts: Vec::new(),
         priority: 1,
+        exact_priority: None,
         time_left_ms: 4_000,
         objective_left_ms: 800,
         excluded: Vec::new(),
--- a/crates/orioleroute/tests/shares.rs
+++ b/crates/orioleroute/tests/shares.rs
@@ -294,7 +294,7 @@
         part_ids: [].into(),
         content: None,
         build: None,
-        priority: 1,
+        priority: 1.into(),
         deadline: Instant::from_millis(5_000),
         objective,
         excluded: Vec::new(),
