--- a/crates/orioleroute/src/ingress/configuration.rs
+++ b/crates/orioleroute/src/ingress/configuration.rs
@@ -176,10 +176,10 @@
     /// The same id maps to the same service at every instance, so that a retry within an attempt stays
     /// on the same side of a traffic split.
     pub fn service(&self, id: &str) -> Option<&Arc<str>> {
-        let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
+        let total = self.targets.iter().map(|target| target.weight).fold(0, u64::saturating_add);
         let mut point = hash::digest(id).checked_rem(total)?;
         for target in &self.targets {
-            match point.checked_sub(u64::from(target.weight)) {
+            match point.checked_sub(target.weight) {
                 Some(rest) => point = rest,
                 None => return Some(&target.service),
             }
@@ -215,7 +215,7 @@
     /// The service.
     pub service: Arc<str>,
     /// The target's share of the requests, relative to the weights of the other targets.
-    pub weight: u32,
+    pub weight: u64,
 }
 
 /// A group of upstreams that serve the same requests.
