Read numbers in header fields that their types do not hold

A request whose Orioleroute-Token-Count is above 2^64, or has a fraction, counted as one of no tokens at its organisation's quota and at the scheduler; above 2^32 it counted as none at the scheduler. Parts of a prompt with ids of more than 16 digits were left out, so such prompts shared no cache and no verdict.

Cause: each number was parsed as an integer of the size of its field in the program, and an error as a missing field or 0.

Counts beyond the type count as the largest one: no engine has room for those. Ids of more digits than a number holds are replaced by the start of a cryptographic hash, alike at all instances.

--- a/crates/orioleroute/src/ingress/attempt.rs
+++ b/crates/orioleroute/src/ingress/attempt.rs
@@ -87,3 +87,26 @@
     /// The length of the part in tokens.
     pub tokens: u32,
 }
+
+impl Part {
+    /// Returns the number for an id in hexadecimal digits. One of more digits than the number holds is replaced by the start of
+    /// a cryptographic hash, so that no client can make up a part that is taken for another one.
+    ///
+    /// Returns `None` if the text is no such id.
+    pub fn id_of(digits: &str) -> Option<u64> {
+        let is_hexadecimal = digits.bytes().all(|digit| digit.is_ascii_hexdigit());
+        if digits.is_empty() || !is_hexadecimal {
+            return None;
+        }
+        let significant = digits.trim_start_matches('0').to_ascii_lowercase();
+        if significant.len() <= MAX_ID_DIGITS {
+            return u64::from_str_radix(&format!("0{significant}"), 16).ok();
+        }
+        let mut start = [0; 8];
+        blake3::Hasher::new().update(significant.as_bytes()).finalize_xof().fill(&mut start);
+        Some(u64::from_le_bytes(start))
+    }
+}
+
+/// The hexadecimal digits that a number of 64 bits holds.
+const MAX_ID_DIGITS: usize = 16;
--- a/crates/orioleroute/src/ingress/quota/account.rs
+++ b/crates/orioleroute/src/ingress/quota/account.rs
@@ -217,7 +217,7 @@
     fn loan(&mut self, organisation: Arc<str>, now: Instant) -> Loan {
         self.asked_at = now;
         let ahead = self.ahead(now);
-        let waiting: u64 = self.waiting.iter().map(|(_, cost)| cost).sum();
+        let waiting = self.waiting.iter().map(|(_, cost)| *cost).fold(0, u64::saturating_add);
         let needed = self.waiting.first().map_or(0.0, |(_, cost)| *cost as f64 - self.balance);
         let needed = needed.max(0.0).ceil();
         let wanted = (waiting as f64 + ahead - self.balance).max(needed).ceil();
