--- a/crates/orioleroute/src/ingress/quota/account.rs
+++ b/crates/orioleroute/src/ingress/quota/account.rs
@@ -141,7 +141,7 @@
         let overdrawn = entry.overdrawn + entry.reserve.spent() - asked.overdrawn as f64;
         // A successor began with nothing when this was spent.
         entry.overdrawn = if entry.term == lent.term { overdrawn.max(0.0) } else { 0.0 };
-        entry.reserve.renew(lent.rate as f64, now);
+        entry.reserve.renew(lent.rate(), now);
         entry.balance += lent.amount as f64;
         entry.is_alone = false;
         entry.answered = Some(now);
--- a/crates/orioleroute/src/ingress/quota/lender.rs
+++ b/crates/orioleroute/src/ingress/quota/lender.rs
@@ -104,7 +104,8 @@
             organisation: loan.organisation.clone(),
             amount,
             rate: rate as u64,
-            retry_after_ms: retry_after.unwrap_or(Duration::MAX).as_millis() as u64,
+            exact_rate: (rate.fract() != 0.0).then_some(rate),
+            retry_after_ms: millis(retry_after.unwrap_or(Duration::MAX)),
             term: self.term,
         }
     }
@@ -161,3 +162,7 @@
         rate
     }
 }
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/orioleroute/src/ingress/quota/mod.rs
+++ b/crates/orioleroute/src/ingress/quota/mod.rs
@@ -46,9 +46,12 @@
     /// What is lent, in units of the quota.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub amount: u64,
-    /// The units a second that may be spent while the lender does not answer.
+    /// The whole units a second that may be spent while the lender does not answer.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub rate: u64,
+    /// The rate, if it is not a whole number. Instances of an older release do not name it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub exact_rate: Option<f64>,
     /// The time until there will be what was needed, in milliseconds.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub retry_after_ms: u64,
@@ -56,6 +59,13 @@
     pub term: u64,
 }
 
+impl Lent {
+    /// Returns the units a second that may be spent while the lender does not answer.
+    pub fn rate(&self) -> f64 {
+        self.exact_rate.unwrap_or(self.rate as f64)
+    }
+}
+
 /// Why a request is over the quota, for its client and the log.
 #[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Shortage {
--- a/crates/orioleroute/tests/large_numbers.rs
+++ b/crates/orioleroute/tests/large_numbers.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 
 use orioleroute::ingress::attempt::Part;
+use orioleroute::ingress::organisation::{Quota, Unit};
 use orioleroute::ingress::quarantine::{self, Loss, Quarantine, Run};
+use orioleroute::ingress::quota::{Account, Lender, Verdict};
 use orioleroute::prelude::*;
 use orioleroute::scheduler::message::Placement;
 use orioleroute::scheduler::order::{Action, Outcome, Report};
@@ -119,3 +121,39 @@
     let aged = quarantine.report("a", later).unwrap();
     assert_eq!(aged.losses[0].age_ms, u64::MAX);
 }
+
+/// Guards against requests that state as many tokens as a number holds, and whose sum wraps to few.
+#[test]
+fn waiting_requests_with_the_most_tokens_are_not_counted_as_few() {
+    let mut account: Account<u64> = Account::default();
+    let organisation: Arc<str> = "one".into();
+    for key in 0..2 {
+        account.charge(&organisation, key, 1 << 63, START);
+    }
+
+    let loan = account.loan(&organisation, START).unwrap();
+
+    assert_eq!((loan.needed, loan.wanted), (1 << 63, u64::MAX));
+}
+
+/// Guards against a small organisation that gets nothing while its lender is away, because its rate is rounded to 0 on the way.
+#[test]
+fn a_rate_below_one_unit_is_passed_on() {
+    let organisation: Arc<str> = "one".into();
+    let quota = Quota { rate: 0.5, burst: 1.0, unit: Unit::Request, default_tokens: 0 };
+    let mut lender = Lender::new(1, START);
+    let mut account: Account<u64> = Account::default();
+    let mut now = START + Duration::from_secs(2);
+    account.charge(&organisation, 1, 1, now);
+    let loan = account.loan(&organisation, now).unwrap();
+    let lent = lender.lend(&"a".into(), &loan, &quota, now);
+    let text = serde_json::to_string(&lent).unwrap();
+    account.handle_lent(&serde_json::from_str(&text).unwrap(), now);
+
+    now += Duration::from_secs(1);
+    account.handle_silence(&organisation, now);
+    let verdict = account.charge(&organisation, 2, 1, now + Duration::from_secs(1));
+
+    assert!(lent.rate() > 0.0 && lent.rate == 0, "{lent:?}");
+    assert_eq!(verdict, Some(Verdict::Charged));
+}
