Tell the operator of rows that are refused

The store acknowledges a configuration that the instances do not put in force, and the operator, who calls no instance, is told nothing: requests go on by the former version, and only a line in the logs shows it. That line named no version and no time, and for references between routes and services no path in the row. A value that may hold keys and is no JSON was refused at its reader alone; the instances that get it from the reader were told that the row had been removed.

Each refused row is now kept with its path, cause, time and the version in force instead. The readers write that to the table status, under the key of the row, and remove it when it is over; the log and a metric say the same at each instance. A value that cannot be read is passed on as its error, so all refuse it for the same cause. Faults that the core finds name a place, and platform/ its path. An entry of an upstream that a follower cannot decode is logged; it was dropped without a word.

--- a/crates/orioleroute-node/src/gateway/mod.rs
+++ b/crates/orioleroute-node/src/gateway/mod.rs
@@ -52,7 +52,7 @@
 pub use state::Gateway;
 use state::Signals;
 
-use crate::{log, meter};
+use crate::{log, meter, refusals};
 
 /// Runs an instance until a termination signal arrives and its work for clients and for other instances is
 /// done, or the grace period ends.
@@ -104,5 +104,6 @@
     }
     monoio::spawn(leadership::run(gateway.clone()));
     monoio::spawn(copies::run(gateway.clone()));
+    monoio::spawn(refusals::run(gateway.clone()));
     state::run_until_stopped(gateway, signals).await
 }
--- a/crates/orioleroute-node/src/gateway/state.rs
+++ b/crates/orioleroute-node/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use orioleroute::ingress::deadline::DeadlineTracker;
 use orioleroute::ingress::feed::Record;
 use orioleroute::ingress::health::Health;
+use orioleroute::ingress::refusal::Refusals;
 use orioleroute::ingress::registry::Registry;
 use orioleroute::ingress::roster::{Member, Roster};
 use orioleroute::ingress::upstream::Announcement;
@@ -90,6 +91,8 @@
     configuration: RefCell<Option<Arc<Configuration>>>,
     /// The rows of the operator's table by which this instance acts.
     in_force: RefCell<Map<Arc<str>, Record>>,
+    /// The rows of the operator's table that are refused.
+    refusals: RefCell<Refusals>,
     registry: RefCell<Registry>,
     roster: RefCell<Roster>,
     health: RefCell<Map<Arc<str>, Health>>,
@@ -138,6 +141,7 @@
             incarnation,
             configuration: RefCell::default(),
             in_force: RefCell::default(),
+            refusals: RefCell::default(),
             registry: RefCell::default(),
             roster: RefCell::new(Roster::new(own)),
             health: RefCell::default(),
@@ -183,6 +187,11 @@
         self.in_force.borrow_mut().insert(record.key.clone(), record.clone());
     }
 
+    /// Returns the rows of the operator's table that are refused.
+    pub fn refusals(&self) -> RefMut<'_, Refusals> {
+        self.refusals.borrow_mut()
+    }
+
     /// Activates a configuration unless the active one is at least as new, and returns whether it did.
     pub fn configure(&self, configuration: Configuration) -> bool {
         let previous = self.configuration.borrow().as_ref().map(|previous| previous.version);
--- a/crates/orioleroute-node/src/gateway/sync.rs
+++ b/crates/orioleroute-node/src/gateway/sync.rs
@@ -19,6 +19,7 @@
 use super::leadership;
 use super::state::Gateway;
 use super::{builds, election, quarantine};
+use crate::refusals;
 
 /// How long a watch waits for changes. A connection that has gone silent is detected after this time plus
 /// the client's own margin and replaced after [`RETRY_DELAY`], together within the four seconds after
@@ -208,17 +209,14 @@
             (Table::Upstreams, Some(value)) => match records::upstream(&row.key, value) {
                 Ok(description) => serde_json::to_string(&description).ok(),
                 Err(error) => {
-                    report_malformed(gateway, table, &row.key, &error.cause);
-                    None
-                }
-            },
-            (Table::Operator, Some(value)) => match records::conceal_keys(&row.key, value) {
-                Ok(value) => Some(value),
-                Err(error) => {
-                    report_malformed(gateway, table, &row.key, &error.cause);
+                    report_malformed(gateway, table, &row.key, &error.reason());
                     None
                 }
             },
+            (Table::Operator, Some(value)) => {
+                let concealed = records::conceal_keys(&row.key, value);
+                Some(concealed.unwrap_or_else(|error| records::unreadable(&error)))
+            }
             (Table::Cluster, Some(value)) => Some(String::from_utf8_lossy(value).into_owned()),
         };
         feed::Row {
@@ -240,27 +238,33 @@
 }
 
 fn apply_operator_row(gateway: &Rc<Gateway>, row: &feed::Row) {
-    if let Some(value) = &row.value {
-        apply_operator_record(gateway, &Record { key: row.key.clone(), value: value.clone() });
-    }
+    let applied = match &row.value {
+        Some(value) => {
+            let record = Record { key: row.key.clone(), value: value.clone() };
+            put_in_force(gateway, &record)
+        }
+        None => Ok(()),
+    };
+    refusals::observe(gateway, row, applied.as_ref().err());
 }
 
-/// Acts by what the operator has written, unless something newer is in force.
+/// Acts by what the operator has written, as another instance tells it, unless something newer is in force.
 pub fn apply_operator_record(gateway: &Rc<Gateway>, record: &Record) {
-    let is_in_force = match records::operator_record(&record.key, record.value.as_bytes()) {
-        Ok(OperatorRecord::Configuration(configuration)) => gateway.configure(*configuration),
-        Ok(OperatorRecord::Announcement(announcement)) => {
-            gateway.record_announcement(&announcement)
-        }
-        Ok(OperatorRecord::Other) => false,
-        Err(error) => {
-            report_malformed(gateway, Table::Operator, &record.key, &error.cause);
-            false
-        }
+    if let Err(error) = put_in_force(gateway, record) {
+        report_malformed(gateway, Table::Operator, &record.key, &error.reason());
+    }
+}
+
+fn put_in_force(gateway: &Rc<Gateway>, record: &Record) -> Result<(), records::Error> {
+    let is_in_force = match records::operator_record(&record.key, record.value.as_bytes())? {
+        OperatorRecord::Configuration(configuration) => gateway.configure(*configuration),
+        OperatorRecord::Announcement(announcement) => gateway.record_announcement(&announcement),
+        OperatorRecord::Other => false,
     };
     if is_in_force {
         gateway.set_in_force(record);
     }
+    Ok(())
 }
 
 fn apply_upstreams(gateway: &Rc<Gateway>, rows: &[feed::Row], extent: Extent) {
@@ -273,7 +277,11 @@
         let entry = row.value.as_deref().map(serde_json::from_str::<Description>);
         match entry {
             Some(Ok(entry)) => Change::Written(Description { entry_version: row.version, ..entry }),
-            Some(Err(_)) | None => Change::Removed(row.key.clone()),
+            Some(Err(error)) => {
+                report_malformed(gateway, Table::Upstreams, &row.key, &error.to_string());
+                Change::Removed(row.key.clone())
+            }
+            None => Change::Removed(row.key.clone()),
         }
     });
     match extent {
--- a/crates/orioleroute-node/src/main.rs
+++ b/crates/orioleroute-node/src/main.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod platform;
 mod quota;
+mod refusals;
 mod relay;
 mod room;
 mod settings;
--- a/crates/orioleroute/src/ingress/configuration.rs
+++ b/crates/orioleroute/src/ingress/configuration.rs
@@ -2,7 +2,7 @@
 
 mod check;
 
-pub use check::Invalid;
+pub use check::{Invalid, Limit, OrganisationPart, Place, RoutePart};
 
 use super::organisation::{Organisation, Organisations, Unidentified};
 use super::priority::{Grade, Priority, Scale};
--- a/crates/orioleroute/src/ingress/mod.rs
+++ b/crates/orioleroute/src/ingress/mod.rs
@@ -25,6 +25,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod reach;
+pub mod refusal;
 pub mod registry;
 pub mod roster;
 pub mod unreported;
