--- a/crates/orioleroute-node/src/refusals.rs
+++ b/crates/orioleroute-node/src/refusals.rs
@@ -17,6 +17,9 @@
 /// How often an instance checks whether the operator has to be told something.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The delay before a failed call is retried. The operator can wait for what the store cannot take.
+const RETRY_DELAY: Duration = Duration::from_secs(2);
+
 /// The most rows that are written in one transaction, which the store limits to 100 entries, of which each write is two.
 const MAX_WRITES: usize = 50;
 
@@ -25,13 +28,11 @@
     let version = Version::from(row.version);
     match error {
         Some(error) => {
+            let value = row.value.as_ref();
             let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             let refusal = Refusal {
                 row_version: row.version,
-                stated_version: row
-                    .value
-                    .as_ref()
-                    .and_then(|it| records::stated_version(it.as_bytes())),
+                stated_version: value.and_then(|value| records::stated_version(value.as_bytes())),
                 path: error.path.clone(),
                 cause: error.cause.clone(),
                 since_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
@@ -81,6 +82,7 @@
             Ok(is_all) => told = is_all.then_some(changes),
             Err(error) => {
                 warn!(gateway.log, "refused rows not written"; "error" => error.to_string());
+                monoio::time::sleep(RETRY_DELAY).await;
             }
         }
     }
--- a/crates/orioleroute/src/ingress/refusal.rs
+++ b/crates/orioleroute/src/ingress/refusal.rs
@@ -3,12 +3,10 @@
 //! A row that cannot be used is refused whole, and what was in force before stays so at all instances. The operator is told
 //! which row that is, why, and what is in force instead: `docs/PLATFORM.md`, section "Refused rows".
 
-use serde::{Deserialize, Serialize};
-
 use crate::prelude::*;
 
 /// A row that is not put in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
     /// The version of the transaction that wrote the row.
     pub row_version: u64,
@@ -51,23 +49,20 @@
 }
 
 impl Refusals {
-    /// Records that a row is refused, and returns whether that is news. The row keeps the time at which it was refused first.
-    pub fn refuse(&mut self, key: &Arc<str>, refusal: Refusal) -> bool {
+    /// Records that a row is refused. One that is read again keeps the time at which it was refused first.
+    pub fn refuse(&mut self, key: &Arc<str>, refusal: Refusal) {
         let known = self.rows.get(key);
-        if known.is_some_and(|known| known.row_version >= refusal.row_version) {
-            return false;
+        if known.is_none_or(|known| known.row_version < refusal.row_version) {
+            self.rows.insert(key.clone(), refusal);
+            self.changes += 1;
         }
-        self.rows.insert(key.clone(), refusal);
-        self.changes += 1;
-        true
     }
 
     /// Records that a row has been put in force or removed, and returns the refusal that is over with that.
     pub fn accept(&mut self, key: &str, row_version: u64) -> Option<Refusal> {
-        let is_over = self.rows.get(key).is_some_and(|known| known.row_version < row_version);
-        let refusal = self.rows.remove(key).filter(|_| is_over)?;
+        self.rows.get(key).filter(|known| known.row_version < row_version)?;
         self.changes += 1;
-        Some(refusal)
+        self.rows.remove(key)
     }
 
     /// Records what is in force in the place of each refused row.
--- a/crates/orioleroute/tests/refusals.rs
+++ b/crates/orioleroute/tests/refusals.rs
@@ -28,7 +28,7 @@
         }
         self.known = version;
         match version % 2 {
-            1 => drop(self.refusals.refuse(&KEY.into(), refusal(version, now_ms, Some(0)))),
+            1 => self.refusals.refuse(&KEY.into(), refusal(version, now_ms, Some(0))),
             _ => drop(self.refusals.accept(KEY, version)),
         }
     }
@@ -58,6 +58,17 @@
     assert_eq!(corrections, []);
 }
 
+/// Guards against a refusal that is over although only an earlier row was put in force.
+#[test]
+fn an_earlier_row_does_not_end_a_refusal() {
+    let mut refusals = Refusals::default();
+    refusals.refuse(&KEY.into(), refusal(3, 1_000, Some(2)));
+
+    let ended = refusals.accept(KEY, 2);
+
+    assert_eq!((ended, refusals.len()), (None, 1));
+}
+
 #[test]
 fn a_row_of_somebody_else_is_no_refusal_that_is_over() {
     let told: Map<Arc<str>, Option<Refusal>> = [("other".into(), None)].into_iter().collect();
