Start with any figure that the platform states

A process did not start if the platform's bounds state a retry allowance of 0, one with a fraction, or none, or do not state whether fences are checked: the template of the settings passes on what is stated, and these settings took whole numbers from 1 on and no empty text. Bounds may be fractions, and there is no value where a deployment has no such bound.

Such a figure may now be 0 and have decimals, which are cut off, and the default applies where nothing is stated, as for the limits of the machine.

--- a/crates/orioleroute-node/src/gateway/settings.rs
+++ b/crates/orioleroute-node/src/gateway/settings.rs
@@ -155,8 +155,8 @@
         let grace = source.millis("grace-ms");
         let resolution_life = source.millis("resolution-life-ms");
         let processor_share = source.value("processor-share");
-        let engines_check_fencing = source.value("engines-check-fencing");
-        let retry_allowance = source.value("retry-allowance");
+        let engines_check_fencing = source.value_or_default("engines-check-fencing");
+        let retry_allowance = source.figure("retry-allowance");
         let connections = source.value("connections");
         let body_memory = source.value("body-memory");
         let memory_mib = source.machine_limit("memory-mb");
--- a/crates/orioleroute-node/src/settings.rs
+++ b/crates/orioleroute-node/src/settings.rs
@@ -330,21 +330,55 @@
     /// Returns the value of a limit of the machine. It may be empty or 0 where the machine states none, and may have
     /// decimals; the default applies then, or they are cut off.
     pub fn machine_limit(&mut self, flag: &str) -> Option<usize> {
+        self.number(flag, |stated| match stated {
+            0.0 => None,
+            stated => Some((stated >= 1.0).then_some(stated as usize)),
+        })
+    }
+
+    /// Returns a figure that the deployment states. It may be 0 and may have decimals, which are cut off; the default applies if
+    /// it is empty, as a template leaves it where nothing is stated.
+    pub fn figure(&mut self, flag: &str) -> Option<u32> {
+        self.number(flag, |stated| Some(Some(stated as u32)))
+    }
+
+    /// Returns the value of a setting, or its default if it is empty, as a template leaves it where nothing is stated.
+    pub fn value_or_default<T: FromStr>(&mut self, flag: &str) -> Option<T> {
+        let setting = self.settings.iter().find(|setting| setting.flag == flag)?;
+        match self.text(setting).is_some_and(|text| text.trim().is_empty()) {
+            true => setting.default?.parse().ok(),
+            false => self.value(flag),
+        }
+    }
+
+    /// Returns a setting that is a number, or records an error if it is none, is negative or is rejected. `read` returns
+    /// `None` for a number that stands for the default, and `Some(None)` for one that is rejected.
+    fn number<T: FromStr>(
+        &mut self,
+        flag: &str,
+        read: impl FnOnce(f64) -> Option<Option<T>>,
+    ) -> Option<T> {
         let setting = self.settings.iter().find(|setting| setting.flag == flag)?;
         let text = self.text(setting).unwrap_or_default();
         let text = text.trim();
-        let stated = if text.is_empty() { Ok(0.0) } else { text.parse::<f64>() };
-        match (stated, setting.default.and_then(|default| default.parse().ok())) {
-            (Ok(0.0), Some(default)) => Some(default),
-            (Ok(stated), _) if stated >= 1.0 && stated.is_finite() => Some(stated as usize),
-            _ => {
-                let (variable, hint) = (variable_name(flag), setting.hint);
-                self.errors.push(format!(
-                    "orioleroute-node: --{flag} or {variable} is {text:?}, expected {hint}"
-                ));
-                None
-            }
+        let stated = match text {
+            "" => None,
+            text => match text.parse::<f64>() {
+                Ok(stated) if stated >= 0.0 && stated.is_finite() => read(stated),
+                _ => Some(None),
+            },
+        };
+        let value = match stated {
+            Some(value) => value,
+            None => setting.default.and_then(|default| default.parse().ok()),
+        };
+        if value.is_none() {
+            let (variable, hint) = (variable_name(flag), setting.hint);
+            self.errors.push(format!(
+                "orioleroute-node: --{flag} or {variable} is {text:?}, expected {hint}"
+            ));
         }
+        value
     }
 
     /// Returns the value of a setting that is given in milliseconds.
--- a/crates/orioleroute-node/tests/platform_settings.rs
+++ b/crates/orioleroute-node/tests/platform_settings.rs
@@ -92,7 +92,26 @@
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
 }
 
+/// Guards against a process that does not start because the deployment states a figure with a fraction, 0, or none.
 #[rstest]
+#[case::decimals("retry-allowance = 58.5\n", "retry-allowance = 58.5")]
+#[case::none_allowed("retry-allowance = 0\n", "retry-allowance = 0")]
+#[case::large("retry-allowance = 9007199254740992\n", "retry-allowance = 9007199254740992")]
+#[case::no_allowance_stated("retry-allowance =\n", "retry-allowance = ")]
+#[case::no_fencing_stated("engines-check-fencing =\n", "engines-check-fencing = ")]
+fn figures_of_the_deployment_are_taken_as_they_are_stated(#[case] more: &str, #[case] shown: &str) {
+    let file = SettingsFile::write(&settings(more));
+
+    let output = run(&file, &[]);
+
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(String::from_utf8_lossy(&output.stdout).contains(shown));
+}
+
+#[rstest]
+#[case::allowance("retry-allowance = some\n", "--retry-allowance")]
+#[case::negative_allowance("retry-allowance = -1\n", "--retry-allowance")]
+#[case::fencing("engines-check-fencing = maybe\n", "--engines-check-fencing")]
 #[case::text("memory-mb = much\n", "--memory-mb")]
 #[case::negative("descriptors = -1\n", "--descriptors")]
 #[case::unending("memory-mb = inf\n", "--memory-mb")]
